--- /dev/null
+++ b/clementinewood/timer.py
@@ -0,0 +1,112 @@
+"""Timer service that parts of a process subscribe to."""
+
+import heapq
+import itertools
+import time
+from collections.abc import Callable
+
+import circuits
+from loguru import logger
+
+Callback = Callable[[], None]
+
+
+class Subscription:
+    """One callback on the timer service; `cancel` is O(1).
+
+    Args:
+        due: Monotonic time of the next call, in seconds.
+        period: Seconds between calls, or None for a single call.
+        callback: Called without arguments on the loop.
+    """
+
+    __slots__ = ("callback", "due", "period")
+
+    def __init__(
+        self, due: float, period: float | None, callback: Callback
+    ) -> None:
+        self.due = due
+        self.period = period
+        self.callback: Callback | None = callback
+
+    def cancel(self) -> None:
+        """Prevents every later call."""
+        self.callback = None
+
+
+class TimerService(circuits.BaseComponent):
+    """Calls subscribers at their times on the circuits loop.
+
+    One component serves all timers, since registering a circuits component
+    per timer clears the event handler cache each time.
+
+    Args:
+        clock: Source of monotonic time in seconds.
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        super().__init__()
+        self.clock = clock
+        self.failures = 0
+        self._order = itertools.count()
+        self._heap: list[tuple[float, int, Subscription]] = []
+
+    def subscribe_once(self, delay: float, callback: Callback) -> Subscription:
+        """Calls `callback` once, `delay` seconds from now."""
+        return self._push(Subscription(self.clock() + delay, None, callback))
+
+    def subscribe_every(
+        self, period: float, callback: Callback
+    ) -> Subscription:
+        """Calls `callback` every `period` seconds, first after one period."""
+        return self._push(Subscription(self.clock() + period, period, callback))
+
+    def run_due(self) -> float | None:
+        """Runs callbacks that are due.
+
+        Returns:
+            Seconds until the next one, or None without subscribers.
+        """
+        now = self.clock()
+        while self._heap:
+            due, _, subscription = self._heap[0]
+            if subscription.callback is not None and due > now:
+                return due - now
+            heapq.heappop(self._heap)
+            if subscription.callback is not None:
+                self._run_callback(subscription, now)
+        return None
+
+    def _push(self, subscription: Subscription) -> Subscription:
+        item = (subscription.due, next(self._order), subscription)
+        heapq.heappush(self._heap, item)
+        return subscription
+
+    def _run_callback(self, subscription: Subscription, now: float) -> None:
+        callback = subscription.callback
+        assert callback is not None
+        if subscription.period is None:
+            subscription.callback = None
+        else:
+            # A late loop skips missed periods: a burst of calls after a pause
+            # would repeat the same work.
+            subscription.due = max(subscription.due + subscription.period, now)
+            self._push(subscription)
+        try:
+            callback()
+        except Exception:
+            self.failures += 1
+            logger.exception("timer callback failed")
+
+    @circuits.handler("generate_events")
+    def _on_generate_events(self, event: circuits.Event) -> None:
+        left = self.run_due()
+        if left is not None:
+            event.reduce_time_left(left)
+
+
+if __name__ == "__main__":
+    service = TimerService()
+    service.subscribe_every(0.2, lambda: print("period"))
+    service.subscribe_once(0.7, lambda: service.stop())
+    service.run()
