--- a/clementinewood/verdict.py
+++ b/clementinewood/verdict.py
@@ -25,7 +25,7 @@
     TOO_MANY_CONNECTIONS = "too-many-connections"
     KEY_MISSING = "key-missing"
     KEY_UNKNOWN = "key-unknown"
-    KEY_WITHDRAWN = "key-withdrawn"
+    KEY_REVOKED = "key-revoked"
     QUEUE_UNKNOWN = "queue-unknown"
     QUEUE_FORBIDDEN = "queue-forbidden"
     STALE_CONFIGURATION = "stale-configuration"
@@ -55,7 +55,7 @@
     Reason.TOO_MANY_CONNECTIONS: 503,
     Reason.KEY_MISSING: 401,
     Reason.KEY_UNKNOWN: 401,
-    Reason.KEY_WITHDRAWN: 401,
+    Reason.KEY_REVOKED: 401,
     Reason.QUEUE_UNKNOWN: 404,
     Reason.QUEUE_FORBIDDEN: 403,
     Reason.STALE_CONFIGURATION: 503,
