Skip the periods that a pause covered

Cause: a periodic timer ran twice right after a pause (4 calls where 3 were expected in features/timer.feature). Change: the next due time after a late call is one full period from now.

--- a/clementinewood/timer.py
+++ b/clementinewood/timer.py
@@ -90,7 +90,9 @@
         else:
             # A late loop skips missed periods: a burst of calls after a pause
             # would repeat the same work.
-            subscription.due = max(subscription.due + subscription.period, now)
+            subscription.due += subscription.period
+            if subscription.due <= now:
+                subscription.due = now + subscription.period
             self._push(subscription)
         try:
             callback()
