--- a/clementinewood/bundle.py
+++ b/clementinewood/bundle.py
@@ -109,6 +109,8 @@
         capacity: Requests that may wait.
         run_limit: Seconds that one request may run.
         max_attempts: Attempts per request, the first included.
+        closing: Whether new requests are refused while waiting ones still
+            run; a queue is removed only after that.
     """
 
     pool: PoolId
@@ -118,6 +120,7 @@
     capacity: int
     run_limit: float
     max_attempts: int
+    closing: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -423,6 +426,7 @@
         "max_attempts": inifile.Option(
             _parse_int(1, 10), "a whole number, 1 to 10", 3
         ),
+        "closing": _FLAG,
     },
     "team": {
         "share": inifile.Option(_parse_fraction, _PART),
@@ -872,6 +876,80 @@
     ]
 
 
+def check_change(old: Bundle, new: Bundle) -> tuple[fault.Fault, ...]:
+    """Returns why `new` may not follow `old`, each as a fault.
+
+    Each bundle may be sound alone and still harm what runs under the other.
+    """
+    faults = []
+
+    def add(section: str, option: str, detail: str, allowed: str) -> None:
+        faults.append(
+            fault.Fault(
+                code=fault.Code.CONFLICT,
+                detail=detail,
+                section=section,
+                option=option,
+                allowed=allowed,
+            )
+        )
+
+    if new.version <= old.version:
+        add(
+            "bundle",
+            "version",
+            f"version {old.version} is in force",
+            f"{old.version + 1} or above",
+        )
+    if new.site != old.site:
+        add("bundle", "site", "the bundle is for another site", old.site)
+    for name in sorted(old.queues.keys() - new.queues.keys()):
+        if not old.queues[name].closing:
+            add(
+                f"queue {name}",
+                "",
+                "removing it would strand the requests that wait in it",
+                "removal after a bundle that has closing = yes for it",
+            )
+    return tuple(faults)
+
+
+def plan_change(old: Bundle, new: Bundle) -> tuple[str, ...]:
+    """Returns what a change sets in motion, in plain words."""
+    lines = []
+    home = {w: p for p, spec in old.pools.items() for w in spec.workers}
+    for pool, spec in new.pools.items():
+        moved = [w for w in spec.workers if home.get(w) not in (None, pool)]
+        added = [w for w in spec.workers if w not in home]
+        if moved:
+            lines.append(f"pool {pool}: {len(moved)} workers move in and drain")
+        if added:
+            lines.append(f"pool {pool}: {len(added)} workers are new")
+    kept = {w for spec in new.pools.values() for w in spec.workers}
+    gone = [w for w in home if w not in kept]
+    if gone:
+        lines.append(f"{len(gone)} workers leave the fleet")
+    for team in sorted(old.teams.keys() & new.teams.keys()):
+        lower = old.teams[team].limit - new.teams[team].limit
+        if lower > 0:
+            lines.append(
+                f"team {team}: starts nothing until every entry has the bundle"
+                f" and {lower} rights are given back"
+            )
+    out = [z for z, spec in new.zones.items() if spec.state is ZoneState.OUT]
+    if out:
+        lines.append(f"no task starts in {', '.join(out)}")
+    order = [
+        *new.rollout.zones,
+        *sorted(new.zones.keys() - set(new.rollout.zones)),
+    ]
+    lines.append(
+        f"waves: {', '.join(order)}, {new.rollout.soak:g} s of good signals"
+        " between them"
+    )
+    return tuple(lines)
+
+
 if __name__ == "__main__":
     with open(sys.argv[1], encoding="utf-8") as file:
         match parse_bundle(file.read(), sys.argv[1]):
--- a/clementinewood/state.py
+++ b/clementinewood/state.py
@@ -674,7 +674,8 @@
             text: Signed bundle, already verified by the caller.
 
         Raises:
-            ValueError: The text is not a signed, valid bundle.
+            ValueError: The text is not a signed, valid bundle, or it may not
+                follow the one in force.
         """
         split = signature.split_signed(text)
         if not isinstance(split, result.Success):
@@ -682,7 +683,12 @@
         parsed = bundle.parse_bundle(split.unwrap().text)
         if not isinstance(parsed, result.Success):
             raise ValueError(parsed.failure()[0].render())
-        version = parsed.unwrap().version
+        declared = parsed.unwrap()
+        if self.bundle is not None:
+            conflicts = bundle.check_change(self.bundle, declared)
+            if conflicts:
+                raise ValueError(conflicts[0].render())
+        version = declared.version
         content, is_delta = delta.compress(text), False
         if self.bundle is not None and version % FULL_BUNDLE_EVERY:
             smaller = delta.encode_delta(self.bundle_text, text)
