--- /dev/null
+++ b/bench/sites.py
@@ -0,0 +1,119 @@
+"""Bundles and control streams of a chosen size."""
+
+import hashlib
+import random
+
+from clementinewood import record, signature, state
+from clementinewood.identifiers import EntryId, Incarnation, ZoneId
+
+CLUSTER_KEY = b"k" * 32
+PRIVATE, PUBLIC = signature.generate_key()
+
+
+def create_text(
+    *, workers: int, pools: int, teams: int, version: int = 1, zones: int = 5
+) -> str:
+    lines = ["[bundle]", f"version = {version}", "site = bench", ""]
+    for zone in range(zones):
+        lines += [f"[zone z{zone}]", "state = in", f"region = r{zone % 2}", ""]
+    for service in range(12):
+        lines += [f"[service s{service}]", "slots = 8", "connections = 64"]
+        lines += ["run_limit = 60s", ""]
+    share = round(0.99 / teams, 6)
+    done = 0
+    for pool in range(pools):
+        size = (workers * (pool + 1)) // pools - done
+        done += size
+        lines += [f"[pool p{pool:03}]", f"service = s{pool % 12}"]
+        lines.append(
+            f"workers = p{pool:03}-[001-{size:03}]" if size else "workers ="
+        )
+        lines.append(f"max_unavailable = {max(1, size // 10)}")
+        lines += [f"max_unavailable_zone = {size // zones + 1}", ""]
+        if size:
+            lines += [f"[queue q{pool:03}]", f"pool = p{pool:03}"]
+            lines += [f"teams = t{pool % teams:03}, t{(pool * 7) % teams:03}"]
+            if lines[-1].count(f"t{pool % teams:03}") > 1:
+                lines[-1] = f"teams = t{pool % teams:03}"
+            lines += ["capacity = 1000", "run_limit = 30s", ""]
+    limit = max(1, workers * 8 // 10)
+    for team in range(teams):
+        lines += [f"[team t{team:03}]", f"share = {share}", f"limit = {limit}"]
+        for key in range(2):
+            name = f"t{team:03}-k{key}"
+            digest = hashlib.sha256(name.encode()).hexdigest()
+            lines += ["", f"[key {name}]", f"team = t{team:03}"]
+            lines += [f"customer = c{team % 6}", f"digest = sha256:{digest}"]
+        lines.append("")
+    lines += ["[maintenance]", "interval = 42d", "duration = 30m"]
+    return "\n".join(lines) + "\n"
+
+
+def change_text(text: str, version: int, source: random.Random) -> str:
+    """Returns the next version with one change that operators make."""
+    blocks = text.split("\n\n")
+    blocks[0] = f"[bundle]\nversion = {version}\nsite = bench"
+    kind = source.choice(["[team ", "[key ", "[queue ", "[zone "])
+    places = [i for i, block in enumerate(blocks) if block.startswith(kind)]
+    place = source.choice(places)
+    lines = blocks[place].split("\n")
+    match kind:
+        case "[team ":
+            old = int(lines[2].split(" = ")[1])
+            lines[2] = f"limit = {max(1, old + source.choice((-1, 1)))}"
+        case "[key ":
+            if lines[-1].startswith("state"):
+                lines.pop()
+            else:
+                lines.append("state = revoked")
+        case "[queue ":
+            lines[-2] = f"capacity = {source.randrange(500, 1500)}"
+        case _ if place != places[0]:
+            lines[1] = source.choice(["state = in", "state = out"])
+    blocks[place] = "\n".join(lines)
+    return "\n\n".join(blocks)
+
+
+def sign(text: str) -> str:
+    return signature.sign_bundle(
+        text, "night", PRIVATE, signed=1.8e9, expires=1.9e9
+    )
+
+
+def name_entry(number: int) -> Incarnation:
+    return Incarnation(f"entry-{number}/{number:012x}")
+
+
+def create_joined(number: int) -> record.Joined:
+    return record.Joined(
+        name_entry(number),
+        EntryId(f"entry-{number}"),
+        f"10.0.0.{number}",
+        9000,
+        ZoneId(f"z{number % 5}"),
+    )
+
+
+class Folder:
+    """Appends payloads to a state, encoded as they are in the log."""
+
+    def __init__(self, *, entries: int = 7) -> None:
+        self.state = state.ControlState()
+        self.log: list[bytes] = []
+        for number in range(1, entries + 1):
+            self.append(create_joined(number))
+
+    def append(self, payload: record.Payload, *, author: int = 1) -> int:
+        """Folds one payload; returns the bytes of its record."""
+        entry = record.create_record(name_entry(author), payload)
+        data = record.encode_record(entry, CLUSTER_KEY)
+        offset = len(self.log)
+        self.log.append(data)
+        decoded = record.decode_record(data, CLUSTER_KEY).unwrap()
+        outcome = self.state.apply(decoded, offset, 1.8e9 + offset)
+        assert outcome is state.Outcome.APPLIED, outcome
+        return len(data)
+
+    def accept(self, text: str) -> int:
+        """Puts a bundle in force; returns the bytes of its record."""
+        return self.append(self.state.create_bundle_payload(sign(text)))
--- a/clementinewood/bundle.py
+++ b/clementinewood/bundle.py
@@ -482,6 +482,34 @@
         """Returns the bundle, or None when `faults` has entries."""
         for section in inifile.read_sections(text, self.source, self.faults):
             self._read_section(section)
+        return self._check()
+
+    def resume(self, parts: Iterable[tuple[str, str, Any]]) -> Bundle | None:
+        """Checks sections that were read before."""
+        for kind, label, spec in parts:
+            if (kind, label) in self._sections:
+                return None
+            name = f"{kind} {label}".strip()
+            self._sections[kind, label] = inifile.Section(name, 0, {})
+            self._specs[kind][label] = spec
+        return self._check()
+
+    def list_parts(self) -> list[tuple[str, str, Any]]:
+        """Returns kind, name and content of each section, in order."""
+        return [
+            (kind, label, self._specs[kind][label])
+            for kind, label in self._sections
+        ]
+
+    def read_part(self, block: str) -> tuple[str, str, Any] | None:
+        """Returns the only section of `block`, or None when it has errors."""
+        for section in inifile.read_sections(block, self.source, self.faults):
+            self._read_section(section)
+        if self.faults or len(self._sections) != 1:
+            return None
+        return self.list_parts()[0]
+
+    def _check(self) -> Bundle | None:
         for kind in _REQUIRED_KINDS:
             if not any(found == kind for found, _ in self._sections):
                 self._add(
@@ -591,15 +619,17 @@
             allowed=allowed,
         )
 
-    def _names(self, kind: str) -> list[str]:
+    def _names(self, kind: str) -> dict[str, None]:
         """Returns declared names, those of sections in error included."""
-        return [label for found, label in self._sections if found == kind]
+        return {label: None for found, label in self._sections if found == kind}
 
     def _check_references(self) -> None:
+        names = {kind: self._names(kind) for kind in _OPTIONS}
+
         def check(
             kind: str, name: str, option: str, target: str, used: Iterable[str]
         ) -> None:
-            known = self._names(target)
+            known = names[target]
             for item in used:
                 if item not in known:
                     self._add(
@@ -608,7 +638,7 @@
                         section=self._sections[kind, name],
                         option=option,
                         value="",
-                        allowed=", ".join(known[:8])
+                        allowed=", ".join(list(known)[:8])
                         + (", ..." if len(known) > 8 else ""),
                         suggestion=fault.find_near_match(item, known),
                     )
@@ -626,10 +656,19 @@
             check("rollout", "", "zones", "zone", rollout.zones)
 
     def _check_pools(self) -> None:
-        owner: dict[str, str] = {}
+        self._check_owners()
         upkeep = self._specs["maintenance"].get("", MaintenanceSpec())
         zones = max(1, len(self._names("zone")))
         for name, pool in self._specs["pool"].items():
+            self._check_budget(name, pool, upkeep, zones)
+
+    def _check_owners(self) -> None:
+        pools: dict[str, PoolSpec] = self._specs["pool"]
+        every = set().union(*(pool.workers for pool in pools.values()))
+        if len(every) == sum(len(pool.workers) for pool in pools.values()):
+            return
+        owner: dict[str, str] = {}
+        for name, pool in pools.items():
             for worker in pool.workers:
                 first = owner.setdefault(worker, name)
                 if first != name:
@@ -641,7 +680,6 @@
                         value="",
                         allowed="a worker in exactly one pool",
                     )
-            self._check_budget(name, pool, upkeep, zones)
 
     def _check_budget(
         self, name: str, pool: PoolSpec, upkeep: MaintenanceSpec, zones: int
@@ -816,12 +854,70 @@
     Returns:
         The bundle, or every error found, in the order of the text.
     """
-    parser = _Parser(source)
-    parsed = parser.parse(text)
-    if parsed is None:
-        ordered = sorted(parser.faults, key=lambda item: item.line or 0)
-        return result.Failure(tuple(ordered))
-    return result.Success(parsed)
+    return BundleParser().parse(text, source)
+
+
+class BundleParser:
+    """Parses successive versions of a bundle.
+
+    Sections that stay the same are not read again: a bundle for 12,000
+    workers takes a tenth of a second to read, during which the event loop of
+    an entry would stand still at every change.
+    """
+
+    def __init__(self) -> None:
+        self._parts: dict[str, tuple[str, str, Any]] = {}
+
+    def parse(
+        self, text: str, source: str = "bundle"
+    ) -> result.Result[Bundle, tuple[fault.Fault, ...]]:
+        """Reads and checks a bundle, like `parse_bundle`."""
+        preamble, blocks = _split_blocks(text)
+        if self._parts and _is_comment(preamble):
+            reused = self._resume(blocks, source)
+            if reused is not None:
+                return result.Success(reused)
+        parser = _Parser(source)
+        parsed = parser.parse(text)
+        if parsed is None:
+            ordered = sorted(parser.faults, key=lambda item: item.line or 0)
+            return result.Failure(tuple(ordered))
+        parts = parser.list_parts()
+        if len(parts) == len(blocks):
+            self._parts = dict(zip(blocks, parts, strict=True))
+        return result.Success(parsed)
+
+    def _resume(self, blocks: list[str], source: str) -> Bundle | None:
+        """Returns the bundle, or None when a whole reading is needed.
+
+        Errors are left to the whole reading, which knows the line numbers.
+        """
+        parts = {}
+        for block in blocks:
+            part = self._parts.get(block) or _Parser(source).read_part(block)
+            if part is None or block in parts:
+                return None
+            parts[block] = part
+        parsed = _Parser(source).resume(parts.values())
+        if parsed is not None:
+            self._parts = parts
+        return parsed
+
+
+_BLOCK_START = re.compile(r"^(?=\[)", re.MULTILINE)
+
+
+def _split_blocks(text: str) -> tuple[str, list[str]]:
+    """Returns the text before the first section, and that of each section."""
+    first, *rest = _BLOCK_START.split(text)
+    if first.startswith("["):
+        return "", [first, *rest]
+    return first, rest
+
+
+def _is_comment(text: str) -> bool:
+    lines = (line.strip() for line in text.split("\n"))
+    return all(not line or line[0] in "#;" for line in lines)
 
 
 _NAMED = {
--- a/clementinewood/inifile.py
+++ b/clementinewood/inifile.py
@@ -120,9 +120,23 @@
         for number, line in enumerate(lines, start=1):
             self._line = number
             text = line.strip()
-            header = self.SECTCRE.match(text) if line[:1] == "[" else None
-            if header is not None:
-                self._note_section(header.group("header"))
+            header = self.SECTCRE.match(text)
+            if header is not None and (
+                line[0] != "[" or header.group() != text
+            ):
+                # configparser ignores text after a header and reads an
+                # indented header as a value or a header by its neighbours.
+                self._add_fault(
+                    fault.Code.SYNTAX,
+                    number,
+                    "a section header stands alone on its line, not indented",
+                    value=text,
+                )
+                line = "\n"
+            elif header is not None:
+                name = " ".join(header.group("header").split())
+                self._note_section(name)
+                line = f"[{name}]\n"
             elif not self._section and text and text[0] not in "#;":
                 self._add_fault(
                     fault.Code.SYNTAX,
--- a/clementinewood/state.py
+++ b/clementinewood/state.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import hashlib
+import itertools
 import zlib
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
@@ -161,20 +162,25 @@
     net: dict[ResourceId, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class _Rights:
-    """Minted rights of one resource."""
+    """Rights to one resource.
 
-    __slots__ = ("limit", "minted", "unminted")
+    Resources whose rights are spread alike share one object, since a fleet
+    of 12,000 workers has 24,000 resources but few ways of spreading them.
 
-    def __init__(
-        self,
-        limit: int = 0,
-        unminted: int = 0,
-        minted: dict[Incarnation, int] | None = None,
-    ) -> None:
-        self.limit = limit
-        self.unminted = unminted
-        self.minted = {} if minted is None else minted
+    Attributes:
+        limit: Limit in force.
+        unminted: Rights that wait for a first member.
+        minted: Rights minted to each member, in total.
+    """
+
+    limit: int = 0
+    unminted: int = 0
+    minted: Mapping[Incarnation, int] = dataclasses.field(default_factory=dict)
+
+
+_NO_RIGHTS = _Rights()
 
 
 class _MintView(Mapping[tuple[ResourceId, Incarnation], int]):
@@ -206,18 +212,27 @@
     return [sign * (quotient + (index < rest)) for index in range(count)]
 
 
-def list_limits(
+def list_team_limits(declared: bundle.Bundle) -> dict[ResourceId, int]:
+    """Returns the limit of each team's resource."""
+    return {
+        team_resource(team): spec.limit for team, spec in declared.teams.items()
+    }
+
+
+def list_minion_limits(
     declared: bundle.Bundle, assignments: Mapping[WorkerId, Assignment]
 ) -> dict[ResourceId, int]:
-    """Returns the limit of every resource.
+    """Returns the limits of slots and connections of every minion.
 
     Each worker runs one minion of its pool's service, named as the worker.
     """
-    limits = {
-        team_resource(team): spec.limit for team, spec in declared.teams.items()
+    services = {
+        pool: declared.services[spec.service]
+        for pool, spec in declared.pools.items()
     }
+    limits: dict[ResourceId, int] = {}
     for worker, assignment in assignments.items():
-        service = declared.services[declared.pools[assignment.pool].service]
+        service = services[assignment.pool]
         limits[ResourceId(f"slot:{worker}")] = service.slots
         limits[ResourceId(f"connection:{worker}")] = service.connections
     return limits
@@ -244,6 +259,7 @@
             None
         )
         self.outcomes: collections.Counter[Outcome] = collections.Counter()
+        self._parser = bundle.BundleParser()
         self._reset()
         self.based = start == 0
         self.next_offset = start
@@ -429,7 +445,7 @@
         if digest != payload.digest or not isinstance(split, result.Success):
             return Outcome.INVALID
         signed = split.unwrap()
-        parsed = bundle.parse_bundle(signed.text)
+        parsed = self._parser.parse(signed.text)
         if not isinstance(parsed, result.Success):
             return Outcome.INVALID
         declared = parsed.unwrap()
@@ -452,6 +468,42 @@
 
     def _install(self, declared: bundle.Bundle, offset: int) -> None:
         before = self.bundle
+        if before is None or before.pools != declared.pools:
+            self._assignments = self._assign_all(before, declared, offset)
+            self._steps = {
+                worker: step
+                for worker, step in self._steps.items()
+                if worker in self._assignments
+            }
+        self.bundle = declared
+        self.bundle_offset = offset
+        limits = list_team_limits(declared)
+        if (
+            before is None
+            or before.pools != declared.pools
+            or before.services != declared.services
+        ):
+            limits |= list_minion_limits(declared, self._assignments)
+            gone = self._rights.keys() - limits.keys()
+        else:
+            gone = {team_resource(team) for team in before.teams} - (
+                limits.keys()
+            )
+        for resource in sorted(gone):
+            limits[resource] = 0
+        self._set_limits(limits)
+
+    def _assign_all(
+        self,
+        before: bundle.Bundle | None,
+        declared: bundle.Bundle,
+        offset: int,
+    ) -> dict[WorkerId, Assignment]:
+        """Returns the assignments under a new bundle.
+
+        A pool that operators change for a worker overrides the planner; one
+        that they leave alone does not.
+        """
         homes: dict[WorkerId, PoolId] = {}
         if before is not None:
             homes = {
@@ -461,50 +513,60 @@
             }
         assignments: dict[WorkerId, Assignment] = {}
         for pool, spec in declared.pools.items():
+            new = Assignment(pool, offset + 1)
             for worker in spec.workers:
                 present = self._assignments.get(worker)
-                # A pool that operators change for a worker overrides the
-                # planner; one they leave alone does not.
                 if (
                     present is None
                     or homes.get(worker) != pool
                     or present.pool not in declared.pools
                 ):
-                    present = Assignment(pool, offset + 1)
+                    present = new
                 assignments[worker] = present
-        self._assignments = assignments
-        self._steps = {
-            worker: step
-            for worker, step in self._steps.items()
-            if worker in assignments
-        }
-        self.bundle = declared
-        self.bundle_offset = offset
-        limits = list_limits(declared, assignments)
-        for resource in self._rights.keys() - limits.keys():
-            limits[resource] = 0
-        for resource, limit in sorted(limits.items()):
-            self._set_limit(resource, limit)
-
-    def _set_limit(self, resource: ResourceId, limit: int) -> None:
-        rights = self._rights.get(resource)
-        if rights is None:
-            rights = self._rights[resource] = _Rights()
-        if rights.limit != limit:
-            difference, rights.limit = limit - rights.limit, limit
-            self._mint(resource, rights, difference)
+        return assignments
+
+    def _set_limits(self, limits: Mapping[ResourceId, int]) -> None:
+        """Sets limits; a difference is minted, negative when lowered."""
+        changed: dict[tuple[_Rights, int], _Rights] = {}
+        for resource, limit in limits.items():
+            old = self._rights.get(resource, _NO_RIGHTS)
+            if old.limit == limit:
+                continue
+            new = changed.get((old, limit))
+            if new is None:
+                new = self._spread(
+                    dataclasses.replace(old, limit=limit), limit - old.limit
+                )
+                changed[old, limit] = new
+            self._replace_rights(resource, old, new)
 
-    def _mint(self, resource: ResourceId, rights: _Rights, amount: int) -> None:
+    def _spread(self, rights: _Rights, amount: int) -> _Rights:
         """Mints `amount` evenly over the members, in join order."""
         if not self._members:
-            rights.unminted += amount
-            return
+            return dataclasses.replace(
+                rights, unminted=rights.unminted + amount
+            )
+        minted = dict(rights.minted)
         parts = split_evenly(amount, len(self._members))
         for holder, part in zip(self._members, parts, strict=True):
+            minted[holder] = minted.get(holder, 0) + part
+            if not minted[holder]:
+                del minted[holder]
+        return dataclasses.replace(rights, minted=minted)
+
+    def _replace_rights(
+        self, resource: ResourceId, old: _Rights, new: _Rights
+    ) -> None:
+        if new.limit or new.unminted or new.minted:
+            self._rights[resource] = new
+        else:
+            self._rights.pop(resource, None)
+        if self.on_mint is None or old.minted is new.minted:
+            return
+        for holder in self._members:
+            part = new.minted.get(holder, 0) - old.minted.get(holder, 0)
             if part:
-                rights.minted[holder] = rights.minted.get(holder, 0) + part
-                if self.on_mint is not None:
-                    self.on_mint(resource, holder, part)
+                self.on_mint(resource, holder, part)
 
     def _join(self, payload: record.Joined, offset: int) -> Outcome:
         incarnation = payload.incarnation
@@ -520,12 +582,22 @@
         )
         self._carried[incarnation] = {}
         if first:
-            for resource, rights in self._rights.items():
-                amount, rights.unminted = rights.unminted, 0
-                if amount:
-                    self._mint(resource, rights, amount)
+            self._mint_unminted()
         return Outcome.APPLIED
 
+    def _mint_unminted(self) -> None:
+        """Gives the first member what was declared before it joined."""
+        changed: dict[_Rights, _Rights] = {}
+        for resource, old in list(self._rights.items()):
+            if not old.unminted:
+                continue
+            new = changed.get(old)
+            if new is None:
+                new = changed[old] = self._spread(
+                    dataclasses.replace(old, unminted=0), old.unminted
+                )
+            self._replace_rights(resource, old, new)
+
     def _end(
         self,
         author: Incarnation,
@@ -614,12 +686,19 @@
             for net in (closing.net, self._carried.pop(incarnation)):
                 for resource, amount in net.items():
                     totals[resource] = totals.get(resource, 0) + amount
-        for resource, rights in self._rights.items():
-            amount = totals.get(resource, 0)
-            for incarnation in group:
-                amount += rights.minted.pop(incarnation, 0)
-            if amount:
-                self._mint(resource, rights, amount)
+        changed: dict[tuple[_Rights, int], _Rights] = {}
+        for resource in sorted(self._rights.keys() | totals.keys()):
+            old = self._rights.get(resource, _NO_RIGHTS)
+            total = totals.get(resource, 0)
+            new = changed.get((old, total))
+            if new is None:
+                left = dict(old.minted)
+                amount = total + sum(left.pop(item, 0) for item in group)
+                new = self._spread(
+                    dataclasses.replace(old, minted=left), amount
+                )
+                changed[old, total] = new
+            self._replace_rights(resource, old, new)
 
     def _assign(self, payload: record.WorkerAssigned, offset: int) -> Outcome:
         present = self._assignments.get(payload.worker)
@@ -631,8 +710,12 @@
         self._assignments[payload.worker] = Assignment(payload.pool, offset + 1)
         service = declared.services[declared.pools[payload.pool].service]
         worker = payload.worker
-        self._set_limit(ResourceId(f"slot:{worker}"), service.slots)
-        self._set_limit(ResourceId(f"connection:{worker}"), service.connections)
+        self._set_limits(
+            {
+                ResourceId(f"slot:{worker}"): service.slots,
+                ResourceId(f"connection:{worker}"): service.connections,
+            }
+        )
         return Outcome.APPLIED
 
     def _step(self, payload: record.MaintenanceStep, offset: int) -> Outcome:
@@ -680,7 +763,7 @@
         split = signature.split_signed(text)
         if not isinstance(split, result.Success):
             raise ValueError(split.failure().render())
-        parsed = bundle.parse_bundle(split.unwrap().text)
+        parsed = self._parser.parse(split.unwrap().text)
         if not isinstance(parsed, result.Success):
             raise ValueError(parsed.failure()[0].render())
         declared = parsed.unwrap()
@@ -815,6 +898,7 @@
                     incarnation=incarnation, net=_sort_amounts(net)
                 )
                 for incarnation, net in sorted(self._carried.items())
+                if net
             ],
             ended=list(self._ended),
             seen=list(self._seen),
@@ -835,38 +919,103 @@
         )
 
     def _group_assignments(self) -> list[Any]:
-        groups: dict[Assignment, list[WorkerId]] = {}
-        for worker, assignment in sorted(self._assignments.items()):
-            groups.setdefault(assignment, []).append(worker)
+        groups: dict[Assignment, list[int]] = {}
+        places = _place_workers(self.bundle)
+        for worker, assignment in self._assignments.items():
+            groups.setdefault(assignment, []).append(places[worker])
         return [
             record.wire.AssignmentGroup(
                 pool=assignment.pool,
                 version=assignment.version,
-                workers=workers,
+                runs=_join_runs(numbers),
+            )
+            for assignment, numbers in sorted(
+                groups.items(), key=lambda item: item[1]
             )
-            for assignment, workers in groups.items()
         ]
 
     def _group_mints(self) -> list[Any]:
-        groups: dict[Any, list[ResourceId]] = {}
-        for resource, rights in sorted(self._rights.items()):
+        names = _list_resources(self.bundle)
+        places = {resource: place for place, resource in enumerate(names)}
+        shared: dict[int, tuple[_Rights, list[ResourceId]]] = {}
+        for resource, rights in self._rights.items():
+            shared.setdefault(id(rights), (rights, []))[1].append(resource)
+        groups: dict[Any, tuple[list[int], list[ResourceId]]] = {}
+        for rights, resources in shared.values():
             key = (
                 rights.limit,
                 rights.unminted,
                 tuple(sorted(rights.minted.items())),
             )
-            groups.setdefault(key, []).append(resource)
+            numbers, others = groups.setdefault(key, ([], []))
+            for resource in resources:
+                place = places.get(resource)
+                if place is None:
+                    others.append(resource)
+                else:
+                    numbers.append(place)
         return [
             record.wire.MintGroup(
-                resources=resources,
+                runs=_join_runs(sorted(numbers)),
+                others=sorted(others),
                 limit=limit,
                 unminted=unminted,
                 minted=dict(minted),
             )
-            for (limit, unminted, minted), resources in groups.items()
+            for (limit, unminted, minted), (numbers, others) in sorted(
+                groups.items()
+            )
         ]
 
 
+def _list_workers(declared: bundle.Bundle | None) -> list[WorkerId]:
+    """Returns all workers; snapshots refer to them by their place here."""
+    if declared is None:
+        return []
+    return list(
+        itertools.chain.from_iterable(
+            spec.workers for spec in declared.pools.values()
+        )
+    )
+
+
+def _place_workers(declared: bundle.Bundle | None) -> dict[WorkerId, int]:
+    return {
+        worker: place for place, worker in enumerate(_list_workers(declared))
+    }
+
+
+def _list_resources(declared: bundle.Bundle | None) -> list[ResourceId]:
+    """Returns declared resources; snapshots refer to them by place."""
+    if declared is None:
+        return []
+    workers = _list_workers(declared)
+    return [
+        *(team_resource(team) for team in declared.teams),
+        *(ResourceId(f"slot:{worker}") for worker in workers),
+        *(ResourceId(f"connection:{worker}") for worker in workers),
+    ]
+
+
+def _join_runs(numbers: list[int]) -> list[int]:
+    """Returns ascending numbers as pairs of first number and count."""
+    runs: list[int] = []
+    for number in numbers:
+        if runs and number == runs[-2] + runs[-1]:
+            runs[-1] += 1
+        else:
+            runs += [number, 1]
+    return runs
+
+
+def _expand_runs(runs: list[int], names: list[Any]) -> Iterator[Any]:
+    """Yields the names at the places that `runs` hold."""
+    for first, count in zip(runs[::2], runs[1::2], strict=True):
+        if not 0 <= first < first + count <= len(names):
+            raise ValueError("run is out of range")
+        yield from names[first : first + count]
+
+
 def _sort_amounts(amounts: dict[ResourceId, int]) -> dict[ResourceId, int]:
     return dict(sorted(amounts.items()))
 
@@ -886,7 +1035,7 @@
     state.snapshot_time = float(image.snapshot_time)
     if image.bundle_text:
         signed = signature.split_signed(image.bundle_text).unwrap()
-        state.bundle = bundle.parse_bundle(signed.text).unwrap()
+        state.bundle = state._parser.parse(signed.text).unwrap()
     state.history = [record.from_wire(Accepted, item) for item in image.history]
     for item in image.members:
         state._members[item.incarnation] = Member(
@@ -896,19 +1045,24 @@
             item.joined_offset,
             item.newest_format,
         )
+    workers = _list_workers(state.bundle)
     for group in image.assignments:
         assignment = Assignment(group.pool, group.version)
-        for worker in group.workers:
+        for worker in _expand_runs(group.runs, workers):
             state._assignments[worker] = assignment
+    if state._assignments.keys() != set(workers):
+        raise ValueError("some workers have no assignment")
     for item in image.steps:
         state._steps[item.worker] = MaintenanceState(
             record.Step(item.step), item.version, item.time
         )
+    names = _list_resources(state.bundle)
     for group in image.mints:
-        for resource in group.resources:
-            state._rights[resource] = _Rights(
-                group.limit, group.unminted, dict(group.minted)
-            )
+        rights = _Rights(group.limit, group.unminted, dict(group.minted))
+        for resource in _expand_runs(group.runs, names):
+            state._rights[resource] = rights
+        for resource in group.others:
+            state._rights[resource] = rights
     for item in image.closings:
         state._closings[item.incarnation] = Closing(
             item.graceful,
--- a/clementinewood/wire.thrift
+++ b/clementinewood/wire.thrift
@@ -115,11 +115,14 @@
   6: string author
 }
 
+// Runs are pairs of a first place and a count; places count the workers, or
+// the resources, in the order in which the bundle declares them.
+
 // Workers that share a pool and a version, which is most of them.
 struct AssignmentGroup {
   1: string pool
   2: i64 version
-  3: list<string> workers
+  3: list<i32> runs
 }
 
 struct StepImage {
@@ -131,10 +134,11 @@
 
 // Resources whose rights are spread alike, which is most of them.
 struct MintGroup {
-  1: list<string> resources
-  2: i64 limit
-  3: i64 unminted
-  4: map<string, i64> minted
+  1: list<i32> runs
+  2: list<string> others
+  3: i64 limit
+  4: i64 unminted
+  5: map<string, i64> minted
 }
 
 struct ClosingImage {
