--- /dev/null
+++ b/clementinewood/metric.py
@@ -0,0 +1,239 @@
+"""OpenTelemetry instruments, rendered as Prometheus text on request."""
+
+import dataclasses
+import enum
+from collections.abc import Callable, Iterable, Mapping
+
+import prometheus_client
+from opentelemetry import metrics as api
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk
+
+Reading = tuple[Mapping[str, str], float]
+"""Attributes of one gauge value, and the value."""
+
+
+class Kind(enum.Enum):
+    """How an instrument accumulates."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instrument:
+    """One line of the metrics catalogue.
+
+    Attributes:
+        name: OpenTelemetry name; Prometheus shows dots as underscores.
+        kind: How it accumulates.
+        unit: UCUM unit.
+        description: What it counts.
+        attributes: Attribute names.
+    """
+
+    name: str
+    kind: Kind
+    unit: str
+    description: str
+    attributes: tuple[str, ...] = ()
+
+
+REQUESTS = Instrument(
+    "clementinewood.requests",
+    Kind.COUNTER,
+    "1",
+    "Requests answered with a minion's answer.",
+    ("queue", "team"),
+)
+REFUSALS = Instrument(
+    "clementinewood.refusals",
+    Kind.COUNTER,
+    "1",
+    "Requests refused, by reason and execution verdict.",
+    ("reason", "execution"),
+)
+RETRIES = Instrument(
+    "clementinewood.retries",
+    Kind.COUNTER,
+    "1",
+    "Attempts repeated, by the outcome that caused them.",
+    ("cause",),
+)
+ATTEMPTS = Instrument(
+    "clementinewood.attempts",
+    Kind.COUNTER,
+    "1",
+    "Attempts at minions, by outcome.",
+    ("outcome",),
+)
+REQUEST_SECONDS = Instrument(
+    "clementinewood.request.duration",
+    Kind.HISTOGRAM,
+    "s",
+    "Time from a whole request to its answer.",
+    ("queue",),
+)
+RECORDS_REFUSED = Instrument(
+    "clementinewood.records.refused",
+    Kind.COUNTER,
+    "1",
+    "Log records dropped by the reader, by cause.",
+    ("cause",),
+)
+PEER_MESSAGES = Instrument(
+    "clementinewood.peer.messages",
+    Kind.COUNTER,
+    "1",
+    "Messages sent to other entries, by kind.",
+    ("kind",),
+)
+PEER_BYTES = Instrument(
+    "clementinewood.peer.bytes",
+    Kind.COUNTER,
+    "By",
+    "Bytes sent to other entries.",
+)
+PEER_CLOSED = Instrument(
+    "clementinewood.peer.closed",
+    Kind.COUNTER,
+    "1",
+    "Peer links that ended, by cause.",
+    ("cause",),
+)
+HANDLER_FAILURES = Instrument(
+    "clementinewood.handler.failures",
+    Kind.COUNTER,
+    "1",
+    "Exceptions caught in handlers; any makes the entry unready.",
+)
+FRESH = Instrument(
+    "clementinewood.configuration.fresh",
+    Kind.GAUGE,
+    "1",
+    "1 while this entry may act on its configuration.",
+)
+BUNDLE_VERSION = Instrument(
+    "clementinewood.configuration.version",
+    Kind.GAUGE,
+    "1",
+    "Version of the bundle in force at this entry.",
+)
+LOG_LAG = Instrument(
+    "clementinewood.log.age",
+    Kind.GAUGE,
+    "s",
+    "Seconds since this entry last read the log to its head.",
+)
+QUEUED = Instrument(
+    "clementinewood.queued",
+    Kind.GAUGE,
+    "1",
+    "Requests waiting at this entry.",
+    ("team",),
+)
+RUNNING = Instrument(
+    "clementinewood.running",
+    Kind.GAUGE,
+    "1",
+    "Requests running at minions for this entry.",
+    ("team",),
+)
+HELD_RIGHTS = Instrument(
+    "clementinewood.rights.held",
+    Kind.GAUGE,
+    "1",
+    "Part of each team's upper limit held by this entry.",
+    ("team",),
+)
+EJECTED = Instrument(
+    "clementinewood.minions.ejected",
+    Kind.GAUGE,
+    "1",
+    "Minions ejected by this entry.",
+)
+
+CATALOGUE: tuple[Instrument, ...] = tuple(
+    value for value in globals().values() if isinstance(value, Instrument)
+)
+
+
+class Metrics:
+    """The instruments of one entry.
+
+    The exporter's own HTTP server and the periodic reader start threads, so
+    values are collected when `render` is called.
+    """
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = prometheus.PrometheusMetricReader(
+            disable_target_info=True,
+            scope_info_enabled=False,
+            registry=self._registry,
+        )
+        self._provider = sdk.MeterProvider(
+            metric_readers=[reader], shutdown_on_exit=False
+        )
+        self._meter = self._provider.get_meter("clementinewood")
+        self._counters: dict[str, api.Counter] = {}
+        self._histograms: dict[str, api.Histogram] = {}
+        for instrument in CATALOGUE:
+            self._create(instrument)
+
+    def _create(self, instrument: Instrument) -> None:
+        name, unit = instrument.name, instrument.unit
+        text = instrument.description
+        match instrument.kind:
+            case Kind.COUNTER:
+                self._counters[name] = self._meter.create_counter(
+                    name, unit, text
+                )
+            case Kind.HISTOGRAM:
+                self._histograms[name] = self._meter.create_histogram(
+                    name, unit, text
+                )
+            case Kind.GAUGE:
+                pass
+
+    def count(
+        self, instrument: Instrument, amount: int = 1, **attributes: str
+    ) -> None:
+        """Adds `amount` to a counter."""
+        self._counters[instrument.name].add(amount, attributes)
+
+    def record(
+        self, instrument: Instrument, value: float, **attributes: str
+    ) -> None:
+        """Adds one value to a histogram."""
+        self._histograms[instrument.name].record(value, attributes)
+
+    def observe(
+        self, instrument: Instrument, read: Callable[[], Iterable[Reading]]
+    ) -> None:
+        """Makes `read` the source of a gauge; called by `render`."""
+
+        def collect(_: api.CallbackOptions) -> Iterable[api.Observation]:
+            return [
+                api.Observation(value, dict(attributes))
+                for attributes, value in read()
+            ]
+
+        self._meter.create_observable_gauge(
+            instrument.name,
+            [collect],
+            instrument.unit,
+            instrument.description,
+        )
+
+    def render(self) -> bytes:
+        """Returns all values as Prometheus text."""
+        return prometheus_client.generate_latest(self._registry)
+
+
+if __name__ == "__main__":
+    example = Metrics()
+    example.count(REFUSALS, reason="queue-full", execution="not-run")
+    example.observe(FRESH, lambda: [({}, 1.0)])
+    print(example.render().decode())
