--- /dev/null
+++ b/clementinewood/admission.py
@@ -0,0 +1,178 @@
+"""Admission of requests by key, team and queue.
+
+Admission is a pure function of the accepted bundle. The caller checks that
+the bundle is fresh enough to act on.
+"""
+
+import dataclasses
+import hashlib
+import hmac
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+from clementinewood import identifiers, priority, verdict
+
+OPEN_TEAM = identifiers.TeamId("open")
+"""Built-in team of requests without a key on open queues."""
+
+MAX_CREDENTIALS = 512
+"""Longest credentials looked at, in characters; issued keys are shorter."""
+
+_ABSENT_DIGEST = hashlib.sha256(b"").digest()
+
+
+class QueueSpec(Protocol):
+    """What admission reads of a declared queue."""
+
+    @property
+    def teams(self) -> frozenset[identifiers.TeamId]: ...  # noqa: D102
+    @property
+    def open(self) -> bool: ...  # noqa: D102
+    @property
+    def priority(self) -> Any: ...  # noqa: D102
+
+
+class KeySpec(Protocol):
+    """What admission reads of a declared key."""
+
+    @property
+    def team(self) -> identifiers.TeamId: ...  # noqa: D102
+    @property
+    def customer(self) -> identifiers.CustomerId | None: ...  # noqa: D102
+    @property
+    def digest(self) -> bytes: ...  # noqa: D102
+    @property
+    def state(self) -> Any: ...  # noqa: D102
+
+
+class Bundle(Protocol):
+    """What admission reads of a bundle."""
+
+    @property
+    def version(self) -> int: ...  # noqa: D102
+    @property
+    def queues(self) -> Mapping[identifiers.QueueId, Any]: ...  # noqa: D102
+    @property
+    def teams(self) -> Mapping[identifiers.TeamId, Any]: ...  # noqa: D102
+    @property
+    def keys(self) -> Mapping[identifiers.KeyId, Any]: ...  # noqa: D102
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Permission to queue one request.
+
+    Attributes:
+        queue: Queue that takes the request.
+        team: Team it counts for.
+        customer: Customer inside the team, for round robin.
+        priority: Class of the queue, the highest the request may have.
+        key: Key that was presented, if any.
+        version: Bundle version that was consulted.
+    """
+
+    queue: identifiers.QueueId
+    team: identifiers.TeamId
+    customer: identifiers.CustomerId
+    priority: priority.Priority
+    key: identifiers.KeyId | None
+    version: int
+
+
+class Admission:
+    """Decides which requests a bundle lets in.
+
+    Args:
+        bundle: Accepted configuration.
+    """
+
+    def __init__(self, bundle: Bundle) -> None:
+        self.bundle = bundle
+
+    def admit(
+        self,
+        queue: identifiers.QueueId,
+        credentials: str | None,
+        customer: identifiers.CustomerId | None = None,
+    ) -> Grant | verdict.Refusal:
+        """Checks a request's key against the queue it names.
+
+        The key is checked before the queue is looked up, so that a caller
+        without a valid key learns nothing about which queues exist, apart
+        from open ones.
+
+        Args:
+            queue: Queue named in the request.
+            credentials: Content of `Authorization` after `Bearer`, if any.
+            customer: Content of `X-Customer`, if any; used only when the key
+                is not bound to a customer.
+        """
+        spec = self.bundle.queues.get(queue)
+        if credentials is None:
+            if spec is not None and spec.open:
+                return self._grant(queue, spec, OPEN_TEAM, customer, None)
+            return verdict.Refusal(
+                verdict.Reason.KEY_MISSING, detail="This queue needs a key."
+            )
+        key_id, key = self._find_key(credentials)
+        if key is None:
+            return verdict.Refusal(
+                verdict.Reason.KEY_UNKNOWN, detail="The key is not known."
+            )
+        if key.state.name != "GRANTED":
+            return verdict.Refusal(
+                verdict.Reason.KEY_REVOKED, detail="The key is revoked."
+            )
+        if spec is None:
+            return verdict.Refusal(
+                verdict.Reason.QUEUE_UNKNOWN, detail="There is no such queue."
+            )
+        if key.team not in self.bundle.teams or not (
+            spec.open or key.team in spec.teams
+        ):
+            return verdict.Refusal(
+                verdict.Reason.QUEUE_FORBIDDEN,
+                detail="The key's team may not use this queue.",
+            )
+        return self._grant(
+            queue, spec, key.team, key.customer or customer, key_id
+        )
+
+    def _find_key(
+        self, credentials: str
+    ) -> tuple[identifiers.KeyId | None, KeySpec | None]:
+        """Returns the key whose secret was presented.
+
+        A digest is computed and compared for unknown key ids too, so that the
+        time taken does not tell which ids exist.
+        """
+        if len(credentials) > MAX_CREDENTIALS:
+            return None, None
+        name, _, secret = credentials.partition(".")
+        key_id = identifiers.KeyId(name)
+        key = self.bundle.keys.get(key_id)
+        expected = _ABSENT_DIGEST if key is None else key.digest
+        presented = hashlib.sha256(
+            secret.encode("utf-8", "surrogateescape")
+        ).digest()
+        matches = hmac.compare_digest(presented, expected)
+        if key is None or not secret or not matches:
+            return None, None
+        return key_id, key
+
+    def _grant(
+        self,
+        queue: identifiers.QueueId,
+        spec: QueueSpec,
+        team: identifiers.TeamId,
+        customer: identifiers.CustomerId | None,
+        key: identifiers.KeyId | None,
+    ) -> Grant:
+        return Grant(
+            queue=queue,
+            team=team,
+            customer=customer or identifiers.CustomerId(""),
+            priority=priority.Priority[spec.priority.name],
+            key=key,
+            version=self.bundle.version,
+        )
--- /dev/null
+++ b/clementinewood/priority.py
@@ -0,0 +1,30 @@
+"""Priority classes of queued requests."""
+
+import enum
+
+
+class Priority(enum.Enum):
+    """Class of a request; the value is sent in `X-Priority`."""
+
+    URGENT = "urgent"
+    INTERACTIVE = "interactive"
+    OVERNIGHT = "overnight"
+
+    @property
+    def rank(self) -> int:
+        """Position in start order; the lowest starts first."""
+        return _RANKS[self]
+
+
+_RANKS = {priority: rank for rank, priority in enumerate(Priority)}
+
+
+def limit_priority(requested: Priority | None, ceiling: Priority) -> Priority:
+    """Returns the requested class, but none that starts before `ceiling`."""
+    if requested is None or requested.rank < ceiling.rank:
+        return ceiling
+    return requested
+
+
+if __name__ == "__main__":
+    print(limit_priority(Priority.URGENT, Priority.OVERNIGHT).value)
