Call connections directly from the poll and close them in order

Cause: the transport went through an event object and list searches for each ready socket; a close with unread input reset the connection and could destroy the last answer; a socket opened in the same poll batch could get the events of a closed one; a listener out of descriptors spun; an answer larger than the write limit was cut although the caller read it; cancelled timers stayed in the heap until due. Change: Transport polls with epoll itself, lingers after close, defers the close of sockets to the end of a batch, pauses a listener for 0.1 s when descriptors run out, accepts the backlog before a listener closes; the timer heap drops cancelled entries once they are most of it.

--- a/clementinewood/timer.py
+++ b/clementinewood/timer.py
@@ -10,28 +10,39 @@
 
 Callback = Callable[[], None]
 
+MIN_COMPACTION = 1024
+"""Cancelled subscriptions below which the heap is left as it is."""
+
 
 class Subscription:
-    """One callback on the timer service; `cancel` is O(1).
+    """One callback on the timer service; `cancel` is O(1) amortized.
 
     Args:
+        service: The service that calls it.
         due: Monotonic time of the next call, in seconds.
         period: Seconds between calls, or None for a single call.
         callback: Called without arguments on the loop.
     """
 
-    __slots__ = ("callback", "due", "period")
+    __slots__ = ("_service", "callback", "due", "period")
 
     def __init__(
-        self, due: float, period: float | None, callback: Callback
+        self,
+        service: "TimerService",
+        due: float,
+        period: float | None,
+        callback: Callback,
     ) -> None:
+        self._service = service
         self.due = due
         self.period = period
         self.callback: Callback | None = callback
 
     def cancel(self) -> None:
         """Prevents every later call."""
-        self.callback = None
+        if self.callback is not None:
+            self.callback = None
+            self._service.note_cancelled()
 
 
 class TimerService(circuits.BaseComponent):
@@ -50,16 +61,21 @@
         self.failures = 0
         self._order = itertools.count()
         self._heap: list[tuple[float, int, Subscription]] = []
+        self._cancelled = 0
 
     def subscribe_once(self, delay: float, callback: Callback) -> Subscription:
         """Calls `callback` once, `delay` seconds from now."""
-        return self._push(Subscription(self.clock() + delay, None, callback))
+        return self._push(
+            Subscription(self, self.clock() + delay, None, callback)
+        )
 
     def subscribe_every(
         self, period: float, callback: Callback
     ) -> Subscription:
         """Calls `callback` every `period` seconds, first after one period."""
-        return self._push(Subscription(self.clock() + period, period, callback))
+        return self._push(
+            Subscription(self, self.clock() + period, period, callback)
+        )
 
     def run_due(self) -> float | None:
         """Runs callbacks that are due.
@@ -75,8 +91,27 @@
             heapq.heappop(self._heap)
             if subscription.callback is not None:
                 self._run_callback(subscription, now)
+            elif self._cancelled:
+                self._cancelled -= 1
         return None
 
+    def note_cancelled(self) -> None:
+        """Drops cancelled subscriptions once they are most of the heap.
+
+        Nearly every timeout is cancelled long before it is due; at a few
+        thousand requests a second, dead entries would fill the memory.
+        """
+        self._cancelled += 1
+        if self._cancelled < MIN_COMPACTION:
+            return
+        if self._cancelled * 2 > len(self._heap):
+            # In place, since `run_due` may be looping over the heap.
+            self._heap[:] = [
+                item for item in self._heap if item[2].callback is not None
+            ]
+            heapq.heapify(self._heap)
+            self._cancelled = 0
+
     def _push(self, subscription: Subscription) -> Subscription:
         item = (subscription.due, next(self._order), subscription)
         heapq.heappush(self._heap, item)
--- a/clementinewood/transport.py
+++ b/clementinewood/transport.py
@@ -1,13 +1,15 @@
-"""Non-blocking TCP connections on the circuits poller."""
+"""Non-blocking TCP connections on the circuits loop."""
 
 import contextlib
+import enum
 import errno
+import os
+import select
 import socket
 from collections.abc import Callable
 from typing import Protocol
 
 import circuits
-from circuits.core import pollers
 from loguru import logger
 
 from clementinewood import timer
@@ -16,7 +18,19 @@
 DEFAULT_WRITE_LIMIT = 1 << 20
 """Bytes that may wait for a slow reader before the connection is cut."""
 
+LINGER_SECONDS = 2.0
+LINGER_BYTES = 1 << 20
+"""Input discarded after a close, so that no reset destroys the last answer."""
+
+ACCEPTS_PER_EVENT = 64
+ACCEPT_RETRY_SECONDS = 0.1
+"""Pause after descriptors ran out; the listener would be ready all the time."""
+
+_POLL_BATCH = 256
 _IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
+_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+_READABLE = select.EPOLLIN | select.EPOLLRDHUP
+_ENDED = select.EPOLLERR | select.EPOLLHUP
 
 
 class Receiver(Protocol):
@@ -35,21 +49,40 @@
         """Called once, when the connection has ended or was never opened."""
 
 
+Accept = Callable[[tuple[str, int]], Receiver | None]
+
+
+class _State(enum.Enum):
+    CONNECTING = enum.auto()
+    OPEN = enum.auto()
+    FLUSHING = enum.auto()
+    LINGERING = enum.auto()
+    CLOSED = enum.auto()
+
+
 class Connection:
     """One TCP connection.
 
     Args:
         transport: The component that polls the socket.
-        sock: A non-blocking socket.
+        sock: A non-blocking socket, or None when there was none to be had.
         receiver: Gets the events of this connection.
+        peer: IP address and port of the other side.
         write_limit: Bytes that may be buffered before the peer is cut off.
+        accepted: Whether the peer opened the connection. Such a peer may end
+            its side first and still gets the bytes that are buffered.
     """
 
     __slots__ = (
+        "_accepted",
         "_buffer",
-        "_closing",
+        "_discarded",
+        "_fd",
+        "_mask",
         "_reading",
         "_sock",
+        "_state",
+        "_timeout",
         "_transport",
         "_write_limit",
         "is_open",
@@ -61,17 +94,23 @@
     def __init__(
         self,
         transport: "Transport",
-        sock: socket.socket,
+        sock: socket.socket | None,
         receiver: Receiver,
         *,
         peer: tuple[str, int],
         write_limit: int = DEFAULT_WRITE_LIMIT,
+        accepted: bool = False,
     ) -> None:
         self._transport = transport
         self._sock = sock
+        self._fd = -1 if sock is None else sock.fileno()
+        self._mask = 0
         self._buffer = bytearray()
-        self._closing = False
+        self._state = _State.CONNECTING
+        self._timeout: timer.Subscription | None = None
+        self._discarded = 0
         self._reading = False
+        self._accepted = accepted
         self._write_limit = write_limit
         self.is_open = False
         self.peer = peer
@@ -83,53 +122,146 @@
         """Bytes that wait to be sent."""
         return len(self._buffer)
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection has ended for good."""
+        return self._state is _State.CLOSED
+
     def send(self, data: bytes) -> bool:
         """Sends `data`, buffering what the kernel does not take now.
 
         Returns:
             False when the connection is closed or was cut since its write
-            buffer is over the limit; nothing of `data` is sent then.
+            buffer is over the limit.
         """
-        if not self.is_open or self._closing:
+        if not self.is_open:
             return False
+        sent = 0
         if not self._buffer:
             sent = self._send_now(data)
             if sent < 0:
                 return False
             if sent == len(data):
                 return True
-            data = data[sent:]
-            self._transport.watch_writable(self._sock)
-        self._buffer += data
-        if len(self._buffer) > self._write_limit:
+        if len(self._buffer) + len(data) - sent > self._write_limit:
             self.abort("write buffer over its limit")
             return False
+        self._buffer += memoryview(data)[sent:]
+        self._transport.buffered_bytes += len(data) - sent
+        self._update_mask()
         return True
 
     def pause_reading(self) -> None:
         """Stops reading, so that the kernel slows the peer down."""
         if self._reading:
             self._reading = False
-            self._transport.ignore_readable(self._sock)
+            self._update_mask()
 
     def resume_reading(self) -> None:
         """Reads again after `pause_reading`."""
         if self.is_open and not self._reading:
             self._reading = True
-            self._transport.watch_readable(self._sock)
+            self._update_mask()
+
+    def has_input(self) -> bool:
+        """Whether bytes, an end or an error wait to be read."""
+        if self._sock is None or self._state is not _State.OPEN:
+            return True
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
 
     def close(self) -> None:
-        """Closes the connection once all buffered bytes are sent."""
-        if self._buffer and self.is_open:
-            self._closing = True
-        else:
+        """Sends what is buffered, then ends the connection in order.
+
+        Closing a socket with unread input makes the kernel send a reset,
+        which destroys an answer the peer has not read yet. So only the
+        sending side is closed, and input is discarded until the peer closes.
+        """
+        if self._state is _State.CONNECTING:
             self.abort("closed")
+        elif self._state is _State.OPEN:
+            self.is_open = False
+            self._state = _State.FLUSHING
+            if self._buffer:
+                self._update_mask()
+            else:
+                self._linger()
 
     def abort(self, reason: str) -> None:
         """Closes the connection now and drops buffered bytes."""
-        self._transport.end_connection(self._sock, reason)
+        self._transport.end_connection(self, reason)
+
+    def handle_events(self, events: int) -> None:
+        """Handles what the poller reports for this connection."""
+        match self._state:
+            case _State.OPEN:
+                if events & select.EPOLLOUT:
+                    self._flush()
+                if self.is_open and events & (_READABLE | _ENDED):
+                    self._receive(events)
+            case _State.CONNECTING:
+                self._finish_connect()
+            case _State.FLUSHING:
+                if events & _ENDED:
+                    self.abort("closed by peer")
+                else:
+                    self._flush()
+            case _State.LINGERING:
+                self._discard_input()
+
+    def start_connect(self, timeout: timer.Subscription) -> None:
+        """Waits for the socket to become writable or for `timeout`."""
+        self._timeout = timeout
+        self._update_mask()
+
+    def open(self) -> None:
+        """Marks the connection as established and tells the receiver."""
+        assert self._sock is not None
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._state = _State.OPEN
+        self.is_open = True
+        self._reading = True
+        self._update_mask()
+        self.receiver.on_open(self)
+
+    def release(self) -> socket.socket | None:
+        """Marks the connection as ended; returns the socket to be closed."""
+        self._state = _State.CLOSED
+        self.is_open = False
+        self._transport.buffered_bytes -= len(self._buffer)
+        self._buffer.clear()
+        if self._timeout is not None:
+            self._timeout.cancel()
+            self._timeout = None
+        self._update_mask()
+        sock, self._sock = self._sock, None
+        return sock
+
+    def _update_mask(self) -> None:
+        match self._state:
+            case _State.OPEN:
+                mask = select.EPOLLRDHUP
+                if self._reading:
+                    mask |= select.EPOLLIN
+                if self._buffer:
+                    mask |= select.EPOLLOUT
+            case _State.CONNECTING | _State.FLUSHING:
+                mask = select.EPOLLOUT
+            case _State.LINGERING:
+                mask = _READABLE
+            case _:
+                mask = 0
+        if mask != self._mask:
+            self._transport.watch(self, self._fd, self._mask, mask)
+            self._mask = mask
 
     def _send_now(self, data: bytes | bytearray) -> int:
+        assert self._sock is not None
         try:
             sent = self._sock.send(data)
         except BlockingIOError:
@@ -140,27 +272,129 @@
         self.sent_bytes += sent
         return sent
 
-    def flush_buffer(self) -> None:
-        """Sends buffered bytes; called when the socket is writable."""
-        sent = self._send_now(self._buffer)
-        if sent < 0:
-            return
-        del self._buffer[:sent]
+    def _flush(self) -> None:
         if self._buffer:
+            sent = self._send_now(self._buffer)
+            if sent < 0:
+                return
+            del self._buffer[:sent]
+            self._transport.buffered_bytes -= sent
+            if self._buffer:
+                return
+        if self._state is _State.FLUSHING:
+            self._linger()
             return
-        self._transport.ignore_writable(self._sock)
-        if self._closing:
-            self.abort("closed")
+        self._update_mask()
+        self.receiver.on_drained(self)
+
+    def _receive(self, events: int) -> None:
+        assert self._sock is not None
+        if not self._reading:
+            self._end_by_peer("closed by peer")
+            return
+        try:
+            data = self._sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.abort(f"receive failed: {error.strerror}")
+            return
+        if data:
+            self.receiver.on_data(self, data)
+        elif events & _ENDED:
+            self.abort("closed by peer")
+        else:
+            self._end_by_peer("closed by peer")
+
+    def _end_by_peer(self, reason: str) -> None:
+        if self._accepted and self._buffer:
+            self.close()
         else:
-            self.receiver.on_drained(self)
+            self.abort(reason)
+
+    def _linger(self) -> None:
+        assert self._sock is not None
+        self._state = _State.LINGERING
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.abort("closed")
+            return
+        self._update_mask()
+        self._timeout = self._transport.timers.subscribe_once(
+            LINGER_SECONDS, lambda: self.abort("closed")
+        )
+
+    def _discard_input(self) -> None:
+        assert self._sock is not None
+        try:
+            data = self._sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        self._discarded += len(data)
+        if not data or self._discarded > LINGER_BYTES:
+            self.abort("closed")
+
+    def _finish_connect(self) -> None:
+        assert self._sock is not None
+        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            name = errno.errorcode.get(code, str(code))
+            self.abort(f"connect failed: {name}")
+            return
+        if self._timeout is not None:
+            self._timeout.cancel()
+            self._timeout = None
+        self.open()
+
+
+class _Listener:
+    """One listening socket."""
+
+    def __init__(
+        self, transport: "Transport", sock: socket.socket, accept: Accept
+    ) -> None:
+        self.sock = sock
+        self.address: tuple[str, int] = sock.getsockname()
+        self._transport = transport
+        self._accept = accept
+
+    def abort(self, reason: str) -> None:
+        """Keeps the listener; one failed `accept` must not end service."""
+
+    def handle_events(self, events: int) -> None:
+        for _ in range(ACCEPTS_PER_EVENT):
+            try:
+                sock, peer = self.sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in _EXHAUSTED:
+                    self._transport.pause_listener(self)
+                    return
+                # The peer is gone already.
+                continue
+            try:
+                receiver = self._accept(peer)
+            except Exception:
+                sock.close()
+                raise
+            if receiver is None:
+                sock.close()
+                continue
+            sock.setblocking(False)
+            self._transport.adopt(sock, receiver, peer)
 
 
 class Transport(circuits.BaseComponent):
     """Owns every socket of the process.
 
     circuits' own sockets buffer writes without a bound and spin while
-    connecting, and its default poller is select(2) with 1,024 descriptors;
-    this component keeps the circuits loop with the epoll poller.
+    connecting, and its pollers fire an event object for each ready socket and
+    search lists for each change of interest. This component polls with epoll
+    in the circuits loop and calls connections directly.
 
     Args:
         timers: Timer service used for connect timeouts.
@@ -171,18 +405,24 @@
     def __init__(self, timers: timer.TimerService) -> None:
         super().__init__()
         self.failures = 0
-        self._timers = timers
-        self._poller = pollers.EPoll().register(self)
-        self._listeners: dict[
-            socket.socket, Callable[[tuple[str, int]], Receiver | None]
-        ] = {}
-        self._connections: dict[socket.socket, Connection] = {}
-        self._timeouts: dict[socket.socket, timer.Subscription] = {}
+        self.buffered_bytes = 0
+        self.timers = timers
+        self._epoll = select.epoll()
+        self._polled: dict[int, Connection | _Listener] = {}
+        self._listeners: list[_Listener] = []
+        self._connections: set[Connection] = set()
+        self._in_batch = False
+        self._ended_sockets: list[socket.socket] = []
+        self._polling = False
+        self._wake_read, self._wake_write = os.pipe()
+        os.set_blocking(self._wake_read, False)
+        os.set_blocking(self._wake_write, False)
+        self._epoll.register(self._wake_read, select.EPOLLIN)
 
     def listen(
         self,
         address: tuple[str, int],
-        accept: Callable[[tuple[str, int]], Receiver | None],
+        accept: Accept,
         *,
         backlog: int = 1024,
     ) -> tuple[str, int]:
@@ -199,21 +439,38 @@
         Raises:
             OSError: The address can't be bound.
         """
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind(address)
-        listener.listen(backlog)
-        self._listeners[listener] = accept
-        self._poller.addReader(self, listener)
-        return listener.getsockname()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.setblocking(False)
+            sock.bind(address)
+            sock.listen(backlog)
+        except OSError:
+            sock.close()
+            raise
+        listener = _Listener(self, sock, accept)
+        self._listeners.append(listener)
+        self._poll_listener(listener)
+        return listener.address
+
+    def close_listener(self, address: tuple[str, int]) -> None:
+        """Stops accepting on `address`; open connections stay.
+
+        Connections that wait in the kernel are accepted first, since closing
+        the listener would reset them.
+        """
+        for listener in self._listeners[:]:
+            if listener.address == address:
+                self._listeners.remove(listener)
+                self._guard(listener, select.EPOLLIN)
+                if self._polled.pop(listener.sock.fileno(), None):
+                    self._epoll.unregister(listener.sock)
+                self._dispose(listener.sock)
 
     def close_listeners(self) -> None:
-        """Stops accepting; open connections stay."""
-        for listener in list(self._listeners):
-            self._poller.discard(listener)
-            listener.close()
-        self._listeners.clear()
+        """Stops accepting everywhere; open connections stay."""
+        for listener in self._listeners[:]:
+            self.close_listener(listener.address)
 
     def connect(
         self,
@@ -223,7 +480,7 @@
         timeout: float = 1.0,
         write_limit: int = DEFAULT_WRITE_LIMIT,
     ) -> Connection:
-        """Opens a connection; `receiver` learns of the outcome.
+        """Opens a connection; `receiver` learns of the outcome later.
 
         Args:
             address: IP address and port.
@@ -231,148 +488,155 @@
             timeout: Seconds until the attempt is given up.
             write_limit: Bytes that may be buffered for a slow peer.
         """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
+        code = 0
+        sock: socket.socket | None = None
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            code = sock.connect_ex(address)
+        except OSError as error:
+            code = error.errno or errno.EIO
         connection = Connection(
             self, sock, receiver, peer=address, write_limit=write_limit
         )
-        self._connections[sock] = connection
-        code = sock.connect_ex(address)
+        self._connections.add(connection)
         if code not in (0, *_IN_PROGRESS):
-            self._timeouts[sock] = self._timers.subscribe_once(
-                0.0,
-                lambda: self.end_connection(
-                    sock, f"connect failed: {errno.errorcode.get(code, code)}"
-                ),
+            name = errno.errorcode.get(code, str(code))
+            self.timers.subscribe_once(
+                0.0, lambda: connection.abort(f"connect failed: {name}")
+            )
+        else:
+            connection.start_connect(
+                self.timers.subscribe_once(
+                    timeout, lambda: connection.abort("connect timed out")
+                )
             )
-            return connection
-        self._poller.addWriter(self, sock)
-        self._timeouts[sock] = self._timers.subscribe_once(
-            timeout, lambda: self.end_connection(sock, "connect timed out")
-        )
         return connection
 
-    def watch_readable(self, sock: socket.socket) -> None:
-        """Polls `sock` for input."""
-        self._poller.addReader(self, sock)
+    def close_all(self) -> None:
+        """Ends every connection and frees the poller; not usable again."""
+        self.close_listeners()
+        for connection in list(self._connections):
+            connection.abort("transport closed")
+        self._epoll.close()
+        os.close(self._wake_read)
+        os.close(self._wake_write)
+
+    def adopt(
+        self, sock: socket.socket, receiver: Receiver, peer: tuple[str, int]
+    ) -> None:
+        """Takes over an accepted socket."""
+        connection = Connection(self, sock, receiver, peer=peer, accepted=True)
+        self._connections.add(connection)
+        try:
+            connection.open()
+        except Exception:
+            self._record_failure(connection)
 
-    def ignore_readable(self, sock: socket.socket) -> None:
-        """Stops polling `sock` for input."""
-        self._poller.removeReader(sock)
+    def watch(
+        self, connection: Connection, fd: int, old: int, new: int
+    ) -> None:
+        """Changes what is polled for `connection` from `old` to `new`."""
+        if not new:
+            self._epoll.unregister(fd)
+            del self._polled[fd]
+        elif old:
+            self._epoll.modify(fd, new)
+        else:
+            self._epoll.register(fd, new)
+            self._polled[fd] = connection
 
-    def watch_writable(self, sock: socket.socket) -> None:
-        """Polls `sock` for room in its send buffer."""
-        self._poller.addWriter(self, sock)
+    def end_connection(self, connection: Connection, reason: str) -> None:
+        """Closes `connection` and tells its receiver, once."""
+        if connection.is_closed:
+            return
+        sock = connection.release()
+        self._connections.discard(connection)
+        if sock is not None:
+            self._dispose(sock)
+        try:
+            connection.receiver.on_closed(connection, reason)
+        except Exception:
+            self._record_failure(connection)
+
+    def pause_listener(self, listener: _Listener) -> None:
+        """Stops polling `listener` for a moment."""
+        if self._polled.pop(listener.sock.fileno(), None):
+            self._epoll.unregister(listener.sock)
+            self.timers.subscribe_once(
+                ACCEPT_RETRY_SECONDS, lambda: self._resume_listener(listener)
+            )
 
-    def ignore_writable(self, sock: socket.socket) -> None:
-        """Stops polling `sock` for room in its send buffer."""
-        self._poller.removeWriter(sock)
+    def resume(self) -> None:
+        """Wakes the poll up; circuits calls it when an event is fired."""
+        if self._polling:
+            with contextlib.suppress(BlockingIOError):
+                os.write(self._wake_write, b"\0")
 
-    def end_connection(self, sock: socket.socket, reason: str) -> None:
-        """Closes `sock` and tells its receiver once."""
-        connection = self._connections.pop(sock, None)
-        if connection is None:
-            return
-        pending = self._timeouts.pop(sock, None)
-        if pending is not None:
-            pending.cancel()
-        connection.is_open = False
-        self._poller.discard(sock)
-        with contextlib.suppress(OSError):
+    def _resume_listener(self, listener: _Listener) -> None:
+        if listener in self._listeners:
+            self._poll_listener(listener)
+
+    def _poll_listener(self, listener: _Listener) -> None:
+        fd = listener.sock.fileno()
+        self._polled[fd] = listener
+        self._epoll.register(fd, select.EPOLLIN)
+
+    def _dispose(self, sock: socket.socket) -> None:
+        """Closes `sock`, but not while events of its number may be pending.
+
+        A socket opened in the same batch could get the number of one that was
+        closed, and with it an event that was meant for the old one.
+        """
+        if self._in_batch:
+            self._ended_sockets.append(sock)
+        else:
             sock.close()
-        self._guard(connection.receiver.on_closed, connection, reason)
 
-    def _guard(self, callback: Callable, *arguments: object) -> None:
-        """Runs a receiver's callback; a failure is counted and logged.
+    def _record_failure(self, target: "Connection | _Listener") -> None:
+        """Counts and logs an exception, and ends its connection.
 
         circuits only prints an exception of a handler and goes on, so a
         broken receiver would look healthy.
         """
+        self.failures += 1
+        logger.exception("connection handler failed")
+        target.abort("handler failed")
+
+    def _guard(self, target: "Connection | _Listener", events: int) -> None:
         try:
-            callback(*arguments)
+            target.handle_events(events)
         except Exception:
-            self.failures += 1
-            logger.exception("connection handler failed")
-            connection = arguments[0]
-            if isinstance(connection, Connection) and connection.is_open:
-                connection.abort("handler failed")
+            self._record_failure(target)
 
-    def _accept(self, listener: socket.socket) -> None:
-        try:
-            sock, peer = listener.accept()
-        except OSError:
-            # The peer may be gone already, or descriptors are exhausted; the
-            # poller reports the listener again.
-            return
-        receiver = self._listeners[listener](peer)
-        if receiver is None:
-            sock.close()
-            return
-        sock.setblocking(False)
-        connection = Connection(self, sock, receiver, peer=peer)
-        self._connections[sock] = connection
-        self._open(sock, connection)
-
-    def _open(self, sock: socket.socket, connection: Connection) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection.is_open = True
-        connection.resume_reading()
-        self._guard(connection.receiver.on_open, connection)
-
-    @circuits.handler("_read")
-    def _on_readable(self, sock: socket.socket) -> None:
-        if sock in self._listeners:
-            self._accept(sock)
-            return
-        connection = self._connections.get(sock)
-        if connection is None or not connection.is_open:
-            return
+    @circuits.handler("generate_events", priority=-9)
+    def _on_generate_events(self, event: circuits.Event) -> None:
+        event.stop()
+        self._polling = True
+        left = event.time_left
         try:
-            data = sock.recv(RECEIVE_BYTES)
-        except BlockingIOError:
-            return
-        except OSError as error:
-            self.end_connection(sock, f"receive failed: {error.strerror}")
-            return
-        if data:
-            self._guard(connection.receiver.on_data, connection, data)
-        else:
-            self.end_connection(sock, "closed by peer")
-
-    @circuits.handler("_write")
-    def _on_writable(self, sock: socket.socket) -> None:
-        connection = self._connections.get(sock)
-        if connection is None:
-            return
-        if connection.is_open:
-            self._guard(lambda _: connection.flush_buffer(), connection)
-            return
-        self._finish_connect(sock, connection)
-
-    def _finish_connect(
-        self, sock: socket.socket, connection: Connection
-    ) -> None:
-        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            name = errno.errorcode.get(code, str(code))
-            self.end_connection(sock, f"connect failed: {name}")
-            return
-        pending = self._timeouts.pop(sock, None)
-        if pending is not None:
-            pending.cancel()
-        self._poller.removeWriter(sock)
-        self._open(sock, connection)
-
-    @circuits.handler("_disconnect")
-    def _on_disconnect(self, sock: socket.socket) -> None:
-        connection = self._connections.get(sock)
-        if connection is None:
-            return
-        if connection.is_open:
-            self.end_connection(sock, "closed by peer")
-        else:
-            self._finish_connect(sock, connection)
-            self.end_connection(sock, "connect failed")
+            ready = self._epoll.poll(None if left < 0 else left, _POLL_BATCH)
+        finally:
+            self._polling = False
+        event.reduce_time_left(0)
+        if ready:
+            self._handle_batch(ready)
+
+    def _handle_batch(self, ready: list[tuple[int, int]]) -> None:
+        self._in_batch = True
+        for fd, events in ready:
+            if fd == self._wake_read:
+                with contextlib.suppress(BlockingIOError):
+                    os.read(fd, 4096)
+                continue
+            target = self._polled.get(fd)
+            if target is not None:
+                self._guard(target, events)
+        self._in_batch = False
+        if self._ended_sockets:
+            for sock in self._ended_sockets:
+                sock.close()
+            self._ended_sockets.clear()
 
 
 class _Echo:
