--- /dev/null
+++ b/clementinewood/demand.py
@@ -0,0 +1,161 @@
+"""Demand of pools, estimated from lagging usage and queue lengths.
+
+Declared sizes and run times are far off, so none is read here: only what ran,
+what waits and what completed.
+"""
+
+import collections
+import dataclasses
+import math
+import statistics
+
+from clementinewood import fleet, identifiers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageSample:
+    """Usage of one pool over the time since the sample before.
+
+    Attributes:
+        time: Log time at which it was measured, which is before it arrives.
+        running: Tasks running.
+        queued: Tasks waiting.
+        completed: Tasks that completed in the interval.
+        busy: Slot-seconds that ran in the interval.
+        used: Resources that the running tasks used.
+    """
+
+    time: float
+    running: float
+    queued: float = 0.0
+    completed: float = 0.0
+    busy: float = 0.0
+    used: fleet.Resources = dataclasses.field(default_factory=fleet.Resources)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Estimate:
+    """Demand of one pool.
+
+    Attributes:
+        slots: Slots that serve the work at the queue's target wait.
+        resources: What that work uses.
+        trusted: Whether enough recent samples stand behind it.
+    """
+
+    slots: float
+    resources: fleet.Resources
+    trusted: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemandSettings:
+    """Shape of the estimate.
+
+    Attributes:
+        window: Seconds of samples that count.
+        minimum: Samples needed for a trusted estimate.
+        target_wait: Seconds within which waiting work should start.
+        headroom: Slots wanted per slot of demand, so that work that arrives
+            at random finds a free one.
+        run_time: Assumed run time in seconds until tasks have completed.
+    """
+
+    window: float = 120.0
+    minimum: int = 3
+    target_wait: float = 60.0
+    headroom: float = 1.1
+    run_time: float = 10.0
+
+
+class DemandEstimator:
+    """Estimates the demand of every pool.
+
+    The estimate is a median over the window, so that a single wrong report
+    does not move hosts, plus the queue with its growth over the lag.
+
+    Args:
+        settings: Shape of the estimate.
+    """
+
+    def __init__(self, settings: DemandSettings | None = None) -> None:
+        self.settings = settings or DemandSettings()
+        self._samples: dict[
+            identifiers.PoolId, collections.deque[UsageSample]
+        ] = {}
+
+    def report(self, pool: identifiers.PoolId, sample: UsageSample) -> None:
+        """Takes a sample; late, repeated and impossible ones are dropped."""
+        values = (
+            sample.time,
+            sample.running,
+            sample.queued,
+            sample.completed,
+            sample.busy,
+        )
+        if not all(math.isfinite(v) and v >= 0 for v in values):
+            return
+        samples = self._samples.setdefault(pool, collections.deque())
+        if samples and sample.time <= samples[-1].time:
+            return
+        samples.append(sample)
+        while samples[0].time < sample.time - self.settings.window:
+            samples.popleft()
+
+    def estimate(self, pool: identifiers.PoolId, now: float) -> Estimate:
+        """Returns the demand of `pool` at `now`."""
+        settings = self.settings
+        samples = [
+            sample
+            for sample in self._samples.get(pool, ())
+            if sample.time >= now - settings.window
+        ]
+        if not samples:
+            return Estimate(0.0, fleet.Resources(), False)
+        recent = samples[-settings.minimum :]
+        running = statistics.median(sample.running for sample in recent)
+        queued = self._project_queue(recent, now)
+        run_time = self._measure_run_time(samples)
+        # The queue needs enough slots to start its last task in target_wait.
+        waiting = min(queued, queued * run_time / settings.target_wait)
+        slots = (running + waiting) * settings.headroom
+        return Estimate(
+            slots,
+            self._scale_usage(recent, slots),
+            len(samples) >= settings.minimum,
+        )
+
+    def _project_queue(self, recent: list[UsageSample], now: float) -> float:
+        queued = statistics.median(sample.queued for sample in recent)
+        last = recent[-1]
+        growth = 0.0
+        if len(recent) > 1 and last.time > recent[0].time:
+            growth = (last.queued - recent[0].queued) / (
+                last.time - recent[0].time
+            )
+        lag = max(0.0, now - statistics.median(s.time for s in recent))
+        # Growth is trusted only up to a doubling: one report may be wrong.
+        return max(0.0, min(queued + growth * lag, 2 * queued))
+
+    def _measure_run_time(self, samples: list[UsageSample]) -> float:
+        completed = sum(sample.completed for sample in samples)
+        busy = sum(sample.busy for sample in samples)
+        if completed <= 0 or busy <= 0:
+            return self.settings.run_time
+        return busy / completed
+
+    def _scale_usage(
+        self, recent: list[UsageSample], slots: float
+    ) -> fleet.Resources:
+        per_slot = [
+            sample.used.scale(1 / sample.running)
+            for sample in recent
+            if sample.running > 0
+        ]
+        if not per_slot:
+            return fleet.Resources()
+        return fleet.Resources(
+            statistics.median(use.processors for use in per_slot),
+            statistics.median(use.memory for use in per_slot),
+            statistics.median(use.accelerators for use in per_slot),
+        ).scale(slots)
--- /dev/null
+++ b/clementinewood/fleet.py
@@ -0,0 +1,389 @@
+"""What planning sees of the fleet: hosts, failure domains and pools."""
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+from clementinewood import fleet_fold, fleet_record, identifiers
+
+Step = fleet_record.Step
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resources:
+    """An amount of processors, memory and accelerators."""
+
+    processors: float = 0.0
+    memory: float = 0.0
+    accelerators: float = 0.0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.processors + other.processors,
+            self.memory + other.memory,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.processors - other.processors,
+            self.memory - other.memory,
+            self.accelerators - other.accelerators,
+        )
+
+    def scale(self, factor: float) -> "Resources":
+        """Returns the amount times `factor`."""
+        return Resources(
+            self.processors * factor,
+            self.memory * factor,
+            self.accelerators * factor,
+        )
+
+    def covers(self, other: "Resources") -> bool:
+        """Whether every component is at least that of `other`."""
+        return (
+            self.processors >= other.processors
+            and self.memory >= other.memory
+            and self.accelerators >= other.accelerators
+        )
+
+    def share_of(self, whole: "Resources") -> float:
+        """Returns the largest component as a fraction of `whole`.
+
+        A component that `whole` lacks but this amount needs gives infinity.
+        """
+        largest = 0.0
+        for part, total in (
+            (self.processors, whole.processors),
+            (self.memory, whole.memory),
+            (self.accelerators, whole.accelerators),
+        ):
+            if part > 0:
+                largest = max(largest, part / total if total else float("inf"))
+        return largest
+
+
+DEFAULT_RESOURCES = Resources(32, 64, 0)
+"""Size of a worker at today's sites."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Worker:
+    """A host and where it stands."""
+
+    id: identifiers.WorkerId
+    zone: identifiers.ZoneId
+    rack: identifiers.RackId
+    resources: Resources = DEFAULT_RESOURCES
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rack:
+    """Hosts that fail together with their rack or switch."""
+
+    id: identifiers.RackId
+    zone: identifiers.ZoneId
+    workers: tuple[identifiers.WorkerId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AvailabilityZone:
+    """Racks that fail together with their zone."""
+
+    id: identifiers.ZoneId
+    racks: tuple[Rack, ...]
+
+
+class Listing(enum.Enum):
+    """State of a host in the platform's host list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    ABSENT = "absent"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostReport:
+    """Last evidence about a host.
+
+    Attributes:
+        worker: The host and its place.
+        listing: Its state in the host list.
+        running: Tasks that it runs.
+        boot: Id that changes with every boot.
+        healthy: Result of its own checks; a host that fails everything it
+            starts is reported unhealthy.
+        pool: Pool whose service it runs.
+        time: Log time at which the evidence was taken.
+    """
+
+    worker: Worker
+    listing: Listing = Listing.LIVE
+    running: int = 0
+    boot: str = ""
+    healthy: bool = True
+    pool: identifiers.PoolId | None = None
+    time: float = 0.0
+
+
+class Availability(enum.Enum):
+    """How a host counts in its pool."""
+
+    SERVING = "serving"
+    ARRIVING = "arriving"
+    PLANNED = "planned"
+    UNPLANNED = "unplanned"
+
+
+class Pool:
+    """Counts of one pool's hosts, kept up to date host by host.
+
+    Attributes:
+        members: Every host assigned to the pool.
+        serving: Hosts that take work, by zone.
+        arriving: Hosts that were assigned and do not serve yet. They are no
+            unavailability: the pool has not had them before.
+        incoming: Hosts of other pools that drain for a move to this pool.
+        planned: Guarded hosts out of service by our decision, by zone.
+        unplanned: Guarded hosts out of service otherwise, by zone.
+        capacity: Resources of the serving hosts.
+        pending: Resources of the arriving and incoming hosts.
+    """
+
+    def __init__(self, pool: identifiers.PoolId) -> None:
+        self.id = pool
+        self.members: set[identifiers.WorkerId] = set()
+        self.serving: dict[identifiers.ZoneId, set[identifiers.WorkerId]] = {}
+        self.arriving: set[identifiers.WorkerId] = set()
+        self.incoming: set[identifiers.WorkerId] = set()
+        self.planned: dict[identifiers.ZoneId, int] = {}
+        self.unplanned: dict[identifiers.ZoneId, int] = {}
+        self.capacity = Resources()
+        self.pending = Resources()
+
+    @property
+    def serving_count(self) -> int:
+        """Number of hosts that take work."""
+        return sum(len(hosts) for hosts in self.serving.values())
+
+    @property
+    def planned_count(self) -> int:
+        """Number of guarded hosts out of service by our decision."""
+        return sum(self.planned.values())
+
+    @property
+    def unplanned_count(self) -> int:
+        """Number of guarded hosts out of service otherwise."""
+        return sum(self.unplanned.values())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Contribution:
+    """How a host is counted now, kept so that it can be taken back."""
+
+    pool: identifiers.PoolId
+    zone: identifiers.ZoneId
+    availability: Availability
+    guarded: bool
+    resources: Resources
+    target: identifiers.PoolId | None
+
+
+class Fleet:
+    """The folded state joined with the evidence about hosts.
+
+    Args:
+        state: Folded state; the fleet follows its changes.
+    """
+
+    def __init__(self, state: fleet_fold.FleetState) -> None:
+        self.state = state
+        self.reports: dict[identifiers.WorkerId, HostReport] = {}
+        self.pools: dict[identifiers.PoolId, Pool] = {}
+        self.in_progress: set[identifiers.WorkerId] = set()
+        self.unavailable: set[identifiers.WorkerId] = set()
+        self._counted: dict[identifiers.WorkerId, _Contribution] = {}
+        state.subscribe(self._on_change)
+        self._rebuild()
+
+    def observe(self, report: HostReport) -> None:
+        """Takes new evidence about one host; older evidence is ignored."""
+        old = self.reports.get(report.worker.id)
+        if old is not None and report.time < old.time:
+            return
+        self.reports[report.worker.id] = report
+        self._refresh(report.worker.id)
+
+    def observe_list(self, reports: Iterable[HostReport], now: float) -> None:
+        """Takes a whole host list; hosts missing from it are absent.
+
+        A host listed twice is trusted only as far as its worse entry.
+        """
+        merged: dict[identifiers.WorkerId, HostReport] = {}
+        for report in reports:
+            other = merged.get(report.worker.id)
+            if other is None or _rank(report) > _rank(other):
+                merged[report.worker.id] = report
+        for worker, old in list(self.reports.items()):
+            if worker not in merged and old.listing is not Listing.ABSENT:
+                self.observe(
+                    dataclasses.replace(
+                        old, listing=Listing.ABSENT, running=0, time=now
+                    )
+                )
+        for report in merged.values():
+            self.observe(report)
+
+    def classify(self, worker: identifiers.WorkerId) -> Availability:
+        """Returns how the host counts in its pool now."""
+        host = self.state.hosts[worker]
+        report = self.reports.get(worker)
+        if host.is_planned:
+            return Availability.PLANNED
+        if (
+            report is None
+            or report.listing is not Listing.LIVE
+            or not report.healthy
+            or host.step in (Step.LOST, Step.BROKEN, Step.CHECKING)
+            or report.worker.zone in self.state.declaration.zones_out
+        ):
+            return Availability.UNPLANNED
+        if host.step is Step.ARRIVING:
+            return Availability.ARRIVING
+        return Availability.SERVING
+
+    def can_start(self, worker: identifiers.WorkerId) -> bool:
+        """Whether a task may start on the host."""
+        counted = self._counted.get(worker)
+        return (
+            counted is not None and counted.availability is Availability.SERVING
+        )
+
+    def list_zones(self) -> tuple[AvailabilityZone, ...]:
+        """Returns the failure domains with their hosts."""
+        racks: dict[
+            tuple[identifiers.ZoneId, identifiers.RackId],
+            list[identifiers.WorkerId],
+        ] = {}
+        for report in self.reports.values():
+            place = (report.worker.zone, report.worker.rack)
+            racks.setdefault(place, []).append(report.worker.id)
+        zones: dict[identifiers.ZoneId, list[Rack]] = {}
+        for (zone, rack), workers in sorted(racks.items()):
+            zones.setdefault(zone, []).append(
+                Rack(rack, zone, tuple(sorted(workers)))
+            )
+        return tuple(
+            AvailabilityZone(zone, tuple(members))
+            for zone, members in zones.items()
+        )
+
+    def _on_change(self, worker: identifiers.WorkerId | None) -> None:
+        if worker is None:
+            self._rebuild()
+        else:
+            self._refresh(worker)
+
+    def _rebuild(self) -> None:
+        self.pools = {pool: Pool(pool) for pool in self.state.declaration.pools}
+        self._counted.clear()
+        self.in_progress.clear()
+        self.unavailable.clear()
+        for worker in self.state.hosts:
+            self._refresh(worker)
+
+    def _refresh(self, worker: identifiers.WorkerId) -> None:
+        host = self.state.hosts.get(worker)
+        if host is None:
+            return
+        report = self.reports.get(worker)
+        place = report.worker if report else None
+        availability = self.classify(worker)
+        # An arriving host is not yet part of what the budget protects.
+        guarded = (
+            self.state.is_guarded(worker) and host.step is not Step.ARRIVING
+        )
+        new = _Contribution(
+            host.pool,
+            place.zone if place else identifiers.ZoneId(""),
+            availability,
+            guarded,
+            place.resources if place else Resources(),
+            host.target,
+        )
+        old = self._counted.get(worker)
+        if old == new:
+            self._track(worker, host, availability)
+            return
+        if old is not None:
+            self._count(worker, old, -1)
+        self._counted[worker] = new
+        self._count(worker, new, 1)
+        self._track(worker, host, availability)
+
+    def _track(
+        self,
+        worker: identifiers.WorkerId,
+        host: fleet_fold.HostState,
+        availability: Availability,
+    ) -> None:
+        if host.step is Step.IN_SERVICE:
+            self.in_progress.discard(worker)
+        else:
+            self.in_progress.add(worker)
+        if availability is Availability.UNPLANNED:
+            self.unavailable.add(worker)
+        else:
+            self.unavailable.discard(worker)
+
+    def _count(
+        self, worker: identifiers.WorkerId, counted: _Contribution, sign: int
+    ) -> None:
+        pool = self.pools.get(counted.pool)
+        if pool is None:
+            pool = self.pools[counted.pool] = Pool(counted.pool)
+        _toggle(pool.members, worker, sign)
+        amount = counted.resources.scale(sign)
+        match counted.availability:
+            case Availability.SERVING:
+                hosts = pool.serving.setdefault(counted.zone, set())
+                _toggle(hosts, worker, sign)
+                pool.capacity += amount
+            case Availability.ARRIVING:
+                _toggle(pool.arriving, worker, sign)
+                pool.pending += amount
+            case Availability.PLANNED if counted.guarded:
+                pool.planned[counted.zone] = (
+                    pool.planned.get(counted.zone, 0) + sign
+                )
+            case Availability.UNPLANNED if counted.guarded:
+                pool.unplanned[counted.zone] = (
+                    pool.unplanned.get(counted.zone, 0) + sign
+                )
+        target = self.pools.get(counted.target) if counted.target else None
+        if target is not None and counted.availability is (
+            Availability.PLANNED
+        ):
+            _toggle(target.incoming, worker, sign)
+            target.pending += amount
+
+
+def _toggle(
+    hosts: set[identifiers.WorkerId], worker: identifiers.WorkerId, sign: int
+) -> None:
+    if sign > 0:
+        hosts.add(worker)
+    else:
+        hosts.discard(worker)
+
+
+def _rank(report: HostReport) -> tuple[bool, bool, float]:
+    return (
+        report.listing is not Listing.LIVE,
+        not report.healthy,
+        report.time,
+    )
+
+
+if __name__ == "__main__":
+    print(Resources(8, 16).share_of(DEFAULT_RESOURCES))
--- /dev/null
+++ b/clementinewood/planner.py
@@ -0,0 +1,169 @@
+"""Assignment of hosts to pools, planned from the folded log alone."""
+
+import dataclasses
+import math
+from collections.abc import Mapping
+
+from clementinewood import (
+    budget,
+    fleet,
+    fleet_record,
+    identifiers,
+    maintenance,
+    move,
+    rollout,
+    wave,
+)
+
+RollAction = fleet_record.RollAction
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannerSettings:
+    """Settings of the planner and its parts.
+
+    Attributes:
+        lease: Seconds of log time for which a planner is alone.
+        limit: Largest number of records of one round.
+        moves: Settings of the moves.
+        steps: Times of the steps.
+        waves: When hosts are due and when waves pause.
+        rolls: When a zone counts as good and when a roll halts.
+    """
+
+    lease: float = 10.0
+    limit: int = 50
+    moves: move.MoveSettings = dataclasses.field(
+        default_factory=move.MoveSettings
+    )
+    steps: wave.WaveSettings = dataclasses.field(
+        default_factory=wave.WaveSettings
+    )
+    waves: maintenance.MaintenanceSettings = dataclasses.field(
+        default_factory=maintenance.MaintenanceSettings
+    )
+    rolls: rollout.RolloutSettings = dataclasses.field(
+        default_factory=rollout.RolloutSettings
+    )
+
+
+class Planner:
+    """One planning round after another over one view of the fleet.
+
+    Any number of planners may run. Every record names the versions that it
+    replaces, so log order decides between them and the lease only saves
+    duplicate work.
+
+    Args:
+        me: Incarnation of the entry that plans.
+        fleet_view: Folded state joined with evidence.
+        settings: Settings of the planner and its parts.
+    """
+
+    def __init__(
+        self,
+        me: identifiers.Incarnation,
+        fleet_view: fleet.Fleet,
+        settings: PlannerSettings | None = None,
+    ) -> None:
+        self.me = me
+        self.fleet = fleet_view
+        self.settings = settings or PlannerSettings()
+        self.budget = budget.AvailabilityBudget(fleet_view)
+        self.wave = wave.Wave(fleet_view, self.budget, self.settings.steps)
+        self.maintenance = maintenance.Maintenance(
+            fleet_view, self.wave, self.settings.waves
+        )
+        self.rollout = rollout.Rollout(
+            fleet_view,
+            self.settings.rolls,
+            validity=self.settings.steps.validity,
+        )
+        self.mover = move.Mover(fleet_view, self.wave, self.settings.moves)
+
+    def holds_lease(self, now: float) -> bool:
+        """Whether this planner is the one that should plan."""
+        lease = self.fleet.state.lease
+        return lease.holder == self.me and now < lease.until
+
+    def plan_lease(self, now: float) -> fleet_record.PlannerLease | None:
+        """Returns the record that takes or renews the lease, if due."""
+        lease = self.fleet.state.lease
+        renew = lease.holder == self.me and (
+            lease.until - now < self.settings.lease / 2
+        )
+        if renew or now >= lease.until:
+            return fleet_record.PlannerLease(
+                self.me, lease.version, self.settings.lease
+            )
+        return None
+
+    def plan(
+        self,
+        needs: Mapping[identifiers.PoolId, float],
+        now: float,
+        *,
+        fresh: bool = True,
+        signals: Mapping[identifiers.ZoneId, rollout.Signals] | None = None,
+    ) -> list[fleet_record.Payload]:
+        """Returns the records of one round, in the order to append them.
+
+        Args:
+            needs: Hosts that each pool's work needs.
+            now: Log time.
+            fresh: Whether the folded log is known to be current. When it is
+                not, nothing new is planned.
+            signals: Health by zone for a roll in progress.
+
+        Returns:
+            Steps in progress first, then the roll, moves and maintenance.
+        """
+        if not fresh:
+            return []
+        reservation = budget.create_reservation(self.fleet, self.budget)
+        records = self.wave.advance(reservation, now)
+        pause = self.maintenance.plan_pause(now)
+        if pause is not None:
+            records.append(pause)
+        paused = self.maintenance.is_paused(now)
+        step = self.rollout.plan(signals or {}, now, paused=paused)
+        if step is not None:
+            records.append(step)
+        records.extend(
+            self.mover.plan(needs, reservation, now, limit=self._left(records))
+        )
+        if not paused:
+            records.extend(
+                self._plan_waves(reservation, now, self._left(records))
+            )
+        return records[: self.settings.limit]
+
+    def _left(self, records: list[fleet_record.Payload]) -> int:
+        return max(0, self.settings.limit - len(records))
+
+    def _plan_waves(
+        self, reservation: budget.Reservation, now: float, limit: int
+    ) -> list[fleet_record.Payload]:
+        roll = self.fleet.state.roll
+        active = self.maintenance.active_zone()
+        if roll.zone is None or roll.halted:
+            return self.maintenance.start(reservation, now, limit=limit)
+        if active is not None and active != roll.zone:
+            return []
+        records: list[fleet_record.Payload] = []
+        for worker in self.rollout.list_outdated(roll.zone):
+            if len(records) >= limit:
+                break
+            record = self.wave.start(
+                worker, fleet_record.Purpose.ROLL, reservation, now
+            )
+            if record is not None:
+                records.append(record)
+        return records or self.maintenance.start(
+            reservation, now, limit=limit, zone=roll.zone
+        )
+
+
+def count_hosts(slots: float, slots_per_host: float) -> int:
+    """Returns the whole hosts that `slots` need."""
+    return math.ceil(slots / slots_per_host - 1e-9)
--- /dev/null
+++ b/clementinewood/wave.py
@@ -0,0 +1,265 @@
+"""Steps of a host through cordon, drain, reboot, check and return.
+
+Maintenance and rolls share this engine, so that a host is worked on once.
+Each step follows from the folded state and evidence alone; a planner that
+takes over finds every half-done host and completes or undoes it.
+"""
+
+import dataclasses
+import typing
+from collections.abc import Iterable
+
+from clementinewood import budget, fleet, fleet_fold, fleet_record, identifiers
+
+Step = fleet_record.Step
+Purpose = fleet_record.Purpose
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaveSettings:
+    """Times of the steps, in seconds.
+
+    Attributes:
+        validity: How long a record may take to reach the log.
+        settle: Time after a cordon until every entry has folded it; idle
+            evidence from before that proves nothing. Entries act on
+            configuration up to 2 s old, and a send in progress may add to it.
+        drain: Time after which running tasks are asked to checkpoint.
+        give_up: Time after which a host that does not drain is returned.
+        reboot: Time after which a host that did not come back is lost.
+        check: Time after which a host that fails its checks is broken.
+        arrive: Time after which a host that does not arrive is lost.
+        lost: Unplanned absence after which a host is recorded as lost.
+    """
+
+    validity: float = 10.0
+    settle: float = 5.0
+    drain: float = 600.0
+    give_up: float = 7200.0
+    reboot: float = 1800.0
+    check: float = 900.0
+    arrive: float = 900.0
+    lost: float = 900.0
+
+
+class Wave:
+    """Advances hosts that are out of service and takes new ones out.
+
+    Args:
+        fleet_view: Folded state joined with evidence.
+        budgets: Availability budgets over the same view.
+        settings: Times of the steps.
+    """
+
+    def __init__(
+        self,
+        fleet_view: fleet.Fleet,
+        budgets: budget.AvailabilityBudget,
+        settings: WaveSettings,
+    ) -> None:
+        self._fleet = fleet_view
+        self._budget = budgets
+        self.settings = settings
+        self._absent_since: dict[identifiers.WorkerId, float] = {}
+
+    def advance(
+        self, reservation: budget.Reservation, now: float
+    ) -> list[fleet_record.Payload]:
+        """Returns the next step of every host that is due for one."""
+        records: list[fleet_record.Payload] = []
+        returned: dict[identifiers.PoolId, int] = {}
+        for worker in sorted(self._fleet.in_progress):
+            record = self._advance_host(worker, reservation, now, returned)
+            if record is not None:
+                records.append(record)
+        records.extend(self._record_losses(now))
+        return records
+
+    def start(
+        self,
+        worker: identifiers.WorkerId,
+        purpose: Purpose,
+        reservation: budget.Reservation,
+        now: float,
+        *,
+        target: identifiers.PoolId | None = None,
+    ) -> fleet_record.MaintenanceStep | None:
+        """Takes a serving host out of service if the budgets allow it."""
+        state = self._fleet.state
+        host = state.hosts[worker]
+        if not self._fleet.can_start(worker):
+            return None
+        zone = self._fleet.reports[worker].worker.zone
+        if state.is_guarded(worker):
+            if reservation.left(host.pool, zone) <= 0:
+                return None
+            reservation.take(host.pool, zone)
+        return fleet_record.MaintenanceStep(
+            worker,
+            Step.CORDONED,
+            host.version,
+            now + self.settings.validity,
+            purpose=purpose,
+            target=target,
+            pool_version=reservation.next_version(host.pool),
+        )
+
+    def is_drained(self, worker: identifiers.WorkerId) -> bool:
+        """Whether evidence from after the cordon shows no running task."""
+        host = self._fleet.state.hosts[worker]
+        report = self._fleet.reports.get(worker)
+        return (
+            report is not None
+            and report.listing is fleet.Listing.LIVE
+            and report.running == 0
+            and report.time >= host.since + self.settings.settle
+        )
+
+    def _advance_host(
+        self,
+        worker: identifiers.WorkerId,
+        reservation: budget.Reservation,
+        now: float,
+        returned: dict[identifiers.PoolId, int],
+    ) -> fleet_record.Payload | None:
+        host = self._fleet.state.hosts[worker]
+        report = self._fleet.reports.get(worker)
+        waited = now - host.since
+        match host.step:
+            case Step.CORDONED | Step.CHECKPOINTING:
+                return self._advance_drain(
+                    worker, host, report, reservation, now, returned
+                )
+            case Step.REBOOTING:
+                if _is_live(report) and report.boot != host.boot:
+                    return self._step(worker, Step.CHECKING, now)
+                if waited > self.settings.reboot:
+                    return self._step(worker, Step.LOST, now)
+            case Step.CHECKING:
+                if _is_live(report) and report.time > host.since:
+                    if report.healthy:
+                        return self._step(worker, Step.IN_SERVICE, now)
+                    if waited > self.settings.check:
+                        return self._step(worker, Step.BROKEN, now)
+                elif waited > self.settings.check:
+                    return self._step(worker, Step.LOST, now)
+            case Step.ARRIVING:
+                if (
+                    _is_live(report)
+                    and report.healthy
+                    and report.pool == host.pool
+                    and report.time > host.since
+                ):
+                    return self._step(worker, Step.IN_SERVICE, now)
+                if waited > self.settings.arrive:
+                    return self._step(worker, Step.LOST, now)
+            case Step.BROKEN | Step.LOST:
+                if (
+                    _is_live(report)
+                    and report.healthy
+                    and report.time > host.since
+                ):
+                    return self._step(worker, Step.CHECKING, now)
+        return None
+
+    def _advance_drain(
+        self,
+        worker: identifiers.WorkerId,
+        host: fleet_fold.HostState,
+        report: fleet.HostReport | None,
+        reservation: budget.Reservation,
+        now: float,
+        returned: dict[identifiers.PoolId, int],
+    ) -> fleet_record.Payload | None:
+        waited = now - host.since
+        if not _is_live(report):
+            if waited > self.settings.lost:
+                return self._step(worker, Step.LOST, now)
+            return None
+        if self._must_undo(worker, host, returned):
+            returned[host.pool] = returned.get(host.pool, 0) + 1
+            return self._step(worker, Step.IN_SERVICE, now)
+        if waited > self.settings.give_up:
+            return self._step(worker, Step.IN_SERVICE, now)
+        if self.is_drained(worker):
+            return self._finish_drain(worker, host, report, reservation, now)
+        if host.step is Step.CORDONED and waited > self.settings.drain:
+            return self._step(worker, Step.CHECKPOINTING, now)
+        return None
+
+    def _must_undo(
+        self,
+        worker: identifiers.WorkerId,
+        host: fleet_fold.HostState,
+        returned: dict[identifiers.PoolId, int],
+    ) -> bool:
+        """Whether unplanned unavailability took the room of this drain."""
+        report = self._fleet.reports[worker]
+        if not self._fleet.state.is_guarded(worker):
+            return False
+        room = self._budget.measure(host.pool, report.worker.zone)
+        done = returned.get(host.pool, 0)
+        return room.pool + done < 0 or room.zone + done < 0
+
+    def _finish_drain(
+        self,
+        worker: identifiers.WorkerId,
+        host: fleet_fold.HostState,
+        report: fleet.HostReport,
+        reservation: budget.Reservation,
+        now: float,
+    ) -> fleet_record.Payload | None:
+        if host.purpose is not Purpose.MOVE:
+            return self._step(worker, Step.REBOOTING, now, boot=report.boot)
+        target = host.target
+        zones_out = self._fleet.state.declaration.zones_out
+        if (
+            target is None
+            or target not in self._fleet.state.declaration.pools
+            or report.worker.zone in zones_out
+        ):
+            return self._step(worker, Step.IN_SERVICE, now)
+        return fleet_record.WorkerAssigned(
+            worker,
+            target,
+            host.version,
+            reservation.next_version(host.pool),
+            now + self.settings.validity,
+        )
+
+    def _record_losses(self, now: float) -> Iterable[fleet_record.Payload]:
+        """Records serving hosts that stay absent, so that all agree on it."""
+        absent: dict[identifiers.WorkerId, float] = {}
+        for worker in sorted(self._fleet.unavailable):
+            if self._fleet.state.hosts[worker].step is not Step.IN_SERVICE:
+                continue
+            report = self._fleet.reports.get(worker)
+            if _is_live(report) and report.healthy:
+                continue
+            since = self._absent_since.get(worker, now)
+            absent[worker] = since
+            if now - since > self.settings.lost:
+                yield self._step(worker, Step.LOST, now)
+        self._absent_since = absent
+
+    def _step(
+        self,
+        worker: identifiers.WorkerId,
+        step: Step,
+        now: float,
+        *,
+        boot: str = "",
+    ) -> fleet_record.MaintenanceStep:
+        return fleet_record.MaintenanceStep(
+            worker,
+            step,
+            self._fleet.state.hosts[worker].version,
+            now + self.settings.validity,
+            boot=boot,
+        )
+
+
+def _is_live(
+    report: fleet.HostReport | None,
+) -> typing.TypeGuard[fleet.HostReport]:
+    return report is not None and report.listing is fleet.Listing.LIVE
