Add the gateway: life cycle of a request

Cause: admission, scheduling, routing, retries and claims existed apart. Change: Gateway takes a request from the edge through claim, queue, minion and retries to one answer with a true verdict. The right of a team stays taken until work that may have run can't be running any more.

--- /dev/null
+++ b/clementinewood/flow.py
@@ -0,0 +1,82 @@
+"""One caller's request on its way through an entry."""
+
+import dataclasses
+import enum
+
+from clementinewood import (
+    admission,
+    claim,
+    edge,
+    identifiers,
+    priority,
+    router,
+    scheduler,
+    verdict,
+)
+
+
+class Phase(enum.Enum):
+    """Where a request is."""
+
+    CLAIMING = "claiming"
+    QUEUED = "queued"
+    RUNNING = "running"
+    WAITING_RETRY = "waiting-retry"
+    DONE = "done"
+
+
+@dataclasses.dataclass(slots=True)
+class Flow:
+    """State of one request at the entry that accepted it.
+
+    Attributes:
+        request_id: Id sent to the minion and to the caller.
+        exchange: The caller's exchange; answered once.
+        grant: What admission granted.
+        pool: Pool that serves the queue.
+        priority: Class in force.
+        idempotent: Whether running it twice is harmless.
+        deadline: Monotonic time by which its run should have ended.
+        run_limit: Seconds after which a minion stops the work.
+        max_attempts: Attempts allowed by the queue.
+        received: Monotonic time of arrival.
+        phase: Where it is.
+        attempts: Attempts made.
+        execution: What all attempts so far say.
+        failed_on: Minions to avoid.
+        target: Minion of the attempt in progress.
+        started: Monotonic time at which the attempt was sent.
+        claim: The claim of its idempotency key, if it has one.
+        cancelled: Whether the caller has gone.
+    """
+
+    request_id: identifiers.RequestId
+    exchange: edge.Exchange
+    grant: admission.Grant
+    pool: identifiers.PoolId
+    priority: priority.Priority
+    idempotent: bool
+    deadline: float
+    run_limit: float
+    max_attempts: int
+    received: float
+    phase: Phase = Phase.QUEUED
+    attempts: int = 0
+    execution: verdict.Execution = verdict.Execution.NOT_RUN
+    failed_on: frozenset[identifiers.MinionId] = frozenset()
+    target: router.Target | None = None
+    started: float = 0.0
+    claim: claim.Claim | None = None
+    cancelled: bool = False
+
+    def create_job(self, estimate: float) -> scheduler.Job:
+        """Returns the job to queue, with the declared run time."""
+        return scheduler.Job(
+            request_id=self.request_id,
+            queue=self.grant.queue,
+            team=self.grant.team,
+            customer=self.grant.customer,
+            priority=self.priority,
+            deadline=self.deadline,
+            estimate=estimate,
+        )
--- /dev/null
+++ b/clementinewood/gateway.py
@@ -0,0 +1,599 @@
+"""Life cycle of a request: admitted, queued, run at a minion, answered."""
+
+import hashlib
+import json
+import time
+from collections.abc import Callable, Mapping, Sequence
+from typing import Protocol
+
+from returns import result
+
+from clementinewood import (
+    admission,
+    claim,
+    edge,
+    event,
+    flow,
+    httpclient,
+    identifiers,
+    ledger,
+    metric,
+    priority,
+    requesthead,
+    retry,
+    router,
+    scheduler,
+    timer,
+    verdict,
+)
+
+Phase = flow.Phase
+Reason = verdict.Reason
+
+TICK_SECONDS = 0.05
+"""Period of shedding and of another look at requests that wait for rights."""
+
+START_WINDOW = 0.5
+"""Seconds after the decision within which a minion may start the work."""
+
+LEASE_MARGIN = 1.0
+"""Covers differences between clocks when a right is freed by time alone."""
+
+ANSWER_MARGIN = 0.5
+"""Time for an answer to arrive after the run limit."""
+
+_NOT_FORWARDED = frozenset(
+    (
+        b"host",
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"content-length",
+        b"upgrade",
+        b"expect",
+        b"authorization",
+        b"x-request-id",
+        b"x-run-limit-ms",
+        b"x-start-before",
+        b"x-execution",
+        b"x-team",
+        b"x-customer",
+    )
+)
+"""Headers that are never passed on: hop-by-hop ones (RFC 9110, section 7.6.1),
+the caller's key, and those by which an entry controls minions."""
+
+
+class Rights(Protocol):
+    """Exact limits, as `ledger.Ledger` keeps them."""
+
+    def available(self, resource: ledger.ResourceId) -> int:
+        """Returns how many more acquisitions would succeed now."""
+
+    def acquire(self, resource: ledger.ResourceId) -> bool:
+        """Takes one right, if one is free here."""
+
+    def release(self, resource: ledger.ResourceId) -> None:
+        """Gives back one right."""
+
+
+class Claims(Protocol):
+    """Starts claims; decisions come back through `Gateway.on_decision`."""
+
+    def submit(self, item: claim.Claim) -> claim.Decision:
+        """Starts the claim of a keyed request."""
+
+    def finish(
+        self,
+        item: claim.Claim,
+        answer: object | None,
+        size: int,
+        *,
+        execution: verdict.Execution,
+    ) -> None:
+        """Notes how the request of a claim ended."""
+
+
+class Sender(Protocol):
+    """Sends attempts to minions."""
+
+    def send(
+        self,
+        target: router.Target,
+        request_id: identifiers.RequestId,
+        method: str,
+        path: str,
+        headers: Sequence[edge.Header],
+        body: bytes,
+        *,
+        timeout: float,
+        on_result: Callable[[retry.Outcome, httpclient.Answer | None], None],
+    ) -> None:
+        """Sends one attempt and reports its outcome once."""
+
+
+class Gateway:
+    """Serves the requests that callers submit to queues.
+
+    Args:
+        timers: Timer service.
+        pages: Serves all other paths.
+        sender: Sends attempts to minions.
+        rights: Exact limits.
+        claims: Idempotency keys.
+        router_: Chooses minions.
+        retries: Decides on retries.
+        is_fresh: Whether this entry may act on its configuration now.
+        explain_stale: Says why it may not.
+        me: Incarnation of this entry.
+        metrics: Counts.
+        wall_clock: Wall-clock time in seconds, for minions.
+    """
+
+    def __init__(
+        self,
+        timers: timer.TimerService,
+        *,
+        pages: edge.Handler,
+        sender: Sender,
+        rights: Rights,
+        claims: Claims,
+        router_: router.Router,
+        retries: retry.RetryPolicy,
+        is_fresh: Callable[[], bool],
+        explain_stale: Callable[[], str],
+        me: identifiers.Incarnation,
+        metrics: metric.Metrics,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self.admission: admission.Admission | None = None
+        self.scheduler = scheduler.Scheduler({}, {})
+        self.flows: dict[identifiers.RequestId, flow.Flow] = {}
+        self._clock = timers.clock
+        self._timers = timers
+        self._pages = pages
+        self._sender = sender
+        self._rights = rights
+        self._claims = claims
+        self._router = router_
+        self._retries = retries
+        self._is_fresh = is_fresh
+        self._explain_stale = explain_stale
+        self._me = me
+        self._metrics = metrics
+        self._wall_clock = wall_clock
+        self._estimates: dict[identifiers.RequestId, float] = {}
+        self._chosen: router.Target | None = None
+        self._pumping = False
+        timers.subscribe_every(TICK_SECONDS, self._tick)
+
+    @property
+    def unfinished(self) -> int:
+        """Requests that have no answer yet."""
+        return len(self.flows)
+
+    def configure(self, bundle: admission.Bundle, *, entries: int) -> None:
+        """Takes over a bundle for the requests that come from now on."""
+        self.admission = admission.Admission(bundle)
+        self.scheduler.configure(bundle.teams, bundle.queues, entries=entries)
+        self.pump()
+
+    def handle_exchange(self, exchange: edge.Exchange) -> None:
+        """Admits one request, or refuses it."""
+        if not exchange.request.target.startswith(requesthead.QUEUE_PREFIX):
+            self._pages.handle_exchange(exchange)
+            return
+        match requesthead.parse_request_head(exchange.request):
+            case result.Failure(refusal):
+                self._refuse_exchange(exchange, refusal)
+            case result.Success(head):
+                self._admit(exchange, head)
+
+    def render_refusal(
+        self, refusal: verdict.Refusal
+    ) -> tuple[int, Sequence[edge.Header], bytes]:
+        """Renders and counts a refusal that belongs to no queued request."""
+        self._count_refusal(refusal)
+        return render_refusal(refusal, identifiers.create_request_id())
+
+    def on_decision(self, decision: claim.Decision) -> None:
+        """Goes on with a request whose claim is decided."""
+        item = self.flows.get(decision.request_id)
+        if item is None or item.phase is not Phase.CLAIMING:
+            return
+        self._apply_decision(item, decision)
+        self.pump()
+
+    def pump(self) -> None:
+        """Starts every request that may start now."""
+        if self._pumping:
+            return
+        self._pumping = True
+        try:
+            while self._is_fresh():
+                now = self._clock()
+                job = self.scheduler.pick(now, self._can_start)
+                if job is None:
+                    break
+                self._start(self.flows[job.request_id], now)
+        finally:
+            self._pumping = False
+
+    def _admit(
+        self, exchange: edge.Exchange, head: requesthead.RequestHead
+    ) -> None:
+        if self.admission is None or not self._is_fresh():
+            self._refuse_exchange(
+                exchange,
+                verdict.Refusal(
+                    Reason.STALE_CONFIGURATION,
+                    detail="This entry can't tell whether its configuration "
+                    f"is current ({self._explain_stale()}).",
+                    retry_after=1.0,
+                ),
+            )
+            return
+        match self.admission.admit(head.queue, head.credentials, head.customer):
+            case verdict.Refusal() as refusal:
+                self._refuse_exchange(exchange, refusal)
+            case grant:
+                self._accept(exchange, head, grant)
+
+    def _accept(
+        self,
+        exchange: edge.Exchange,
+        head: requesthead.RequestHead,
+        grant: admission.Grant,
+    ) -> None:
+        assert self.admission is not None
+        queue = self.admission.bundle.queues[grant.queue]
+        now = self._clock()
+        item = flow.Flow(
+            request_id=identifiers.create_request_id(),
+            exchange=exchange,
+            grant=grant,
+            pool=queue.pool,
+            priority=priority.limit_priority(head.priority, grant.priority),
+            idempotent=head.idempotent,
+            deadline=now + head.deadline,
+            run_limit=queue.run_limit,
+            max_attempts=queue.max_attempts,
+            received=now,
+        )
+        self.flows[item.request_id] = item
+        self._estimates[item.request_id] = min(head.estimate, queue.run_limit)
+        exchange.on_cancel = lambda: self._cancel(item)
+        self._retries.record_request(grant.team)
+        if head.idempotency_key is not None and not head.idempotent:
+            item.phase = Phase.CLAIMING
+            item.claim = self._create_claim(item, head.idempotency_key)
+            self._apply_decision(item, self._claims.submit(item.claim))
+        else:
+            self._enqueue(item)
+        self.pump()
+
+    def _create_claim(self, item: flow.Flow, key: str) -> claim.Claim:
+        request = item.exchange.request
+        digest = hashlib.sha256()
+        for part in (request.method, request.target):
+            digest.update(part.encode())
+            digest.update(b"\x00")
+        digest.update(request.body)
+        return claim.Claim(
+            claim.ClaimKey.create(item.grant.team, key),
+            item.request_id,
+            self._me,
+            digest.digest(),
+        )
+
+    def _apply_decision(
+        self, item: flow.Flow, decision: claim.Decision
+    ) -> None:
+        match decision.verdict:
+            case claim.Verdict.WAIT:
+                return
+            case claim.Verdict.RUN if item.cancelled:
+                self._refuse(item, verdict.Refusal(Reason.CANCELLED))
+            case claim.Verdict.RUN:
+                self._enqueue(item)
+            case claim.Verdict.ANSWER:
+                assert isinstance(decision.answer, httpclient.Answer)
+                # Another request holds the claim.
+                item.claim = None
+                self._answer(item, decision.answer, replayed=True)
+            case other:
+                item.claim = None
+                self._refuse(item, _CLAIM_REFUSALS[other])
+
+    def _enqueue(self, item: flow.Flow) -> None:
+        item.phase = Phase.QUEUED
+        job = item.create_job(self._estimates[item.request_id])
+        refusal = self.scheduler.submit(job, self._clock())
+        if refusal is not None:
+            self._refuse(item, refusal)
+
+    def _can_start(self, job: scheduler.Job) -> bool:
+        item = self.flows[job.request_id]
+        if self._rights.available(ledger.team_resource(job.team)) <= 0:
+            return False
+        now = self._clock()
+        target = self._router.choose(item.pool, now, exclude=item.failed_on)
+        if target is None and item.failed_on:
+            target = self._router.choose(item.pool, now)
+        self._chosen = target
+        return target is not None
+
+    def _start(self, item: flow.Flow, now: float) -> None:
+        target = self._chosen
+        assert target is not None
+        taken = self._rights.acquire(ledger.team_resource(item.grant.team))
+        assert taken, "the scheduler picked a job without rights"
+        item.phase = Phase.RUNNING
+        item.target = target
+        item.started = now
+        item.attempts += 1
+        self._router.start(target.minion, now)
+        request = item.exchange.request
+        headers = [
+            header
+            for header in request.headers
+            if header[0] not in _NOT_FORWARDED
+        ]
+        started_wall = self._wall_clock()
+        headers += [
+            (b"x-request-id", item.request_id.encode()),
+            (b"x-team", item.grant.team.encode()),
+            (b"x-run-limit-ms", b"%d" % int(item.run_limit * 1000)),
+            (
+                b"x-start-before",
+                b"%.3f" % (started_wall + START_WINDOW),
+            ),
+        ]
+        self._sender.send(
+            target,
+            item.request_id,
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            timeout=START_WINDOW + item.run_limit + ANSWER_MARGIN,
+            on_result=lambda outcome, answer: self._finish_attempt(
+                item, target, outcome, answer
+            ),
+        )
+
+    def _finish_attempt(
+        self,
+        item: flow.Flow,
+        target: router.Target,
+        outcome: retry.Outcome,
+        answer: httpclient.Answer | None,
+    ) -> None:
+        now = self._clock()
+        self._metrics.count(metric.ATTEMPTS, outcome=outcome.value)
+        self._release_right(item, outcome, now)
+        self._router.finish(target.minion, outcome, now - item.started, now)
+        self.scheduler.finish(item.request_id, now)
+        attempt = self._describe_attempt(item, target, outcome)
+        item.execution = attempt.execution
+        item.target = None
+        if outcome is retry.Outcome.ANSWERED:
+            assert answer is not None
+            self._answer(item, answer)
+        elif item.cancelled:
+            self._refuse(
+                item, verdict.Refusal(Reason.CANCELLED, item.execution)
+            )
+        else:
+            self._retry(item, attempt, answer, now)
+        self.pump()
+
+    def _describe_attempt(
+        self,
+        item: flow.Flow,
+        target: router.Target,
+        outcome: retry.Outcome,
+    ) -> retry.Attempt:
+        return retry.Attempt(
+            request_id=item.request_id,
+            team=item.grant.team,
+            number=item.attempts,
+            outcome=outcome,
+            idempotent=item.idempotent,
+            deadline=item.deadline,
+            estimate=self._estimates[item.request_id],
+            minion=target.minion,
+            earlier=item.execution,
+            failed_on=item.failed_on,
+            max_attempts=item.max_attempts,
+            kind=(item.grant.team, item.grant.queue),
+        )
+
+    def _retry(
+        self,
+        item: flow.Flow,
+        attempt: retry.Attempt,
+        answer: httpclient.Answer | None,
+        now: float,
+    ) -> None:
+        match self._retries.decide(attempt, now):
+            case retry.Retry(delay=delay, exclude=exclude):
+                self._metrics.count(metric.RETRIES, cause=attempt.outcome.value)
+                item.failed_on = exclude
+                item.phase = Phase.WAITING_RETRY
+                self._timers.subscribe_once(delay, lambda: self._resume(item))
+            case retry.GiveUp(refusal=refusal):
+                if answer is not None:
+                    # The minion's own error says more than a refusal.
+                    self._answer(item, answer)
+                else:
+                    self._refuse(item, refusal)
+
+    def _resume(self, item: flow.Flow) -> None:
+        if item.phase is Phase.WAITING_RETRY:
+            self._enqueue(item)
+            self.pump()
+
+    def _release_right(
+        self, item: flow.Flow, outcome: retry.Outcome, now: float
+    ) -> None:
+        """Frees the team's right once the work can't be running any more."""
+        resource = ledger.team_resource(item.grant.team)
+        if retry.EXECUTIONS[outcome] is not verdict.Execution.MAY_HAVE_RUN:
+            self._rights.release(resource)
+            return
+        over = item.started + START_WINDOW + item.run_limit + LEASE_MARGIN
+        self._timers.subscribe_once(
+            max(0.0, over - now), lambda: self._rights.release(resource)
+        )
+
+    def _cancel(self, item: flow.Flow) -> None:
+        """Ends a request whose caller has gone."""
+        item.cancelled = True
+        match item.phase:
+            case Phase.QUEUED:
+                self.scheduler.cancel(item.request_id)
+            case Phase.RUNNING | Phase.CLAIMING:
+                # The minion may go on, so the right stays taken until it
+                # answers; a claim that is decided to run is given up then.
+                return
+        self._refuse(item, verdict.Refusal(Reason.CANCELLED, item.execution))
+
+    def _answer(
+        self,
+        item: flow.Flow,
+        answer: httpclient.Answer,
+        *,
+        replayed: bool = False,
+    ) -> None:
+        headers = [
+            header
+            for header in answer.headers
+            if header[0] not in _NOT_FORWARDED
+        ]
+        headers += [
+            (b"x-request-id", item.request_id.encode()),
+            (b"x-execution", verdict.Execution.RAN.value.encode()),
+        ]
+        if replayed:
+            headers.append((b"x-replayed", b"true"))
+        self._metrics.count(
+            metric.REQUESTS, queue=item.grant.queue, team=item.grant.team
+        )
+        self._metrics.record(
+            metric.REQUEST_SECONDS,
+            self._clock() - item.received,
+            queue=item.grant.queue,
+        )
+        self._finish(item, answer, verdict.Execution.RAN)
+        item.exchange.respond(answer.status, headers, answer.body)
+
+    def _refuse(self, item: flow.Flow, refusal: verdict.Refusal) -> None:
+        execution = retry.combine_executions(refusal.execution, item.execution)
+        refusal = verdict.Refusal(
+            refusal.reason, execution, refusal.detail, refusal.retry_after
+        )
+        self._count_refusal(refusal)
+        self._finish(item, None, execution)
+        status, headers, body = render_refusal(refusal, item.request_id)
+        item.exchange.respond(status, headers, body)
+
+    def _finish(
+        self,
+        item: flow.Flow,
+        answer: httpclient.Answer | None,
+        execution: verdict.Execution,
+    ) -> None:
+        item.phase = Phase.DONE
+        self.flows.pop(item.request_id, None)
+        self._estimates.pop(item.request_id, None)
+        if item.claim is not None:
+            size = 0 if answer is None else len(answer.body)
+            self._claims.finish(item.claim, answer, size, execution=execution)
+
+    def _refuse_exchange(
+        self, exchange: edge.Exchange, refusal: verdict.Refusal
+    ) -> None:
+        exchange.respond(*self.render_refusal(refusal))
+
+    def _count_refusal(self, refusal: verdict.Refusal) -> None:
+        self._metrics.count(
+            metric.REFUSALS,
+            reason=refusal.reason.value,
+            execution=refusal.execution.value,
+        )
+        event.emit(
+            event.Event.REQUEST_REFUSED,
+            reason=refusal.reason.value,
+            execution=refusal.execution.value,
+        )
+
+    def _tick(self) -> None:
+        for job, refusal in self.scheduler.expire(self._clock()):
+            item = self.flows.get(job.request_id)
+            if item is not None:
+                self._refuse(item, refusal)
+        self.pump()
+
+
+_CLAIM_REFUSALS: Mapping[claim.Verdict, verdict.Refusal] = {
+    claim.Verdict.RUNNING: verdict.Refusal(
+        Reason.DUPLICATE_RUNNING,
+        verdict.Execution.MAY_HAVE_RUN,
+        "A request with this idempotency key was accepted and may be running.",
+        1.0,
+    ),
+    claim.Verdict.RAN: verdict.Refusal(
+        Reason.DUPLICATE_RAN,
+        verdict.Execution.RAN,
+        "A request with this idempotency key ran; its answer is not kept.",
+    ),
+    claim.Verdict.REUSED: verdict.Refusal(
+        Reason.KEY_REUSED,
+        detail="The idempotency key belongs to another request.",
+    ),
+    claim.Verdict.UNAVAILABLE: verdict.Refusal(
+        Reason.CLAIM_UNAVAILABLE,
+        detail="The idempotency key can't be checked now.",
+        retry_after=1.0,
+    ),
+}
+
+
+def render_refusal(
+    refusal: verdict.Refusal, request_id: identifiers.RequestId
+) -> tuple[int, Sequence[edge.Header], bytes]:
+    """Returns status, headers and problem+json body (RFC 9457)."""
+    problem = {
+        "type": "about:blank",
+        "title": refusal.reason.value,
+        "status": refusal.status,
+        "reason": refusal.reason.value,
+        "execution": refusal.execution.value,
+        "detail": refusal.detail,
+        "request_id": request_id,
+    }
+    headers = [
+        (b"content-type", b"application/problem+json"),
+        (b"x-request-id", request_id.encode()),
+        (b"x-execution", refusal.execution.value.encode()),
+    ]
+    if refusal.retry_after is not None:
+        seconds = max(1, round(refusal.retry_after))
+        headers.append((b"retry-after", b"%d" % seconds))
+    if refusal.status == 401:
+        headers.append((b"www-authenticate", b'Bearer realm="queues"'))
+    return refusal.status, headers, json.dumps(problem).encode()
+
+
+if __name__ == "__main__":
+    print(
+        render_refusal(
+            verdict.Refusal(Reason.QUEUE_FULL, retry_after=1.0),
+            identifiers.create_request_id(),
+        )
+    )
--- /dev/null
+++ b/clementinewood/requesthead.py
@@ -0,0 +1,142 @@
+"""Reads the headers by which callers steer a request."""
+
+import dataclasses
+import re
+
+from returns import result
+
+from clementinewood import edge, identifiers, priority, verdict
+
+QUEUE_PREFIX = "/q/"
+
+DEFAULT_DEADLINE_SECONDS = 30.0
+MAX_DEADLINE_SECONDS = 86400.0
+DEFAULT_ESTIMATE_SECONDS = 0.1
+"""Run time assumed until a queue's runs have been observed."""
+
+MAX_IDEMPOTENCY_KEY = 255
+
+IDEMPOTENT_METHODS = frozenset(
+    ("GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE")
+)
+"""RFC 9110, section 9.2.2."""
+
+_BEARER = re.compile(r"(?i)bearer +([\x21-\x7e]+) *$")
+_MILLISECONDS = re.compile(r"[0-9]{1,9}$")
+_BOOLEANS = {"true": True, "false": False}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestHead:
+    """What a caller asks for.
+
+    Attributes:
+        queue: Queue named in the path.
+        credentials: Key presented, if any.
+        customer: Customer named, if any.
+        idempotency_key: Key that makes a repeated request run once.
+        idempotent: Whether running it twice is harmless.
+        deadline: Seconds from arrival until the run should have ended.
+        priority: Class asked for, if any.
+        estimate: Declared run time in seconds.
+    """
+
+    queue: identifiers.QueueId
+    credentials: str | None
+    customer: identifiers.CustomerId | None
+    idempotency_key: str | None
+    idempotent: bool
+    deadline: float
+    priority: priority.Priority | None
+    estimate: float
+
+
+def _refuse(detail: str) -> result.Failure[verdict.Refusal]:
+    return result.Failure(
+        verdict.Refusal(verdict.Reason.MALFORMED, detail=detail)
+    )
+
+
+def _read_seconds(value: str | None, default: float) -> float | None:
+    if value is None:
+        return default
+    if not _MILLISECONDS.match(value):
+        return None
+    return int(value) / 1000.0
+
+
+def parse_request_head(
+    request: edge.HttpRequest,
+) -> result.Result[RequestHead, verdict.Refusal]:
+    """Reads path and headers of a request under `/q/`.
+
+    Returns:
+        The head, or the refusal that says which header is wrong.
+    """
+    path = request.target.partition("?")[0]
+    queue = path.removeprefix(QUEUE_PREFIX).partition("/")[0]
+    authorization = request.find_header(b"authorization")
+    credentials = None
+    if authorization is not None:
+        match = _BEARER.match(authorization)
+        if match is None:
+            return _refuse("Authorization must be 'Bearer KEYID.SECRET'.")
+        credentials = match.group(1)
+    key = request.find_header(b"idempotency-key")
+    if key is not None and not 0 < len(key) <= MAX_IDEMPOTENCY_KEY:
+        return _refuse(
+            f"Idempotency-Key must have 1 to {MAX_IDEMPOTENCY_KEY} characters."
+        )
+    deadline = _read_seconds(
+        request.find_header(b"x-deadline-ms"), DEFAULT_DEADLINE_SECONDS
+    )
+    if deadline is None or not 0 < deadline <= MAX_DEADLINE_SECONDS:
+        return _refuse("X-Deadline-Ms must be a number from 1 to 86400000.")
+    estimate = _read_seconds(
+        request.find_header(b"x-estimate-ms"), DEFAULT_ESTIMATE_SECONDS
+    )
+    if estimate is None:
+        return _refuse("X-Estimate-Ms must be a number of milliseconds.")
+    wanted = request.find_header(b"x-priority")
+    chosen = None
+    if wanted is not None:
+        try:
+            chosen = priority.Priority(wanted)
+        except ValueError:
+            names = ", ".join(item.value for item in priority.Priority)
+            return _refuse(f"X-Priority must be one of {names}.")
+    declared = request.find_header(b"x-idempotent")
+    if declared is not None and declared not in _BOOLEANS:
+        return _refuse("X-Idempotent must be true or false.")
+    idempotent = (
+        request.method in IDEMPOTENT_METHODS
+        if declared is None
+        else _BOOLEANS[declared]
+    )
+    customer = request.find_header(b"x-customer")
+    return result.Success(
+        RequestHead(
+            queue=identifiers.QueueId(queue),
+            credentials=credentials,
+            customer=identifiers.CustomerId(customer) if customer else None,
+            idempotency_key=key,
+            idempotent=idempotent,
+            deadline=deadline,
+            priority=chosen,
+            estimate=estimate,
+        )
+    )
+
+
+if __name__ == "__main__":
+    print(
+        parse_request_head(
+            edge.HttpRequest(
+                "POST",
+                "/q/quotes/new",
+                ((b"authorization", b"Bearer k1.secret"),),
+                b"",
+                ("127.0.0.1", 1),
+            )
+        )
+    )
