--- /dev/null
+++ b/clementinewood/coordination.py
@@ -0,0 +1,483 @@
+"""One entry's part in members, limits, freshness and claims, put together.
+
+`Coordination` takes log records, peer messages and the time, and collects the
+messages and records to send. The parts depend on each other in ways that are
+easy to get wrong (an offset may be reported only once it is folded, say), so
+they are connected here, without sockets or a clock.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Iterable, Sequence
+
+from clementinewood import (
+    claim,
+    freshness,
+    identifiers,
+    ledger,
+    membership,
+    verdict,
+)
+
+Incarnation = identifiers.Incarnation
+
+RELAY_RECORDS = 256
+"""Folded control records kept for peers that cannot reach the log."""
+
+ECHOES = 64
+"""Own status messages of which the time of sending is kept."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirmation:
+    """Tells a joiner that the sender knows it.
+
+    Attributes:
+        offset: Control offset that the sender has folded.
+        complete: The sender knows every claim that may have run.
+        claims: The outage claims that it has not read from the log.
+    """
+
+    offset: int
+    complete: bool
+    claims: tuple[claim.Claim, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """Sent to every member a few times a second.
+
+    Attributes:
+        sequence: Number of this status.
+        echo: Number of the last status received from the addressee.
+        reachable: Whether the sender can reach the log.
+        known: Highest control offset it knows of.
+        age: Seconds since the read to the head of the log that it relies on
+            was sent.
+        report: Its part of the limits; the offset in it is folded.
+        awaits: It waits for the confirmation of the addressee.
+        confirmation: Answers the addressee's `awaits`.
+    """
+
+    sequence: int
+    echo: int
+    reachable: bool
+    known: int
+    age: float
+    report: ledger.Report
+    awaits: bool = False
+    confirmation: Confirmation | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransferAck:
+    """Acknowledges a transfer."""
+
+    transfer: ledger.Transfer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Releases:
+    """Outcomes that free claimed keys before the log has them."""
+
+    outcomes: tuple[claim.Outcome, ...]
+
+
+ControlRecord = tuple[int, Incarnation, membership.Payload]
+"""Offset, author and payload."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relay:
+    """Control records that follow the offset `after` without a gap."""
+
+    after: int
+    records: tuple[ControlRecord, ...]
+
+
+Message = (
+    Status
+    | ledger.Transfer
+    | TransferAck
+    | ledger.RightsRequest
+    | claim.ClaimAsk
+    | claim.ClaimAnswer
+    | Releases
+    | Relay
+)
+
+
+class Coordination:
+    """One incarnation of an entry.
+
+    Args:
+        me: The incarnation.
+        timing: Bounds shared by the cluster.
+        window: Seconds for which claims are kept.
+        roster: Fold of the control stream up to `offset`, from a snapshot.
+        offset: Offset of the last folded control record.
+    """
+
+    def __init__(
+        self,
+        me: Incarnation,
+        *,
+        timing: membership.Timing | None = None,
+        window: float = 3600.0,
+        roster: membership.Roster | None = None,
+        offset: int = -1,
+    ) -> None:
+        self.me = me
+        self.timing = timing if timing is not None else membership.Timing()
+        self.roster = roster if roster is not None else membership.Roster()
+        self.membership = membership.Membership(
+            me, self.roster, timing=self.timing, window=window
+        )
+        self.freshness = freshness.Freshness(
+            me, fresh=self.timing.fresh, hold=self.timing.hold
+        )
+        self.ledger = ledger.Ledger(me, self.roster.mints)
+        self.balancer = ledger.Balancer(self.ledger)
+        self.claims = claim.ClaimTable(
+            me, window=window, drift=self.timing.drift
+        )
+        self.offset = offset
+        self.leaving = False
+        self._sequence = 0
+        self._sent: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+        self._echo: dict[Incarnation, int] = {}
+        self._await_me: set[Incarnation] = set()
+        self._records: collections.deque[ControlRecord] = collections.deque(
+            maxlen=RELAY_RECORDS
+        )
+        self._messages: list[tuple[Incarnation, Message]] = []
+        self._appends: list[membership.Payload] = []
+        self._outstanding: dict[object, membership.Payload] = {}
+        self._decisions: list[claim.Decision] = []
+
+    @property
+    def is_removed(self) -> bool:
+        """Whether this incarnation was a member and must be replaced."""
+        return (
+            self.membership.joined_at is not None
+            and not self.membership.is_member
+        )
+
+    def on_control(
+        self,
+        author: Incarnation,
+        payload: membership.Payload,
+        offset: int,
+        now: float,
+    ) -> None:
+        """Folds a control record; one that is folded already is skipped."""
+        if offset <= self.offset:
+            return
+        self.offset = offset
+        self._records.append((offset, author, payload))
+        changed, departed = self.roster.changed, self.roster.departed
+        self.membership.on_record(author, payload, offset, now)
+        if author == self.me:
+            self._outstanding.pop(_name(payload), None)
+        if self.roster.changed != changed:
+            members = self.roster.members
+            self.freshness.set_members(members)
+            self._await_me &= members.keys()
+            for peer in self._echo.keys() - members.keys():
+                del self._echo[peer]
+            if departed != self.roster.departed or author == self.me:
+                departed = self.roster.departed
+            self.claims.on_roster(
+                self.roster.changed, departed, now + self.timing.stop_wait
+            )
+        self.freshness.on_offset(offset)
+
+    def on_control_head(self, sent: float) -> None:
+        """Notes that a control read sent at `sent` reached the head.
+
+        Call it after the records of that read went to `on_control`.
+        """
+        self.freshness.on_head_read(sent)
+
+    def on_claims(self, batch: claim.Batch, time: float, now: float) -> None:
+        """Applies a record of the claims stream."""
+        self._decisions.extend(self.claims.on_batch(batch, time, now))
+
+    def on_claims_head(self, sent: float) -> None:
+        """Notes that a claims read sent at `sent` reached the head."""
+        self.claims.on_head_read(sent)
+
+    def on_peer_absent(self, member: Incarnation, now: float) -> None:
+        """Notes that the process of a member does not exist any more."""
+        self.freshness.on_peer_absent(member, now)
+        self.membership.on_absent(member)
+
+    def on_append_failed(self, payload: membership.Payload) -> None:
+        """Notes that a record certainly did not reach the log."""
+        self._outstanding.pop(_name(payload), None)
+
+    def on_message(
+        self, sender: Incarnation, message: Message, now: float
+    ) -> None:
+        """Applies a peer's message; one from a non-member is dropped."""
+        if sender not in self.roster.members or self.is_removed:
+            return
+        self.membership.on_heard(sender, now)
+        match message:
+            case Status():
+                self._on_status(sender, message, now)
+            case ledger.Transfer():
+                acknowledged = self.ledger.receive(message)
+                if acknowledged is not None:
+                    self.balancer.on_received(message.resource, now)
+                    self._send(sender, TransferAck(acknowledged))
+            case TransferAck(transfer):
+                self.ledger.acknowledge(transfer)
+            case ledger.RightsRequest():
+                gift = self.balancer.on_request(sender, message, now)
+                if gift is not None:
+                    self._send(sender, gift)
+            case claim.ClaimAsk():
+                answer = self.claims.on_ask(message, now, self.roster.members)
+                self._send(sender, answer)
+            case claim.ClaimAnswer():
+                self._decisions.extend(
+                    self.claims.on_answer(sender, message, now)
+                )
+            case Releases(outcomes):
+                self.claims.on_releases(outcomes, now)
+            case Relay(after, records):
+                if after <= self.offset:
+                    for offset, author, payload in records:
+                        self.on_control(author, payload, offset, now)
+
+    def advance(self, now: float, *, log_usable: bool) -> None:
+        """Does periodic work; call it every 250 ms.
+
+        Args:
+            now: Monotonic time.
+            log_usable: Whether this entry reads and appends to the log itself.
+        """
+        if self.membership.joined_at is None:
+            if log_usable:
+                self._append(membership.Joined())
+            return
+        may_append = log_usable and self.freshness.may_append(now)
+        for action in self.membership.decide(now, may_append=may_append):
+            match action:
+                case membership.Action(membership.Intent.REFUTE):
+                    self._append(self._refute(now))
+                case membership.Action(membership.Intent.CLOSE, member):
+                    self._append(self.ledger.close(member))
+                case membership.Suspected() | membership.Removed():
+                    self._append(action)
+        if self.is_removed:
+            return
+        asks, decisions = self.claims.advance(
+            now,
+            outage=now - self.freshness.read_at > self.timing.fresh / 2,
+            complete=self.membership.is_complete(now),
+            members=self.roster.members,
+        )
+        self._decisions.extend(decisions)
+        for peer, ask in asks:
+            self._send(peer, ask)
+        releases = tuple(self.claims.take_releases())
+        if releases:
+            for peer in self._peers():
+                self._send(peer, Releases(releases))
+        self._exchange_rights(now)
+        self._send_status(now)
+        if self.leaving and may_append and self._may_leave():
+            complete = self.membership.is_complete(now)
+            self._append(membership.Left(complete))
+
+    def may_act(self, now: float) -> bool:
+        """Returns whether this entry may start work now."""
+        return not self.leaving and self.freshness.is_fresh(now)
+
+    def start(self, resources: Sequence[ledger.ResourceId], now: float) -> bool:
+        """Takes one right of each resource, or none.
+
+        The work must reach a minion within `Timing.start_window`.
+        """
+        if not self.may_act(now):
+            return False
+        for index, resource in enumerate(resources):
+            if not self.ledger.acquire(resource):
+                for taken in resources[:index]:
+                    self.ledger.release(taken)
+                return False
+        return True
+
+    def finish(self, resources: Iterable[ledger.ResourceId]) -> None:
+        """Gives back the rights taken by `start`."""
+        for resource in resources:
+            self.ledger.release(resource)
+
+    def submit(self, mine: claim.Claim, now: float) -> claim.Decision:
+        """Starts the claim of a keyed request."""
+        if not self.may_act(now):
+            return claim.Decision(mine.request_id, claim.Ruling.UNAVAILABLE)
+        complete = self.membership.is_complete(now)
+        return self.claims.submit(mine, now, complete=complete)
+
+    def leave(self) -> None:
+        """Starts a graceful leave: no new work, everything is handed over."""
+        self.leaving = True
+
+    def take_messages(self) -> list[tuple[Incarnation, Message]]:
+        """Returns the messages to send."""
+        messages, self._messages = self._messages, []
+        return messages
+
+    def take_appends(self) -> list[membership.Payload]:
+        """Returns the control records to append."""
+        appends, self._appends = self._appends, []
+        return appends
+
+    def take_decisions(self) -> list[claim.Decision]:
+        """Returns rulings on keyed requests."""
+        decisions, self._decisions = self._decisions, []
+        return decisions
+
+    def _peers(self) -> list[Incarnation]:
+        return [m for m in self.roster.members if m != self.me]
+
+    def _send(self, peer: Incarnation, message: Message) -> None:
+        self._messages.append((peer, message))
+
+    def _append(self, payload: membership.Payload) -> None:
+        """Queues a record unless the log may still take the last such one."""
+        name = _name(payload)
+        if name not in self._outstanding:
+            self._outstanding[name] = payload
+            self._appends.append(payload)
+
+    def _refute(self, now: float) -> membership.Refuted:
+        return membership.Refuted(
+            self.offset,
+            flushed=not self.claims.unflushed(),
+            complete=self.membership.is_complete(now),
+        )
+
+    def _exchange_rights(self, now: float) -> None:
+        if self.leaving:
+            gifts = self.balancer.hand_over()
+        else:
+            gifts = self.balancer.pay(now)
+            for peer, request in self.balancer.ask(now):
+                self._send(peer, request)
+        for gift in gifts:
+            self._send(gift.receiver, gift)
+        for peer in self._peers():
+            for gift in self.ledger.pending(peer):
+                self._send(peer, gift)
+
+    def _may_leave(self) -> bool:
+        """Returns whether nothing of this entry is left anywhere.
+
+        Removed members must be closed first, since nobody would wait for
+        their work if this were the last member.
+        """
+        busy = any(self.ledger.running(r) for r in self.ledger.resources())
+        unacknowledged = any(self.ledger.pending(p) for p in self._peers())
+        return not (
+            busy
+            or unacknowledged
+            or self.claims.unflushed()
+            or self.roster.mints.closes(self.me)
+        )
+
+    def _send_status(self, now: float) -> None:
+        self._sequence += 1
+        self._sent[self._sequence] = now
+        if len(self._sent) > ECHOES:
+            self._sent.popitem(last=False)
+        report = self.balancer.report(self.offset, now)
+        status = Status(
+            self._sequence,
+            -1,
+            self.freshness.state_reachable(now),
+            self.freshness.known_offset,
+            now - self.freshness.read_at,
+            report,
+        )
+        confirmation = None
+        if self._await_me:
+            confirmation = Confirmation(
+                self.offset,
+                self.membership.is_complete(now),
+                tuple(self.claims.unflushed()),
+            )
+        for peer in self._peers():
+            self._send(
+                peer,
+                dataclasses.replace(
+                    status,
+                    echo=self._echo.get(peer, -1),
+                    awaits=self.membership.awaits(peer),
+                    confirmation=(
+                        confirmation if peer in self._await_me else None
+                    ),
+                ),
+            )
+
+    def _on_status(
+        self, sender: Incarnation, status: Status, now: float
+    ) -> None:
+        self._echo[sender] = max(self._echo.get(sender, -1), status.sequence)
+        asked = self._sent.get(status.echo)
+        if asked is not None:
+            self.freshness.on_peer_status(
+                sender, status.reachable, status.known, asked
+            )
+            self.freshness.on_relay(
+                status.age, asked, head=status.report.offset
+            )
+        self.balancer.on_report(sender, status.report)
+        if status.awaits:
+            self._await_me.add(sender)
+        else:
+            self._await_me.discard(sender)
+        if status.confirmation is not None:
+            confirmation = status.confirmation
+            self.claims.on_unflushed(confirmation.claims, now)
+            self.membership.on_confirmed(
+                sender, confirmation.offset, confirmation.complete
+            )
+        behind = status.report.offset
+        if behind < self.offset and not status.reachable and self._records:
+            records = tuple(r for r in self._records if r[0] > behind)
+            if records and self._records[0][0] <= behind + 1:
+                self._send(sender, Relay(behind, records))
+
+
+def _name(payload: membership.Payload) -> object:
+    """Returns what tells records apart that must not be queued twice."""
+    match payload:
+        case membership.Suspected(member) | membership.Removed(member):
+            return type(payload), member
+        case ledger.Closing():
+            return type(payload), payload.member
+    return type(payload)
+
+
+def run_example() -> None:
+    """Joins one entry and starts one request."""
+    one = Incarnation("one/1")
+    entry = Coordination(one)
+    entry.advance(0.0, log_usable=True)
+    (joined,) = entry.take_appends()
+    entry.on_control(one, joined, 1, 0.1)
+    team = ledger.ResourceId("team:quotes")
+    entry.on_control(one, membership.Limits({team: 2}), 2, 0.2)
+    entry.on_control_head(0.1)
+    print(entry.start([team], 0.3), entry.ledger.available(team))
+    print(verdict.Execution.RAN.value, entry.freshness.explain(0.3))
+
+
+if __name__ == "__main__":
+    run_example()
--- a/clementinewood/membership.py
+++ b/clementinewood/membership.py
@@ -5,7 +5,9 @@
 """
 
 import dataclasses
-from collections.abc import Iterable
+import enum
+from collections.abc import Iterable, Mapping
+from typing import Any
 
 from clementinewood import identifiers, ledger
 
@@ -44,6 +46,11 @@
             1 + 2 * self.drift
         ) + self.margin
 
+    @property
+    def hold(self) -> float:
+        """Time without appends after stating that the log is out of reach."""
+        return self.fresh * (1 + 2 * self.drift) + self.margin
+
     @property
     def close_wait(self) -> float:
         """Wait after which all work of a removed member has stopped."""
@@ -51,252 +58,390 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class AppendSuspected:
-    """Append a suspicion of a silent member."""
+class Joined:
+    """The author becomes a member."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspected:
+    """A member is silent; it refutes this if it reads the log."""
 
     member: Incarnation
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class AppendRefuted:
-    """Append that this entry is alive."""
+class Refuted:
+    """The author is alive.
+
+    Attributes:
+        offset: Control offset that it has folded.
+        flushed: All claims it recorded in an outage are in the log.
+        complete: It knows every claim that may have run.
+    """
+
+    offset: int
+    flushed: bool
+    complete: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class AppendRemoved:
-    """Append a removal, valid while the suspicion at `expected` stands."""
+class Removed:
+    """Removes a member while the suspicion at `expected` stands."""
 
     member: Incarnation
     expected: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class AppendClosed:
-    """Append `Ledger.close(member)`."""
-
-    member: Incarnation
+class Left:
+    """The author leaves; it runs nothing and has flushed its claims.
 
+    Attributes:
+        complete: It knew every claim that may have run.
+    """
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AppendLeft:
-    """Append that this entry leaves with nothing running."""
+    complete: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Rejoin:
-    """This incarnation is removed; join as a new one with empty state."""
+class Limits:
+    """Limits in force from this record on, as a bundle states them."""
 
+    limits: Mapping[ledger.ResourceId, int]
 
-Action = (
-    AppendSuspected
-    | AppendRefuted
-    | AppendRemoved
-    | AppendClosed
-    | AppendLeft
-    | Rejoin
+
+Payload = (
+    Joined | Suspected | Refuted | Removed | Left | Limits | ledger.Closing
 )
+"""Control records as far as members and limits are concerned."""
+
+
+class Intent(enum.Enum):
+    """What an entry should do apart from appending a record."""
+
+    REFUTE = "refute"
+    CLOSE = "close"
+    REJOIN = "rejoin"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Action:
+    """An intent and the member it concerns."""
+
+    intent: Intent
+    member: Incarnation
 
 
 class Roster:
-    """Deterministic fold of the membership records.
+    """Deterministic fold of the membership records and limits.
+
+    Records whose author is not a member at their offset are ignored, except
+    `Joined`: of two members that remove each other, the first one stays.
 
     Args:
         mints: Accounts that joins, removals and closings change.
+
+    Attributes:
+        suspicions: Offset of the standing suspicion of each suspected member.
+        changed: Offset at which the members last changed.
+        departed: Offset at which a member was last removed or left.
+        crashed: The last member left without knowing every claim.
     """
 
     def __init__(self, mints: ledger.Mints | None = None) -> None:
         self.mints = mints if mints is not None else ledger.Mints()
         self.suspicions: dict[Incarnation, int] = {}
+        self.changed = -1
+        self.departed = -1
+        self.crashed = False
 
     @property
     def members(self) -> dict[Incarnation, int]:
         """Offset at which each member joined, in join order."""
         return self.mints.members
 
-    def join(self, member: Incarnation, offset: int) -> None:
-        """Applies `Joined`."""
-        self.mints.join(member, offset)
+    def apply(self, author: Incarnation, payload: Payload, offset: int) -> bool:
+        """Applies one record.
 
-    def suspect(
-        self, author: Incarnation, member: Incarnation, offset: int
-    ) -> None:
-        """Applies `Suspected`; the first unrefuted suspicion stands."""
-        if author in self.members and member in self.members:
-            self.suspicions.setdefault(member, offset)
-
-    def refute(self, author: Incarnation) -> None:
-        """Applies `Refuted`."""
-        self.suspicions.pop(author, None)
-
-    def remove(
-        self,
-        author: Incarnation,
-        member: Incarnation,
-        expected: int,
-        offset: int,
-    ) -> bool:
-        """Applies `Removed`, unless the suspicion it names was refuted."""
-        if author not in self.members:
-            return False
-        if self.suspicions.get(member) != expected:
+        Returns:
+            Whether it counted.
+        """
+        if author not in self.members and not isinstance(payload, Joined):
             return False
-        del self.suspicions[member]
-        self.mints.remove(member, offset)
+        match payload:
+            case Joined():
+                if author in self.members or author in self.mints.removals:
+                    return False
+                self.mints.join(author, offset)
+                self.changed = offset
+            case Suspected(member):
+                if member not in self.members:
+                    return False
+                self.suspicions.setdefault(member, offset)
+            case Refuted():
+                self.suspicions.pop(author, None)
+            case Removed(member, expected):
+                if self.suspicions.get(member) != expected:
+                    return False
+                self._drop(member, offset, graceful=False)
+            case Left(complete):
+                self._drop(author, offset, graceful=True)
+                if not self.members:
+                    self.crashed = not complete
+            case Limits(limits):
+                for resource in sorted(
+                    limits.keys() | self.mints.limits.keys()
+                ):
+                    self.mints.set_limit(
+                        resource, limits.get(resource, 0), offset
+                    )
+            case ledger.Closing():
+                return payload.author == author and self.mints.close(
+                    payload, offset
+                )
         return True
 
-    def leave(self, author: Incarnation, offset: int) -> None:
-        """Applies `Left`."""
-        self.suspicions.pop(author, None)
-        self.mints.remove(author, offset, graceful=True)
-
-    def close(self, closing: ledger.Closing, offset: int) -> bool:
-        """Applies `Closed`."""
-        return self.mints.close(closing, offset)
+    def dump(self) -> dict[str, Any]:
+        """Returns the fold as JSON types, for a snapshot."""
+        return {
+            "mints": self.mints.dump(),
+            "suspicions": self.suspicions,
+            "changed": self.changed,
+            "departed": self.departed,
+            "crashed": self.crashed,
+        }
+
+    @classmethod
+    def load(cls, data: Mapping[str, Any]) -> "Roster":
+        """Returns the fold that `dump` wrote."""
+        roster = cls(ledger.Mints.load(data["mints"]))
+        roster.suspicions = dict(data["suspicions"])
+        roster.changed = data["changed"]
+        roster.departed = data["departed"]
+        roster.crashed = data["crashed"]
+        return roster
+
+    def _drop(
+        self, member: Incarnation, offset: int, *, graceful: bool
+    ) -> None:
+        self.suspicions.pop(member, None)
+        self.mints.remove(member, offset, graceful=graceful)
+        self.changed = self.departed = offset
 
 
 class Membership:
-    """One entry's view of its peers.
+    """One entry's view of its peers, and what it should append next.
 
     Args:
         me: Incarnation of this entry.
         roster: Fold of the control stream that this entry applies.
         timing: Bounds shared by the cluster.
+        window: Seconds for which claims are kept.
     """
 
     def __init__(
-        self, me: Incarnation, roster: Roster, *, timing: Timing | None = None
+        self,
+        me: Incarnation,
+        roster: Roster,
+        *,
+        timing: Timing | None = None,
+        window: float = 3600.0,
     ) -> None:
         self.me = me
         self.roster = roster
         self.timing = timing if timing is not None else Timing()
-        self.joined = False
-        self.leaving = False
+        self.window = window
+        self.joined_at: float | None = None
         self._heard: dict[Incarnation, float] = {}
         self._absent: set[Incarnation] = set()
         self._removed_at: dict[Incarnation, float] = {}
         self._suspected_at: dict[Incarnation, tuple[int, float]] = {}
-        self._suspect_not_before: dict[Incarnation, float] = {}
+        self._suspect_again: dict[Incarnation, float] = {}
         self._awaited: set[Incarnation] = set()
+        self._inherited = False
         self._decided = float("-inf")
 
-    def on_folded(self, now: float) -> None:
-        """Notes, after records were folded, what changed and when."""
-        members = self.roster.members
-        if not self.joined and self.me in members:
-            self.joined = True
-            offset = members[self.me]
-            self._awaited = {
-                member for member, joined in members.items() if joined < offset
-            } | set(self.roster.mints.removals)
-        self._awaited &= members.keys() | self.roster.mints.removals.keys()
-        for member in self.roster.mints.removals:
-            self._removed_at.setdefault(member, now)
-        for member in members:
-            self._heard.setdefault(member, now)
-        for member, offset in self.roster.suspicions.items():
-            if self._suspected_at.get(member, (-1, 0.0))[0] != offset:
-                self._suspected_at[member] = (offset, now)
-        for table in (self._heard, self._suspected_at):
-            for member in list(table):
-                if member not in members:
-                    del table[member]  # type: ignore[attr-defined]
-        for member in list(self._removed_at):
-            if member not in self.roster.mints.removals:
-                del self._removed_at[member]
+    @property
+    def is_member(self) -> bool:
+        """Whether this incarnation is a member as last folded."""
+        return self.me in self.roster.members
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether every older member knows this entry or is closed.
+
+        Before that, an older member may take the log for unreachable by all
+        while this entry reads and appends to it.
+        """
+        return self.is_member and not self._awaited
+
+    def awaits(self, member: Incarnation) -> bool:
+        """Returns whether an older member has yet to confirm this entry."""
+        return member in self._awaited
+
+    def is_complete(self, now: float) -> bool:
+        """Returns whether every claim that may have run is known here.
+
+        Claims of an outage are lost if all members that recorded them died
+        before the log was back; without a survivor an entry waits until such
+        claims have expired.
+        """
+        if not self.is_confirmed or self.joined_at is None:
+            return False
+        lapse = self.window * (1 + 2 * self.timing.drift)
+        return self._inherited or now - self.joined_at > lapse
+
+    def on_record(
+        self, author: Incarnation, payload: Payload, offset: int, now: float
+    ) -> bool:
+        """Folds one record and notes when this entry learned of it.
+
+        Returns:
+            Whether the record counted.
+        """
+        if not self.roster.apply(author, payload, offset):
+            return False
+        match payload:
+            case Joined() if author == self.me:
+                self._start(now)
+            case Joined():
+                self._heard[author] = now
+            case Suspected(member):
+                if self.roster.suspicions[member] == offset:
+                    self._suspected_at[member] = (offset, now)
+            case Refuted(folded, flushed, complete):
+                self._forget(author)
+                if flushed:
+                    self.on_confirmed(author, folded, complete)
+            case Removed(member):
+                self._removed_at[member] = now
+                self._forget(member)
+                self._heard.pop(member, None)
+            case Left(complete):
+                self._removed_at[author] = now
+                self._forget(author)
+                self._heard.pop(author, None)
+                if author in self._awaited and complete:
+                    # Its claims are in the log.
+                    self._inherited = True
+        removals = self.roster.mints.removals
+        for member in self._removed_at.keys() - removals.keys():
+            del self._removed_at[member]
+        self._awaited &= self.roster.members.keys() | removals.keys()
+        return True
 
     def on_heard(self, member: Incarnation, now: float) -> None:
         """Notes a message from a peer."""
         if member in self._heard:
             self._heard[member] = max(self._heard[member], now)
 
-    def on_confirmed(self, member: Incarnation, offset: int) -> None:
+    def on_confirmed(
+        self, member: Incarnation, offset: int, complete: bool
+    ) -> None:
         """Notes that a member has folded up to `offset`.
 
         Call this only after the claims that the member has not flushed to the
         log have arrived.
+
+        Args:
+            member: The older member.
+            offset: Control offset that it has folded.
+            complete: Whether it knows every claim that may have run.
         """
         joined = self.roster.members.get(self.me)
-        if joined is not None and offset >= joined:
-            self._awaited.discard(member)
+        if joined is None or offset < joined or member not in self._awaited:
+            return
+        self._awaited.discard(member)
+        self._inherited = self._inherited or complete
 
     def on_absent(self, member: Incarnation) -> None:
         """Notes that the process of a member does not exist any more."""
-        self._absent.add(member)
-
-    @property
-    def is_member(self) -> bool:
-        """Whether this incarnation is a member as last folded."""
-        return self.me in self.roster.members
-
-    @property
-    def confirmed(self) -> bool:
-        """Whether every older member knows this entry or is closed."""
-        return self.joined and not self._awaited
+        if member in self.roster.members:
+            self._absent.add(member)
 
     def suspects(self, now: float) -> list[Incarnation]:
-        """Returns the members that have been silent for too long."""
+        """Returns the members that are gone or have been silent too long."""
         return [
             member
             for member, heard in self._heard.items()
-            if member != self.me
-            and (
-                member in self._absent
-                or now - heard > self.timing.suspect_after
-            )
+            if member in self._absent or now - heard > self.timing.suspect_after
         ]
 
-    def decide(self, now: float, *, log_usable: bool) -> list[Action]:
-        """Returns what this entry should append now.
+    def decide(
+        self, now: float, *, may_append: bool
+    ) -> list[Action | Suspected | Removed]:
+        """Returns what this entry should do now; call it a few times a second.
 
         Args:
             now: Monotonic time.
-            log_usable: Whether this entry reads and appends to the log.
+            may_append: Whether this entry reads the log and made no promise
+                to append nothing.
         """
-        paused = now - self._decided > self.timing.suspect_after / 2
-        self._decided = now
-        if paused:
+        if now - self._decided > self.timing.suspect_after / 2:
             # After a pause of this process every peer looks silent.
             for member in self._heard:
                 self._heard[member] = now
-        if self.joined and not self.is_member:
-            return [Rejoin()]
-        if not self.joined or not log_usable:
+        self._decided = now
+        if self.joined_at is not None and not self.is_member:
+            return [Action(Intent.REJOIN, self.me)]
+        if self.joined_at is None or not may_append:
             return []
-        actions: list[Action] = []
+        actions: list[Action | Suspected | Removed] = []
         if self.me in self.roster.suspicions:
-            actions.append(AppendRefuted())
+            actions.append(Action(Intent.REFUTE, self.me))
         actions.extend(self._decide_suspicions(now))
         actions.extend(
-            AppendClosed(member)
+            Action(Intent.CLOSE, member)
             for member in self.roster.mints.closes(self.me)
-            if self._may_close(member, now)
+            if self.may_close(member, now)
         )
         return actions
 
-    def _may_close(self, member: Incarnation, now: float) -> bool:
+    def may_close(self, member: Incarnation, now: float) -> bool:
+        """Returns whether all work of a removed member has stopped."""
         if not self.roster.mints.must_wait(member):
             return True
-        removed = self._removed_at.get(member, now)
+        removed = self._removed_at.setdefault(member, now)
         return now - removed >= self.timing.close_wait
 
-    def _decide_suspicions(self, now: float) -> Iterable[Action]:
+    def _start(self, now: float) -> None:
+        """Begins membership; every older member must confirm it."""
+        self.joined_at = now
+        older = self.roster.members.keys() - {self.me}
+        removals = self.roster.mints.removals.keys()
+        self._awaited = set(older | removals)
+        self._inherited = not older and not self.roster.crashed
+        self._heard = dict.fromkeys(older, now)
+        self._removed_at = dict.fromkeys(removals, now)
+        self._suspected_at = {
+            member: (offset, now)
+            for member, offset in self.roster.suspicions.items()
+        }
+
+    def _forget(self, member: Incarnation) -> None:
+        self._suspected_at.pop(member, None)
+        self._absent.discard(member)
+
+    def _decide_suspicions(self, now: float) -> Iterable[Suspected | Removed]:
         for member in self.suspects(now):
             known = self._suspected_at.get(member)
             if known is None:
-                if now >= self._suspect_not_before.get(member, now):
-                    self._suspect_not_before[member] = (
-                        now + self.timing.suspect_again
-                    )
-                    yield AppendSuspected(member)
-            elif now - known[1] >= self.timing.remove_after:
-                yield AppendRemoved(member, known[0])
+                if now >= self._suspect_again.get(member, now):
+                    again = now + self.timing.suspect_again
+                    self._suspect_again[member] = again
+                    yield Suspected(member)
+            elif now - known[1] >= self.timing.remove_after and (
+                self.is_confirmed or member in self._absent
+            ):
+                yield Removed(member, known[0])
 
 
 if __name__ == "__main__":
-    roster = Roster()
-    roster.join(Incarnation("one/1"), 1)
-    roster.join(Incarnation("two/1"), 2)
-    membership = Membership(Incarnation("one/1"), roster)
-    membership.on_folded(0.0)
-    membership.decide(0.0, log_usable=True)
-    print(membership.suspects(5.0))
+    one, two = Incarnation("one/1"), Incarnation("two/1")
+    membership = Membership(one, Roster())
+    membership.on_record(one, Joined(), 1, 0.0)
+    membership.on_record(two, Joined(), 2, 0.0)
+    membership.decide(0.0, may_append=True)
+    membership.decide(1.0, may_append=True)
+    membership.decide(2.0, may_append=True)
+    print(membership.decide(3.1, may_append=True))
