--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,178 @@
+"""Simple policies with the interfaces of the real ones, to compare with."""
+
+import collections
+import random
+
+from clementinewood import retry, router, scheduler, verdict
+
+_FULL = verdict.Refusal(verdict.Reason.QUEUE_FULL)
+
+
+class _Baseline:
+    """Per-entry queues without knowledge of other entries."""
+
+    def __init__(self, teams, queues, *, entries=1):
+        self.requests = {}
+        self.teams = teams
+        self.capacity = {
+            name: max(1, spec.capacity // entries)
+            for name, spec in queues.items()
+        }
+        self.pool = {name: spec.pool for name, spec in queues.items()}
+        self.size = collections.Counter()
+        self.running = {}
+        self.slots = {}
+
+    def set_slots(self, pool, *, own, fleet):
+        self.slots[pool] = own
+
+    def submit(self, job, now):
+        if self.size[job.queue] >= self.capacity[job.queue]:
+            return _FULL
+        self.size[job.queue] += 1
+        self.push(job)
+        return None
+
+    def started(self, job):
+        self.size[job.queue] -= 1
+        self.running[job.request_id] = job
+        return job
+
+    def finish(self, request_id, now):
+        del self.running[request_id]
+
+    def expire(self, now):
+        return []
+
+    def report_usage(self, member, usage, now):
+        pass
+
+    def usage(self):
+        return {}
+
+    def has_waiting(self, pool):
+        return any(
+            self.size[name] for name, its in self.pool.items() if its == pool
+        )
+
+
+class Fifo(_Baseline):
+    """First come, first served."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.waiting = collections.defaultdict(collections.deque)
+
+    def push(self, job):
+        self.waiting[self.pool[job.queue]].append(job)
+
+    def pick(self, now, can_start, *, pool):
+        waiting = self.waiting[pool]
+        if waiting and can_start(waiting[0]):
+            return self.started(waiting.popleft())
+        return None
+
+
+class RoundRobin(_Baseline):
+    """One start per team in turn, whatever its share or run times."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.waiting = collections.defaultdict(collections.OrderedDict)
+
+    def push(self, job):
+        pool = self.waiting[self.pool[job.queue]]
+        pool.setdefault(job.team, collections.deque()).append(job)
+
+    def pick(self, now, can_start, *, pool):
+        waiting = self.waiting[pool]
+        for team in list(waiting):
+            jobs = waiting[team]
+            if self.may_start(jobs[0], pool) and can_start(jobs[0]):
+                job = jobs.popleft()
+                waiting.move_to_end(team)
+                if not jobs:
+                    del waiting[team]
+                return self.started(job)
+        return None
+
+    def may_start(self, job, pool):
+        return True
+
+
+class StaticPartition(RoundRobin):
+    """A fixed number of slots per team, by share, on each entry."""
+
+    def may_start(self, job, pool):
+        total = sum(team.share for team in self.teams.values())
+        part = self.slots[pool] * self.teams[job.team].share / total
+        running = sum(
+            other.team == job.team and self.pool[other.queue] == pool
+            for other in self.running.values()
+        )
+        return running < max(1, round(part))
+
+
+class Tracked(scheduler.Scheduler):
+    """The real scheduler, with the driver's requests kept beside it."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.requests = {}
+
+
+class EagerRetry(retry.RetryPolicy):
+    """Retries at once and without a budget."""
+
+    def decide(self, attempt, now):
+        allowed = retry.RetryPolicy(random.Random(0)).decide(attempt, now)
+        if isinstance(allowed, retry.Retry):
+            return retry.Retry(0.0, allowed.exclude)
+        return allowed
+
+
+class NoRetry(retry.RetryPolicy):
+    """Never retries."""
+
+    def decide(self, attempt, now):
+        return retry.GiveUp(
+            verdict.Refusal(verdict.Reason.RETRIES_EXHAUSTED, attempt.execution)
+        )
+
+
+class LeastLoaded(router.Router):
+    """The minion with the fewest requests in flight, no health."""
+
+    def choose(self, pool, now, exclude=frozenset(), *, probe=True):
+        known = self._pools.get(pool)
+        roomy = [
+            minion
+            for minion in (known.open if known else [])
+            if minion.in_flight < minion.target.slots
+            and minion.target.minion not in exclude
+        ]
+        if not roomy:
+            return None
+        return min(roomy, key=lambda minion: minion.in_flight).target
+
+    def _judge(self, minion, now):
+        pass
+
+
+class TurnTaking(LeastLoaded):
+    """Minions in turn, no health."""
+
+    turn = 0
+
+    def choose(self, pool, now, exclude=frozenset(), *, probe=True):
+        known = self._pools.get(pool)
+        minions = known.open if known else []
+        for step in range(len(minions)):
+            minion = minions[(self.turn + step) % len(minions)]
+            if (
+                minion.in_flight < minion.target.slots
+                and minion.target.minion not in exclude
+            ):
+                self.turn += step + 1
+                return minion.target
+        return None
--- a/clementinewood/retry.py
+++ b/clementinewood/retry.py
@@ -1,5 +1,6 @@
 """Retries: whether, when, and what a caller is told after the last attempt."""
 
+import collections
 import dataclasses
 import enum
 import random
@@ -49,6 +50,36 @@
     return max(first, second, key=_CERTAINTY.__getitem__)
 
 
+_MAY_REPEAT: dict[tuple[verdict.Execution, bool], bool] = {
+    (verdict.Execution.NOT_RUN, False): True,
+    (verdict.Execution.NOT_RUN, True): True,
+    (verdict.Execution.MAY_HAVE_RUN, False): False,
+    (verdict.Execution.MAY_HAVE_RUN, True): True,
+    (verdict.Execution.RAN, False): False,
+    (verdict.Execution.RAN, True): True,
+}
+"""Whether a request may be sent again: what is known so far, idempotent."""
+
+_REASONS: dict[Outcome, verdict.Reason] = {
+    Outcome.FAILED: verdict.Reason.RETRIES_EXHAUSTED,
+    Outcome.REFUSED: verdict.Reason.RETRIES_EXHAUSTED,
+    Outcome.NOT_SENT: verdict.Reason.NO_MINION,
+    Outcome.LOST: verdict.Reason.MINION_LOST,
+    Outcome.TIMED_OUT: verdict.Reason.MINION_TIMEOUT,
+    Outcome.INVALID: verdict.Reason.MINION_ANSWER,
+}
+"""Reason of a refusal after a last attempt that ended so."""
+
+BLAMED_MINIONS = 3
+"""Distinct minions on which a kind of request fails before it is blamed."""
+
+BLAME_SECONDS = 60.0
+"""Seconds after which failures no longer count against a kind of request."""
+
+MAX_KINDS = 1024
+"""Kinds of request with failures on record; the oldest goes first."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Attempt:
     """An attempt that ended, with what is known of its request.
@@ -86,6 +117,29 @@
         """What this and all earlier attempts say about execution."""
         return combine_executions(self.earlier, EXECUTIONS[self.outcome])
 
+    @property
+    def failures(self) -> frozenset[identifiers.MinionId]:
+        """Minions on which this or an earlier attempt failed after a start."""
+        if (
+            self.minion is None
+            or EXECUTIONS[self.outcome] is verdict.Execution.NOT_RUN
+        ):
+            return self.failed_on
+        return self.failed_on | {self.minion}
+
+    def follow(
+        self, outcome: Outcome, minion: identifiers.MinionId | None
+    ) -> "Attempt":
+        """Returns the attempt after this one, once it has ended too."""
+        return dataclasses.replace(
+            self,
+            number=self.number + 1,
+            outcome=outcome,
+            minion=minion,
+            earlier=self.execution,
+            failed_on=self.failures,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Retry:
@@ -94,12 +148,10 @@
     Attributes:
         delay: Seconds to wait before it.
         exclude: Minions to avoid.
-        execution: What all attempts so far say; `Attempt.earlier` of the next.
     """
 
     delay: float
     exclude: frozenset[identifiers.MinionId] = frozenset()
-    execution: verdict.Execution = verdict.Execution.NOT_RUN
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,7 +171,7 @@
 
     __slots__ = ("capacity", "ratio", "tokens")
 
-    def __init__(self, *, ratio: float = 0.1, capacity: float = 10.0) -> None:
+    def __init__(self, *, ratio: float, capacity: float) -> None:
         self.ratio = ratio
         self.capacity = capacity
         self.tokens = capacity
@@ -138,12 +190,27 @@
         self.tokens -= 1.0
 
 
+class _Blame:
+    """Minions on which one kind of request failed without a success."""
+
+    __slots__ = ("minions", "since")
+
+    def __init__(self, since: float) -> None:
+        self.since = since
+        self.minions: set[identifiers.MinionId] = set()
+
+
 class RetryPolicy:
-    """Decides on retries within budgets per team and for the fleet.
+    """Decides on retries within budgets per team and for all teams.
+
+    Each entry has its own policy; since budgets are fractions of the requests
+    an entry takes, the fleet keeps the same fraction.
 
     Args:
         rng: Seeded source of jitter.
         ratio: Retries allowed per request.
+        team_burst: Retries a team may save up.
+        burst: Retries all teams together may save up.
         base: Upper bound of the first delay in seconds.
         cap: Upper bound of any delay in seconds.
     """
@@ -153,46 +220,129 @@
         rng: random.Random,
         *,
         ratio: float = 0.1,
+        team_burst: float = 3.0,
+        burst: float = 10.0,
         base: float = 0.05,
         cap: float = 2.0,
     ) -> None:
         self._rng = rng
         self._ratio = ratio
+        self._team_burst = team_burst
         self._base = base
         self._cap = cap
-        self._fleet = RetryBudget(ratio=ratio, capacity=50.0)
+        self._fleet = RetryBudget(ratio=ratio, capacity=burst)
         self._teams: dict[identifiers.TeamId, RetryBudget] = {}
+        self._blames: collections.OrderedDict[Hashable, _Blame] = (
+            collections.OrderedDict()
+        )
 
     def record_request(self, team: identifiers.TeamId) -> None:
         """Earns retry budget for one request's first attempt."""
         self._fleet.earn()
         self._budget(team).earn()
 
+    def record_success(self, kind: Hashable) -> None:
+        """Clears a kind of request of earlier failures."""
+        if kind is not None:
+            self._blames.pop(kind, None)
+
     def decide(self, attempt: Attempt, now: float) -> Retry | GiveUp:
-        """Chooses between another attempt and a true refusal."""
-        may_repeat = (
-            attempt.idempotent or attempt.execution is verdict.Execution.NOT_RUN
-        )
-        if not may_repeat or attempt.number >= attempt.max_attempts:
-            return self._give_up(attempt, verdict.Reason.RETRIES_EXHAUSTED)
-        delay = self._rng.uniform(
-            0.0, min(self._cap, self._base * 2 ** (attempt.number - 1))
-        )
-        if now + delay + attempt.estimate > attempt.deadline:
-            return self._give_up(attempt, verdict.Reason.DEADLINE)
+        """Chooses between another attempt and a true refusal.
+
+        Raises:
+            ValueError: The attempt was answered.
+        """
+        if attempt.outcome is Outcome.ANSWERED:
+            raise ValueError("an answered request needs no decision")
+        blamed = self._blame(attempt, now)
+        if not _MAY_REPEAT[attempt.execution, attempt.idempotent]:
+            return self._give_up(
+                attempt,
+                _REASONS[attempt.outcome],
+                "The request is not idempotent and may not be sent again.",
+            )
+        if blamed:
+            return self._give_up(
+                attempt,
+                verdict.Reason.RETRIES_EXHAUSTED,
+                f"Requests of this kind failed on {BLAMED_MINIONS} minions "
+                "and on none succeeded.",
+            )
+        if attempt.number >= attempt.max_attempts:
+            return self._give_up(
+                attempt,
+                verdict.Reason.RETRIES_EXHAUSTED,
+                f"All {attempt.number} attempts failed.",
+            )
+        room = attempt.deadline - attempt.estimate - now
+        if room < 0.0:
+            return self._give_up(
+                attempt,
+                verdict.Reason.DEADLINE,
+                "No time is left for another attempt.",
+            )
         budget = self._budget(attempt.team)
         if not (budget.has_token and self._fleet.has_token):
-            return self._give_up(attempt, verdict.Reason.RETRY_BUDGET)
+            return self._give_up(
+                attempt,
+                verdict.Reason.RETRY_BUDGET,
+                "Too many requests are being retried.",
+                retry_after=self._cap,
+            )
         budget.spend()
         self._fleet.spend()
-        tried = frozenset(() if attempt.minion is None else (attempt.minion,))
-        return Retry(delay, attempt.failed_on | tried, attempt.execution)
+        limit = min(self._cap, self._base * 2 ** (attempt.number - 1), room)
+        tried = () if attempt.minion is None else (attempt.minion,)
+        return Retry(
+            self._rng.uniform(0.0, limit), attempt.failures.union(tried)
+        )
+
+    def _blame(self, attempt: Attempt, now: float) -> bool:
+        """Records a failure; returns whether the request itself is at fault."""
+        if len(attempt.failures) >= BLAMED_MINIONS:
+            return True
+        if attempt.kind is None:
+            return False
+        blame = self._blames.get(attempt.kind)
+        if blame is None or now - blame.since > BLAME_SECONDS:
+            blame = self._blames[attempt.kind] = _Blame(now)
+            self._blames.move_to_end(attempt.kind)
+            if len(self._blames) > MAX_KINDS:
+                self._blames.popitem(last=False)
+        blame.minions |= attempt.failures
+        return len(blame.minions) >= BLAMED_MINIONS
 
     def _budget(self, team: identifiers.TeamId) -> RetryBudget:
         budget = self._teams.get(team)
         if budget is None:
-            budget = self._teams[team] = RetryBudget(ratio=self._ratio)
+            budget = self._teams[team] = RetryBudget(
+                ratio=self._ratio, capacity=self._team_burst
+            )
         return budget
 
-    def _give_up(self, attempt: Attempt, reason: verdict.Reason) -> GiveUp:
-        return GiveUp(verdict.Refusal(reason, attempt.execution))
+    def _give_up(
+        self,
+        attempt: Attempt,
+        reason: verdict.Reason,
+        detail: str,
+        *,
+        retry_after: float | None = None,
+    ) -> GiveUp:
+        return GiveUp(
+            verdict.Refusal(reason, attempt.execution, detail, retry_after)
+        )
+
+
+if __name__ == "__main__":
+    policy = RetryPolicy(random.Random(1))
+    lost = Attempt(
+        identifiers.create_request_id(),
+        identifiers.TeamId("quotes"),
+        number=1,
+        outcome=Outcome.LOST,
+        idempotent=False,
+        deadline=10.0,
+        minion=identifiers.MinionId("minion-1"),
+    )
+    print(policy.decide(lost, 0.0))
+    print(policy.decide(dataclasses.replace(lost, idempotent=True), 0.0))
--- a/clementinewood/router.py
+++ b/clementinewood/router.py
@@ -1,17 +1,79 @@
-"""Choice of a minion for each attempt."""
+"""Choice of a minion for each attempt.
+
+Each entry judges minions by its own attempts alone. Starts in a pool go to
+the better of two random minions, by load and zone. Minions that fail what
+others do not fail are ejected, at most a third of a pool, and probed.
+"""
 
 import dataclasses
+import math
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from clementinewood import identifiers, retry
 
 Outcome = retry.Outcome
 
+REMOTE_COST = 1.25
+"""Load factor of minions in another zone; a zone costs about 0.5 ms."""
+
+SLOW_START = 5.0
+"""Seconds over which a new or readmitted minion reaches its full load."""
+
+SLOW_START_PART = 0.25
+"""Part of its slots that a minion gets when its slow start begins."""
+
+EJECT_FAILURES = 3
+"""Consecutive failures that make a minion a candidate for ejection."""
+
+EJECT_RATE = 0.5
+"""Failure rate that makes a minion a candidate for ejection."""
+
+EJECT_SAMPLES = 5.0
+"""Attempts in the window before the failure rate is looked at."""
+
+EJECT_MARGIN = 0.3
+"""Failure rate a candidate must have above that of the rest of its pool.
+
+Requests that can never run fail everywhere; they must not eject minions.
+"""
+
+EJECT_PART = 3
+"""At most one in this many usable minions of a pool is ejected."""
+
+WINDOW = 10.0
+"""Time constant of failure rates in seconds."""
+
+PROBE_DELAY = 1.0
+"""Seconds before the first probe of an ejected minion; doubles each time."""
+
+MAX_PROBE_DELAY = 30.0
+"""Most seconds between probes; what a repaired minion may stay unused."""
+
+FAILURE_HOLD = 1.0
+"""Time constant in seconds for which a failed attempt still counts as load.
+
+A minion that fails at once has the fewest requests in flight and would
+otherwise attract most of the work.
+"""
+
+LEAVING_TRUST = 30.0
+"""Seconds after which a live entry on the host list overrides what a
+connection said; longer than the list lags."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
-    """A minion as the host list and the assignments describe it."""
+    """A minion as the host list and the assignments describe it.
+
+    Attributes:
+        minion: Its id.
+        pool: Pool that it serves.
+        zone: Availability zone that it is in.
+        address: Host and port.
+        slots: Requests that this entry may run on it at once.
+        leaving: Whether the host list says that it leaves.
+    """
 
     minion: identifiers.MinionId
     pool: identifiers.PoolId
@@ -24,12 +86,99 @@
 class _Minion:
     """Routing state of one minion."""
 
-    __slots__ = ("in_flight", "joined", "target")
+    __slots__ = (
+        "attempts",
+        "consecutive",
+        "cost",
+        "ejected",
+        "failures",
+        "held",
+        "held_at",
+        "in_flight",
+        "leaving_seen",
+        "listed_leaving",
+        "probe_at",
+        "probe_delay",
+        "probing",
+        "ramp_from",
+        "target",
+        "window_at",
+    )
 
-    def __init__(self, target: Target, joined: float) -> None:
+    def __init__(self, target: Target, ramp_from: float) -> None:
         self.target = target
-        self.joined = joined
+        self.cost = 1.0
+        self.ramp_from = ramp_from
         self.in_flight = 0
+        self.consecutive = 0
+        self.attempts = 0.0
+        self.failures = 0.0
+        self.window_at = 0.0
+        self.held = 0.0
+        self.held_at = 0.0
+        self.ejected = False
+        self.probing = False
+        self.probe_at = 0.0
+        self.probe_delay = PROBE_DELAY
+        self.leaving_seen: float | None = None
+        self.listed_leaving = False
+
+    def load(self, now: float) -> float:
+        """Requests in flight, plus failed ones that still count."""
+        if not self.held:
+            return self.in_flight
+        held = self.held * math.exp((self.held_at - now) / FAILURE_HOLD)
+        return self.in_flight + (held if held > 0.01 else 0.0)
+
+    def capacity(self, now: float) -> float:
+        """Slots it may fill now."""
+        slots = self.target.slots
+        age = now - self.ramp_from
+        if age >= SLOW_START:
+            return slots
+        part = SLOW_START_PART + (1.0 - SLOW_START_PART) * age / SLOW_START
+        return max(min(slots, 1.0), slots * part)
+
+    def room(self, now: float) -> int:
+        """Requests it can take now; a failed one takes a slot for a while."""
+        filled = self.in_flight
+        if self.held:
+            filled = int(self.load(now) + 0.5)
+        return min(
+            self.target.slots - self.in_flight,
+            int(self.capacity(now) + 1e-9) - filled,
+        )
+
+    def score(self, now: float) -> float:
+        return (self.load(now) + 1.0) / self.capacity(now) * self.cost
+
+    def hold(self, now: float) -> None:
+        self.held = self.load(now) - self.in_flight + 1.0
+        self.held_at = now
+
+    def count(self, failed: bool, now: float) -> None:
+        fade = math.exp((self.window_at - now) / WINDOW)
+        self.window_at = now
+        self.attempts = self.attempts * fade + 1.0
+        self.failures = self.failures * fade + failed
+        self.consecutive = self.consecutive + 1 if failed else 0
+
+    def forget(self, now: float) -> None:
+        """Clears the failure record, at readmission."""
+        self.attempts = self.failures = 0.0
+        self.consecutive = 0
+        self.window_at = now
+
+
+class _Pool:
+    """Minions of one pool that may be used, and those that are ejected."""
+
+    __slots__ = ("ejected", "open", "usable")
+
+    def __init__(self) -> None:
+        self.usable: list[_Minion] = []
+        self.open: list[_Minion] = []
+        self.ejected: list[_Minion] = []
 
 
 class Router:
@@ -38,52 +187,120 @@
     Args:
         zone: Zone of this entry.
         rng: Seeded source of random choices.
+        costs: Load factor of each zone, where not the usual one.
     """
 
-    def __init__(self, zone: identifiers.ZoneId, rng: random.Random) -> None:
+    def __init__(
+        self,
+        zone: identifiers.ZoneId,
+        rng: random.Random,
+        *,
+        costs: Mapping[identifiers.ZoneId, float] | None = None,
+    ) -> None:
         self._zone = zone
         self._rng = rng
+        self._costs = dict(costs or {})
         self._minions: dict[identifiers.MinionId, _Minion] = {}
+        self._retired: dict[identifiers.MinionId, _Minion] = {}
+        self._pools: dict[identifiers.PoolId, _Pool] = {}
         self._zones_out: frozenset[identifiers.ZoneId] = frozenset()
 
     def update(self, targets: Iterable[Target], now: float) -> None:
-        """Replaces the set of known minions."""
-        known = self._minions
+        """Replaces the set of known minions.
+
+        Minions of a pool not seen before start at full load; later ones start
+        slowly.
+        """
+        known = {**self._retired, **self._minions}
+        pools = self._pools.keys()
         self._minions = {}
         for target in targets:
-            minion = known.get(target.minion) or _Minion(target, now)
+            minion = known.pop(target.minion, None)
+            if minion is None:
+                ramp_from = now if target.pool in pools else -math.inf
+                minion = _Minion(target, ramp_from)
+            elif minion.target.pool != target.pool:
+                minion.ramp_from = now
             minion.target = target
+            minion.cost = self._costs.get(
+                target.zone, 1.0 if target.zone == self._zone else REMOTE_COST
+            )
+            self._note_listing(minion, target.leaving, now)
             self._minions[target.minion] = minion
+        # A minion that is listed again must not look empty while it still
+        # runs requests from before.
+        self._retired = {
+            name: minion for name, minion in known.items() if minion.in_flight
+        }
+        self._rebuild()
 
     def set_zones_out(self, zones: Iterable[identifiers.ZoneId]) -> None:
         """Sets the zones in which nothing may start."""
-        self._zones_out = frozenset(zones)
+        zones = frozenset(zones)
+        if zones != self._zones_out:
+            self._zones_out = zones
+            self._rebuild()
+
+    def mark_leaving(self, minion: identifiers.MinionId, now: float) -> None:
+        """Stops starts at a minion whose connection says that it leaves."""
+        known = self._minions.get(minion)
+        if known is not None:
+            known.leaving_seen = now
+            self._rebuild()
 
     def choose(
         self,
         pool: identifiers.PoolId,
         now: float,
         exclude: frozenset[identifiers.MinionId] = frozenset(),
+        *,
+        probe: bool = True,
     ) -> Target | None:
-        """Returns the minion for the next start in `pool`, if any may start."""
-        usable = [
+        """Returns the minion for the next start in `pool`, if any may start.
+
+        Args:
+            pool: Pool that the work is for.
+            now: Monotonic time.
+            exclude: Minions to leave out.
+            probe: Whether the work may probe an ejected minion; not wise for
+                work that can't be repeated.
+        """
+        known = self._pools.get(pool)
+        if known is None:
+            return None
+        if probe:
+            for minion in known.ejected:
+                if (
+                    now >= minion.probe_at
+                    and not minion.in_flight
+                    and not minion.probing
+                    and minion.target.minion not in exclude
+                ):
+                    return minion.target
+        minions = known.open
+        if not exclude and len(minions) > 1:
+            first = self._rng.randrange(len(minions))
+            second = self._rng.randrange(len(minions) - 1)
+            pair = minions[first], minions[second + (second >= first)]
+            if pair[0].room(now) > 0 and pair[1].room(now) > 0:
+                return min(pair, key=lambda each: each.score(now)).target
+        roomy = [
             minion
-            for minion in self._minions.values()
-            if minion.target.pool == pool
-            and not minion.target.leaving
-            and minion.target.zone not in self._zones_out
-            and minion.target.minion not in exclude
-            and minion.in_flight < minion.target.slots
+            for minion in minions
+            if minion.room(now) > 0 and minion.target.minion not in exclude
         ]
-        if not usable:
+        if not roomy:
             return None
-        pair = self._rng.sample(usable, min(2, len(usable)))
-        return min(pair, key=lambda minion: minion.in_flight).target
+        if len(roomy) > 2:
+            roomy = self._rng.sample(roomy, 2)
+        return min(roomy, key=lambda minion: minion.score(now)).target
 
     def start(self, minion: identifiers.MinionId, now: float) -> None:
         """Counts a start at `minion`."""
-        if minion in self._minions:
-            self._minions[minion].in_flight += 1
+        known = self._minions.get(minion)
+        if known is not None:
+            known.in_flight += 1
+            known.probing = known.ejected
 
     def finish(
         self,
@@ -91,14 +308,140 @@
         outcome: Outcome,
         seconds: float,
         now: float,
+        *,
+        blame: bool = True,
     ) -> None:
-        """Counts the end of an attempt at `minion`."""
-        known = self._minions.get(minion)
-        if known is not None and known.in_flight > 0:
-            known.in_flight -= 1
+        """Counts the end of an attempt at `minion`.
 
-    def mark_leaving(self, minion: identifiers.MinionId, now: float) -> None:
-        """Stops starts at a minion whose connection says that it leaves."""
-        if minion in self._minions:
-            state = self._minions[minion]
-            state.target = dataclasses.replace(state.target, leaving=True)
+        Args:
+            minion: Minion that was tried.
+            outcome: How the attempt ended.
+            seconds: How long it took.
+            now: Monotonic time.
+            blame: Whether a failure counts against the minion; not when the
+                same request has failed on another one before.
+        """
+        known = self._minions.get(minion) or self._retired.get(minion)
+        if known is None:
+            return
+        known.in_flight = max(0, known.in_flight - 1)
+        if minion in self._retired:
+            if not known.in_flight:
+                del self._retired[minion]
+            return
+        match outcome:
+            case Outcome.ANSWERED:
+                known.count(False, now)
+                if known.ejected and known.probing:
+                    self._readmit(known, now)
+            case Outcome.REFUSED:
+                # An overloaded or leaving minion is healthy.
+                known.hold(now)
+                if known.ejected and known.probing:
+                    self._defer_probe(known, now)
+            case _:
+                known.hold(now)
+                if known.ejected and known.probing:
+                    self._defer_probe(known, now)
+                elif blame:
+                    known.count(True, now)
+                    self._judge(known, now)
+
+    def ejected(
+        self, pool: identifiers.PoolId
+    ) -> frozenset[identifiers.MinionId]:
+        """Returns the minions of `pool` that are ejected."""
+        known = self._pools.get(pool, _Pool())
+        return frozenset(minion.target.minion for minion in known.ejected)
+
+    def free_slots(self, pool: identifiers.PoolId, now: float) -> int:
+        """Returns how many more requests `pool` can take."""
+        known = self._pools.get(pool, _Pool())
+        return sum(max(0, minion.room(now)) for minion in known.open)
+
+    def _note_listing(self, minion: _Minion, leaving: bool, now: float) -> None:
+        if minion.leaving_seen is not None and not leaving:
+            returned = minion.listed_leaving
+            if returned or now - minion.leaving_seen > LEAVING_TRUST:
+                minion.leaving_seen = None
+                minion.ramp_from = now
+        minion.listed_leaving = leaving
+
+    def _rebuild(self) -> None:
+        pools: dict[identifiers.PoolId, _Pool] = {
+            name: _Pool() for name in self._pools
+        }
+        for minion in self._minions.values():
+            target = minion.target
+            pool = pools.setdefault(target.pool, _Pool())
+            if (
+                target.leaving
+                or minion.leaving_seen is not None
+                or target.zone in self._zones_out
+            ):
+                continue
+            pool.usable.append(minion)
+            (pool.ejected if minion.ejected else pool.open).append(minion)
+        for pool in pools.values():
+            # The bound is on what remains usable: with a zone out, ejections
+            # from before may be too many.
+            pool.ejected.sort(key=lambda minion: minion.probe_delay)
+            while len(pool.ejected) > len(pool.usable) // EJECT_PART:
+                minion = pool.ejected.pop(0)
+                minion.ejected = minion.probing = False
+                pool.open.append(minion)
+        self._pools = pools
+
+    def _judge(self, minion: _Minion, now: float) -> None:
+        pool = self._pools[minion.target.pool]
+        rate = minion.failures / minion.attempts
+        suspicious = minion.consecutive >= EJECT_FAILURES or (
+            minion.attempts >= EJECT_SAMPLES and rate >= EJECT_RATE
+        )
+        if not suspicious or minion.ejected or minion not in pool.open:
+            return
+        if len(pool.ejected) >= len(pool.usable) // EJECT_PART:
+            return
+        others = [other for other in pool.open if other is not minion]
+        attempts = sum(other.attempts for other in others)
+        failures = sum(other.failures for other in others)
+        if attempts and rate - failures / attempts < EJECT_MARGIN:
+            return
+        minion.ejected = True
+        minion.probing = False
+        minion.probe_delay = PROBE_DELAY
+        minion.probe_at = now + PROBE_DELAY
+        pool.open.remove(minion)
+        pool.ejected.append(minion)
+
+    def _defer_probe(self, minion: _Minion, now: float) -> None:
+        minion.probing = False
+        minion.probe_delay = min(MAX_PROBE_DELAY, 2.0 * minion.probe_delay)
+        minion.probe_at = now + minion.probe_delay * self._rng.uniform(0.75, 1)
+
+    def _readmit(self, minion: _Minion, now: float) -> None:
+        minion.ejected = minion.probing = False
+        minion.forget(now)
+        minion.ramp_from = now
+        pool = self._pools[minion.target.pool]
+        if minion in pool.ejected:
+            pool.ejected.remove(minion)
+            pool.open.append(minion)
+
+
+if __name__ == "__main__":
+    router = Router(identifiers.ZoneId("hobart"), random.Random(1))
+    quotes = identifiers.PoolId("quotes")
+    router.update(
+        [
+            Target(
+                identifiers.MinionId(f"quotes-{number}"),
+                quotes,
+                identifiers.ZoneId("hobart" if number % 2 else "burnie"),
+                ("127.0.0.1", 8000 + number),
+            )
+            for number in range(6)
+        ],
+        0.0,
+    )
+    print(router.choose(quotes, 0.0))
--- a/clementinewood/scheduler.py
+++ b/clementinewood/scheduler.py
@@ -14,7 +14,7 @@
 import itertools
 import math
 from collections.abc import Callable, Iterator, Mapping
-from typing import Protocol
+from typing import Any, Protocol
 
 from clementinewood import identifiers, verdict
 from clementinewood.priority import Priority
@@ -26,10 +26,35 @@
 a longer one keeps disagreement between entries alive.
 """
 
-URGENT_EXCESS = 1.5
-"""Usage up to which urgent work goes first, relative to the neediest team.
+URGENT_START = 2.9
+"""Seconds within which urgent work should start."""
 
-Without a limit, a team that marks everything urgent takes the whole pool.
+URGENT_RELEASES = 3.0
+"""Expected slot releases within `URGENT_START` that make a free slot needless.
+
+At three expected releases, none happens in 5% of the cases.
+"""
+
+PROMOTED_PART = 0.5
+"""Part of a team's share that overnight work may need to meet its deadline.
+
+The rest stays for the same team's interactive work.
+"""
+
+PROMOTION_PERIOD = 0.25
+"""Seconds between looks at overnight deadlines."""
+
+DEADLINE_BUCKET = 10.0
+"""Width in seconds of the steps in which overnight deadlines are summed."""
+
+SAFETY = 1.0
+"""Mean deviations added to a run time when other jobs wait for the slot."""
+
+WAIT_SAFETY = 1.1
+"""Factor on the predicted wait of a new job.
+
+Without it, jobs reach the head of a full queue just before their latest start
+and half of them end too late.
 """
 
 MIN_ESTIMATE = 0.001
@@ -50,6 +75,8 @@
     def pool(self) -> identifiers.PoolId: ...  # noqa: D102
     @property
     def capacity(self) -> int: ...  # noqa: D102
+    @property
+    def priority(self) -> Any: ...  # noqa: D102
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,11 +111,13 @@
         running: Requests running.
         slot_seconds: Slot-seconds charged since the entry started: finished
             runs as measured, present runs as estimated.
+        urgent_seconds: The part of them that urgent work took.
     """
 
     queued: int = 0
     running: int = 0
     slot_seconds: float = 0.0
+    urgent_seconds: float = 0.0
 
 
 class RunEstimate:
@@ -125,6 +154,7 @@
     __slots__ = (
         "charged",
         "estimator",
+        "expected",
         "job",
         "lane",
         "live",
@@ -148,6 +178,7 @@
         self.estimator = estimator
         self.live = True
         self.started = 0.0
+        self.expected = 0.0
         self.charged = 0.0
 
 
@@ -182,7 +213,17 @@
 class _Lane:
     """Waiting jobs of one team in one pool and class."""
 
-    __slots__ = ("customers", "live", "rotation", "team")
+    __slots__ = (
+        "buckets",
+        "customers",
+        "interval",
+        "last_start",
+        "live",
+        "rotation",
+        "team",
+    )
+
+    SMOOTHING = 1.0 / 16.0
 
     def __init__(self, team: "_Team") -> None:
         self.team = team
@@ -191,6 +232,9 @@
         self.rotation: collections.deque[identifiers.CustomerId] = (
             collections.deque()
         )
+        self.buckets: dict[int, int] | None = None
+        self.interval = 0.0
+        self.last_start: float | None = None
 
     def push(self, order: int, item: _Item) -> None:
         customer = item.job.customer
@@ -200,6 +244,9 @@
             self.rotation.append(customer)
         heap.push(item.job.deadline, order, item)
         self.live += 1
+        if self.buckets is not None:
+            bucket = _bucket(item)
+            self.buckets[bucket] = self.buckets.get(bucket, 0) + 1
 
     def head(self) -> _Item:
         """Returns the next job; the lane must have one."""
@@ -218,18 +265,65 @@
     def drop(self, item: _Item) -> None:
         self.live -= 1
         self.customers[item.job.customer].drop()
+        if self.buckets is not None:
+            bucket = _bucket(item)
+            self.buckets[bucket] -= 1
+            if not self.buckets[bucket]:
+                del self.buckets[bucket]
+
+    def record_start(self, now: float) -> None:
+        """Learns the time between starts while jobs keep waiting."""
+        if self.last_start is not None:
+            step = now - self.last_start
+            if self.interval:
+                step = self.interval + (step - self.interval) * self.SMOOTHING
+            self.interval = step
+        self.last_start = now if self.live else None
+
+    def predict_wait(self, job: Job, now: float) -> float:
+        """Returns how long a new job is likely to wait behind others."""
+        if self.last_start is None:
+            return 0.0
+        heap = self.customers.get(job.customer)
+        if heap is None or not heap.live:
+            return 0.0
+        if heap.head().job.deadline > job.deadline:
+            return 0.0
+        ahead = min(self.live, heap.live * len(self.customers))
+        return ahead * max(self.interval, now - self.last_start)
+
+
+def _bucket(item: _Item) -> int:
+    return int(min(item.job.deadline, 1e15) // DEADLINE_BUCKET)
 
 
 class _Pool:
-    """Lanes with waiting jobs, by class and team."""
+    """Lanes with waiting jobs, by class and team, and the pool's slots."""
 
-    __slots__ = ("level", "name", "promoted", "ready")
+    __slots__ = (
+        "balance",
+        "fleet_slots",
+        "keeps_slot",
+        "levels",
+        "name",
+        "own_slots",
+        "promoted",
+        "ready",
+        "release_rate",
+        "running",
+    )
 
     def __init__(self, name: identifiers.PoolId) -> None:
         self.name = name
         self.ready: tuple[dict[identifiers.TeamId, _Lane], ...] = ({}, {}, {})
-        self.promoted: set[identifiers.TeamId] = set()
-        self.level = 0.0
+        self.promoted: frozenset[identifiers.TeamId] = frozenset()
+        self.balance: dict[identifiers.TeamId, float] = {}
+        self.levels = [0.0, 0.0, 0.0]
+        self.own_slots: int | None = None
+        self.fleet_slots = 0
+        self.keeps_slot = False
+        self.running = 0
+        self.release_rate = 0.0
 
 
 class _Queue:
@@ -247,20 +341,47 @@
             dict[identifiers.CustomerId, dict[identifiers.RequestId, _Item]],
         ] = {}
 
+    def add(self, item: _Item) -> None:
+        job = item.job
+        self.size += 1
+        self.counts[job.team] = self.counts.get(job.team, 0) + 1
+        customers = self.items.setdefault(job.team, {})
+        customers.setdefault(job.customer, {})[job.request_id] = item
+
+    def remove(self, item: _Item) -> None:
+        job = item.job
+        self.size -= 1
+        customers = self.items[job.team]
+        customers[job.customer].pop(job.request_id, None)
+        if not customers[job.customer]:
+            del customers[job.customer]
+        self.counts[job.team] -= 1
+        if not self.counts[job.team]:
+            del self.counts[job.team]
+            del self.items[job.team]
+
 
 class _Team:
-    """Usage of one team; the decayed sums are scaled, see `_scale`."""
+    """Usage of one team; `own`, `remote` and `urgent` are scaled.
+
+    The estimate of the fleet's usage is
+    `own * (1 + peers_waiting) + remote`: a peer on which the team waits too is
+    assumed to start as much of it as this entry until its next report. Without
+    that, all entries make up for the same deficit at once.
+    """
 
     __slots__ = (
+        "cost",
         "lanes",
         "name",
         "own",
         "peers_waiting",
         "queued",
         "remote",
-        "remote_active",
         "running",
         "slot_seconds",
+        "urgent",
+        "urgent_seconds",
         "weight",
     )
 
@@ -270,25 +391,36 @@
         self.queued = 0
         self.running = 0
         self.slot_seconds = 0.0
+        self.urgent_seconds = 0.0
         self.own = 0.0
         self.remote = 0.0
+        self.urgent = 0.0
+        self.cost = 0.0
         self.peers_waiting = 0
-        self.remote_active = 0
         self.lanes: dict[tuple[identifiers.PoolId, int], _Lane] = {}
 
+    def rescale(self, factor: float) -> None:
+        self.own *= factor
+        self.remote *= factor
+        self.urgent *= factor
+
 
 class _Peer:
     """Last report of one other entry."""
 
-    __slots__ = ("own_then", "usage")
+    __slots__ = ("own_then", "usage", "waiting")
 
     def __init__(self) -> None:
         self.usage: dict[identifiers.TeamId, Usage] = {}
         self.own_then: dict[identifiers.TeamId, float] = {}
+        self.waiting: set[identifiers.TeamId] = set()
 
 
 _NO_USAGE = Usage()
 _MAX_EXPONENT = 200.0
+_URGENT = Priority.URGENT.rank
+_INTERACTIVE = Priority.INTERACTIVE.rank
+_OVERNIGHT = Priority.OVERNIGHT.rank
 
 
 class Scheduler:
@@ -311,6 +443,7 @@
     ) -> None:
         self._decay = decay
         self._epoch = 0.0
+        self._entries = entries
         self._order = itertools.count()
         self._teams: dict[identifiers.TeamId, _Team] = {}
         self._pools: dict[identifiers.PoolId, _Pool] = {}
@@ -323,6 +456,9 @@
         self._scores: dict[identifiers.TeamId, float] = {}
         self._refused: list[tuple[Job, verdict.Refusal]] = []
         self._expiry: list[tuple[float, int, _Item]] = []
+        self._overruns: list[tuple[float, int, _Item]] = []
+        self._waiting = 0
+        self._next_promotion = -math.inf
         self.configure(teams, queues, entries=entries)
 
     def configure(
@@ -332,23 +468,60 @@
         *,
         entries: int = 1,
     ) -> None:
-        """Takes over a new bundle; waiting and running jobs stay."""
+        """Takes over a new bundle.
+
+        Running jobs stay. Waiting jobs of queues and teams that are gone are
+        refused; `expire` returns them.
+        """
+        self._entries = entries
+        self._refuse_gone(teams, queues)
+        for queue_name in self._queues.keys() - queues.keys():
+            del self._queues[queue_name]
+        for team_name in self._teams.keys() - teams.keys():
+            del self._teams[team_name]
+            del self._scores[team_name]
+            for peer in self._peers.values():
+                peer.usage.pop(team_name, None)
+                peer.waiting.discard(team_name)
         for name, team in teams.items():
             known = self._teams.get(name)
             if known is None:
-                self._teams[name] = _Team(name, team.share)
-            else:
+                known = self._teams[name] = _Team(name, team.share)
+                self._scores[name] = 0.0
+            elif known.weight != team.share:
+                # Usage follows the share, so that a raised share does not
+                # earn credit for the time before.
+                factor = team.share / known.weight
+                known.remote = (
+                    known.own * (1 + known.peers_waiting) + known.remote
+                ) * factor - known.own * (1 + known.peers_waiting)
                 known.weight = team.share
-            self._update_score(self._teams[name], 1.0)
+                self._scores[name] = self._score(known, 0.0)
+        for pool in self._pools.values():
+            pool.keeps_slot = False
         for queue_name, spec in queues.items():
             pool = self._pools.setdefault(spec.pool, _Pool(spec.pool))
             capacity = max(1, -(-spec.capacity // entries))
             queue = self._queues.get(queue_name)
             if queue is None:
-                self._queues[queue_name] = _Queue(pool, capacity)
-            else:
-                queue.pool = pool
-                queue.capacity = capacity
+                queue = self._queues[queue_name] = _Queue(pool, capacity)
+            queue.capacity = capacity
+            if queue.pool is not pool:
+                self._move(queue, pool)
+            if spec.priority.name == "URGENT":
+                pool.keeps_slot = True
+
+    def set_slots(
+        self, pool: identifiers.PoolId, *, own: int, fleet: int
+    ) -> None:
+        """Tells how many slots of `pool` this entry and the fleet have.
+
+        They are used to judge overnight deadlines and to keep a slot free of
+        long runs for urgent work; without them neither is done.
+        """
+        known = self._pools.setdefault(pool, _Pool(pool))
+        known.own_slots = own
+        known.fleet_slots = fleet
 
     def submit(self, job: Job, now: float) -> verdict.Refusal | None:
         """Queues `job`, or refuses it at once.
@@ -356,36 +529,40 @@
         A full queue may take the job and evict one of a team that fills more
         than its part; `expire` returns evicted jobs.
         """
-        queue = self._queues[job.queue]
-        team = self._teams[job.team]
+        queue = self._queues.get(job.queue)
+        team = self._teams.get(job.team)
+        if queue is None or team is None:
+            return verdict.Refusal(
+                verdict.Reason.QUEUE_UNKNOWN,
+                detail="The configuration has no such queue or team.",
+            )
+        if job.request_id in self._items:
+            raise ValueError(f"request {job.request_id} is already scheduled")
         estimator = self._estimator(job)
-        if now + estimator.expect(job.estimate) > job.deadline:
+        expected = estimator.expect(job.estimate)
+        rank = job.priority.rank
+        pool = queue.pool
+        lane = self._lane(job, pool)
+        wait = 0.0
+        if lane.live and rank != _OVERNIGHT:
+            wait = lane.predict_wait(job, now) * WAIT_SAFETY
+            if wait:
+                expected += SAFETY * estimator.deviation
+        if now + wait + expected > job.deadline:
             return verdict.Refusal(
-                verdict.Reason.DEADLINE, detail="The deadline is too near."
+                verdict.Reason.DEADLINE,
+                detail="It would start too late for its deadline.",
+                retry_after=wait or None,
             )
         if queue.size >= queue.capacity and not self._make_room(queue, job):
             return verdict.Refusal(
                 verdict.Reason.QUEUE_FULL,
                 detail="The queue is full.",
-                retry_after=1.0,
+                retry_after=max(1.0, wait),
             )
-        if not team.queued and not team.running and not team.remote_active:
-            self._raise(team, queue.pool.level)
-        rank = job.priority.rank
-        lane = team.lanes.get((queue.pool.name, rank))
-        if lane is None:
-            lane = team.lanes[queue.pool.name, rank] = _Lane(team)
-        item = _Item(job, team, queue.pool, lane, estimator)
-        order = next(self._order)
-        lane.push(order, item)
-        queue.pool.ready[rank][job.team] = lane
-        heapq.heappush(self._expiry, (job.deadline, order, item))
-        customers = queue.items.setdefault(job.team, {})
-        customers.setdefault(job.customer, {})[job.request_id] = item
-        queue.counts[job.team] = queue.counts.get(job.team, 0) + 1
-        queue.size += 1
-        team.queued += 1
-        self._items[job.request_id] = item
+        if not team.queued and not team.peers_waiting:
+            self._raise(team, pool.levels[rank])
+        self._enqueue(job, queue, lane)
         return None
 
     def pick(
@@ -405,23 +582,42 @@
         """
         pools = self._pools.values() if pool is None else [self._pools[pool]]
         for candidate in pools:
+            blocked: set[identifiers.TeamId] = set()
             for lane in self._order_lanes(candidate):
+                if lane.team.name in blocked:
+                    continue
                 item = self._find_startable(lane, now)
-                if item is not None and can_start(item.job):
+                if item is None or self._must_keep_slot(item):
+                    continue
+                if can_start(item.job):
                     self._start(item, now)
                     return item.job
+                blocked.add(lane.team.name)
         return None
 
+    def has_waiting(self, pool: identifiers.PoolId) -> bool:
+        """Whether any job waits for `pool`."""
+        return any(self._pools[pool].ready)
+
     def finish(self, request_id: identifiers.RequestId, now: float) -> None:
         """Ends the run of a job and charges what it really took."""
-        item = self._items.pop(request_id)
+        item = self._items[request_id]
+        if item.live:
+            raise ValueError(f"request {request_id} is not running")
+        del self._items[request_id]
         seconds = max(0.0, now - item.started)
         item.estimator.observe(seconds)
         item.team.running -= 1
-        self._charge(item.team, seconds - item.charged, now)
+        pool = item.pool
+        pool.running -= 1
+        # Rounding must not add up over millions of runs.
+        pool.release_rate = (
+            pool.release_rate - 1.0 / item.expected if pool.running else 0.0
+        )
+        self._charge(item, seconds - item.charged, now)
 
     def cancel(self, request_id: identifiers.RequestId) -> bool:
-        """Removes a waiting job in constant time.
+        """Removes a waiting job in constant time, amortised.
 
         Returns:
             False when it is not waiting: unknown, running or refused.
@@ -434,13 +630,20 @@
         return True
 
     def expire(self, now: float) -> list[tuple[Job, verdict.Refusal]]:
-        """Returns jobs that were refused after they had been queued."""
-        while self._expiry and (
-            not self._expiry[0][2].live or self._expiry[0][0] <= now
-        ):
-            item = heapq.heappop(self._expiry)[2]
+        """Returns jobs that were refused after they had been queued.
+
+        To be called after each `submit`, and every 250 ms: it also charges
+        runs that outlast their estimate and promotes overnight work.
+        """
+        expiry = self._expiry
+        while expiry and (not expiry[0][2].live or expiry[0][0] <= now):
+            item = heapq.heappop(expiry)[2]
             if item.live:
-                self._shed(item)
+                self._refuse_late(item)
+        if now >= self._next_promotion:
+            self._next_promotion = now + PROMOTION_PERIOD
+            self._charge_overruns(now)
+            self._promote(now)
         refused, self._refused = self._refused, []
         return refused
 
@@ -450,27 +653,87 @@
         usage: Mapping[identifiers.TeamId, Usage],
         now: float,
     ) -> None:
-        """Takes in another entry's usage of the teams that changed."""
+        """Takes in another entry's usage.
+
+        Args:
+            member: Reporting entry.
+            usage: Teams whose usage changed since its last report.
+            now: Monotonic time.
+        """
         peer = self._peers.setdefault(member, _Peer())
         scale = self._scale(now)
-        for name, report in usage.items():
+        for name in peer.waiting | usage.keys():
             team = self._teams.get(name)
             if team is None:
                 continue
             before = peer.usage.get(name, _NO_USAGE)
-            team.remote += (report.slot_seconds - before.slot_seconds) * scale
-            team.remote_active += bool(report.queued or report.running)
-            team.remote_active -= bool(before.queued or before.running)
+            report = usage.get(name, before)
+            was_idle = not team.queued and not team.peers_waiting
+            if name in peer.waiting:
+                team.peers_waiting -= 1
+                team.remote += peer.own_then[name]
+                peer.waiting.discard(name)
+            charged = report.slot_seconds - before.slot_seconds
+            team.remote += charged * scale
+            team.urgent += (
+                report.urgent_seconds - before.urgent_seconds
+            ) * scale
+            if report.queued:
+                team.peers_waiting += 1
+                team.remote -= team.own
+                peer.own_then[name] = team.own
+                peer.waiting.add(name)
             peer.usage[name] = report
-            self._update_score(team, scale)
+            self._scores[name] = self._score(team, scale)
+            if was_idle and report.queued:
+                levels = [
+                    self._pools[pool].levels[rank] for pool, rank in team.lanes
+                ]
+                self._raise(team, min(levels, default=0.0))
+
+    def forget_member(self, member: identifiers.Incarnation) -> None:
+        """Drops an entry that left; what it used fades with time."""
+        peer = self._peers.pop(member, _Peer())
+        for name in peer.waiting:
+            team = self._teams[name]
+            team.peers_waiting -= 1
+            team.remote += peer.own_then[name]
+            self._scores[name] = self._score(team, 0.0)
 
     def usage(self) -> Mapping[identifiers.TeamId, Usage]:
         """Returns this entry's usage of every team."""
         return {
-            name: Usage(team.queued, team.running, team.slot_seconds)
+            name: Usage(
+                team.queued,
+                team.running,
+                team.slot_seconds,
+                team.urgent_seconds,
+            )
             for name, team in self._teams.items()
         }
 
+    def _lane(self, job: Job, pool: _Pool) -> _Lane:
+        rank = job.priority.rank
+        team = self._teams[job.team]
+        lane = team.lanes.get((pool.name, rank))
+        if lane is None:
+            lane = team.lanes[pool.name, rank] = _Lane(team)
+            if rank == _OVERNIGHT:
+                lane.buckets = {}
+        return lane
+
+    def _enqueue(self, job: Job, queue: _Queue, lane: _Lane) -> None:
+        pool = queue.pool
+        item = _Item(job, lane.team, pool, lane, self._estimator(job))
+        order = next(self._order)
+        lane.push(order, item)
+        pool.ready[job.priority.rank][job.team] = lane
+        heapq.heappush(self._expiry, (job.deadline, order, item))
+        queue.add(item)
+        lane.team.queued += 1
+        self._waiting += 1
+        self._items[job.request_id] = item
+
     def _estimator(self, job: Job) -> RunEstimate:
         key = (job.queue, job.team)
         estimator = self._estimates.get(key)
@@ -479,37 +742,167 @@
         return estimator
 
     def _order_lanes(self, pool: _Pool) -> Iterator[_Lane]:
-        for ready in pool.ready:
-            for name in sorted(ready, key=self._scores.__getitem__):
-                yield ready[name]
+        """Yields lanes in the order in which they may start.
+
+        Urgent lanes go first while the urgent work of their team stays within
+        its fair share; beyond it they compete with interactive ones.
+        """
+        urgent, interactive, overnight = pool.ready
+        contenders: Mapping[identifiers.TeamId, object] = interactive
+        if urgent or pool.promoted:
+            contenders = {
+                **interactive,
+                **urgent,
+                **{name: None for name in pool.promoted if name in overnight},
+            }
+        if urgent:
+            floor = min(
+                (
+                    self._scores[name]
+                    for name in contenders
+                    if name in interactive or name in pool.promoted
+                ),
+                default=math.inf,
+            )
+            for name in self._by_score(urgent):
+                team = self._teams[name]
+                lane = urgent.get(name)
+                if lane is not None and team.urgent <= floor * team.weight:
+                    yield lane
+        for name in self._by_score(contenders):
+            yield from self._order_classes(pool, name)
+        for name in self._by_score(overnight):
+            lane = overnight.get(name)
+            if lane is not None:
+                yield lane
+
+    def _order_classes(
+        self, pool: _Pool, name: identifiers.TeamId
+    ) -> Iterator[_Lane]:
+        """Yields one team's lanes; promoted overnight work gets half."""
+        ranks = [_URGENT, _INTERACTIVE]
+        if name in pool.promoted:
+            before = pool.balance.get(name, 0.0) <= 0.0
+            ranks.insert(1 if before else 2, _OVERNIGHT)
+        for rank in ranks:
+            lane = pool.ready[rank].get(name)
+            if lane is not None:
+                yield lane
+
+    def _by_score(
+        self, names: Mapping[identifiers.TeamId, object]
+    ) -> Iterator[identifiers.TeamId]:
+        """Yields teams by usage; the sort is saved when the first starts."""
+        if not names:
+            return
+        score = self._scores.__getitem__
+        first = min(names, key=score)
+        rest = [name for name in names if name != first]
+        yield first
+        rest.sort(key=score)
+        yield from rest
 
     def _find_startable(self, lane: _Lane, now: float) -> _Item | None:
         while lane.live:
             item = lane.head()
-            expected = item.estimator.expect(item.job.estimate)
-            if now + expected <= item.job.deadline:
+            needed = item.estimator.expect(item.job.estimate)
+            if lane.live > 1:
+                needed += SAFETY * item.estimator.deviation
+            if now + needed <= item.job.deadline:
                 return item
-            self._shed(item)
+            self._refuse_late(item)
         return None
 
+    def _must_keep_slot(self, item: _Item) -> bool:
+        """Whether a start would leave urgent work without a slot in time."""
+        pool = item.pool
+        if (
+            not pool.keeps_slot
+            or pool.own_slots is None
+            or pool.own_slots < 2
+            or pool.running < pool.own_slots - 1
+            or item.job.priority is Priority.URGENT
+        ):
+            return False
+        expected = item.estimator.expect(item.job.estimate)
+        if expected <= URGENT_START / URGENT_RELEASES:
+            return False
+        releases = (pool.release_rate + 1.0 / expected) * URGENT_START
+        return releases < URGENT_RELEASES
+
     def _start(self, item: _Item, now: float) -> None:
-        item.lane.advance()
-        self._remove(item)
+        lane = item.lane
         team = item.team
-        item.pool.level = self._scores[team.name]
+        pool = item.pool
+        rank = item.job.priority.rank
+        lane.advance()
+        self._remove(item)
+        lane.record_start(now)
+        pool.levels[rank] = max(pool.levels[rank], self._scores[team.name])
+        expected = item.estimator.expect(item.job.estimate)
+        if team.name in pool.promoted and rank != _URGENT:
+            self._balance(pool, team, rank, expected)
         team.running += 1
+        pool.running += 1
+        pool.release_rate += 1.0 / expected
         item.started = now
-        item.charged = item.estimator.expect(item.job.estimate)
-        self._charge(team, item.charged, now)
+        item.expected = expected
+        heapq.heappush(
+            self._overruns, (now + expected, next(self._order), item)
+        )
+        self._charge(item, expected, now)
+
+    def _balance(
+        self, pool: _Pool, team: _Team, rank: int, expected: float
+    ) -> None:
+        other = _INTERACTIVE if rank == _OVERNIGHT else _OVERNIGHT
+        if team.name not in pool.ready[other]:
+            pool.balance[team.name] = 0.0
+            return
+        step = expected if rank == _OVERNIGHT else -expected
+        pool.balance[team.name] = pool.balance.get(team.name, 0.0) + step
+
+    def _refuse_late(self, item: _Item) -> None:
+        self._refuse(
+            item,
+            verdict.Refusal(
+                verdict.Reason.DEADLINE,
+                detail="No capacity came free before the deadline.",
+            ),
+        )
 
-    def _shed(self, item: _Item) -> None:
+    def _refuse(self, item: _Item, refusal: verdict.Refusal) -> None:
         self._remove(item)
         del self._items[item.job.request_id]
+        self._refused.append((item.job, refusal))
+
+    def _refuse_gone(
+        self,
+        teams: Mapping[identifiers.TeamId, TeamSpec],
+        queues: Mapping[identifiers.QueueId, QueueSpec],
+    ) -> None:
         refusal = verdict.Refusal(
-            verdict.Reason.DEADLINE,
-            detail="No capacity came free before the deadline.",
+            verdict.Reason.QUEUE_UNKNOWN,
+            detail="The configuration no longer has this queue or team.",
         )
-        self._refused.append((item.job, refusal))
+        for item in list(self._items.values()):
+            job = item.job
+            if item.live and not (job.queue in queues and job.team in teams):
+                self._refuse(item, refusal)
+
+    def _move(self, queue: _Queue, pool: _Pool) -> None:
+        """Moves the waiting jobs of a queue to the lanes of another pool."""
+        jobs = [
+            item.job
+            for customers in queue.items.values()
+            for items in customers.values()
+            for item in items.values()
+        ]
+        for job in jobs:
+            self._remove(self._items[job.request_id])
+        queue.pool = pool
+        for job in jobs:
+            self._enqueue(job, queue, self._lane(job, pool))
 
     def _remove(self, item: _Item) -> None:
         """Takes a waiting item out of its lane and queue."""
@@ -519,45 +912,91 @@
         lane.drop(item)
         if not lane.live:
             del item.pool.ready[job.priority.rank][job.team]
-        queue = self._queues[job.queue]
-        queue.size -= 1
-        queue.counts[job.team] -= 1
-        customers = queue.items[job.team]
-        customers[job.customer].pop(job.request_id, None)
-        if not customers[job.customer]:
-            del customers[job.customer]
-        if not queue.counts[job.team]:
-            del queue.counts[job.team]
-            del queue.items[job.team]
+            lane.last_start = None
+        self._queues[job.queue].remove(item)
         item.team.queued -= 1
+        self._waiting -= 1
+        if len(self._expiry) > 2 * self._waiting + 256:
+            self._expiry = [entry for entry in self._expiry if entry[2].live]
+            heapq.heapify(self._expiry)
 
     def _make_room(self, queue: _Queue, job: Job) -> bool:
         """Evicts a job of the team that fills most of `queue` for its share.
 
+        Inside the submitting team, the customer with the most jobs gives way.
+
         Returns:
-            False when that is the submitter itself.
+            False when the submitter itself has the largest part.
         """
         teams = self._teams
-        mine = (queue.counts.get(job.team, 0) + 1) / teams[job.team].weight
-        worst = max(
-            queue.counts,
-            key=lambda name: queue.counts[name] / teams[name].weight,
-        )
-        if queue.counts[worst] / teams[worst].weight < mine:
-            return False
+        counts = queue.counts
+        worst = max(counts, key=lambda name: counts[name] / teams[name].weight)
+        mine = (counts.get(job.team, 0) + 1) / teams[job.team].weight
         customers = queue.items[worst]
         largest = max(customers, key=lambda name: len(customers[name]))
+        if worst == job.team:
+            own = len(customers.get(job.customer, ())) + 1
+            if len(customers[largest]) <= own:
+                return False
+        elif counts[worst] / teams[worst].weight <= mine:
+            return False
         _, item = customers[largest].popitem()
-        self._remove(item)
-        del self._items[item.job.request_id]
-        refusal = verdict.Refusal(
-            verdict.Reason.QUEUE_FULL,
-            detail="The queue filled up with other teams' requests.",
-            retry_after=1.0,
+        self._refuse(
+            item,
+            verdict.Refusal(
+                verdict.Reason.QUEUE_FULL,
+                detail="The queue is full and others have a smaller part.",
+                retry_after=1.0,
+            ),
         )
-        self._refused.append((item.job, refusal))
         return True
 
+    def _promote(self, now: float) -> None:
+        """Finds overnight work that misses its deadline if it waits longer."""
+        active = sum(
+            team.weight
+            for team in self._teams.values()
+            if team.queued or team.running or team.peers_waiting
+        )
+        for pool in self._pools.values():
+            if pool.ready[_OVERNIGHT] or pool.promoted:
+                pool.promoted = frozenset(
+                    name
+                    for name, lane in pool.ready[_OVERNIGHT].items()
+                    if self._is_pressed(pool, lane, active, now)
+                )
+
+    def _is_pressed(
+        self, pool: _Pool, lane: _Lane, active: float, now: float
+    ) -> bool:
+        assert lane.buckets is not None
+        head = lane.head()
+        run = head.estimator.expect(head.job.estimate)
+        slots = pool.fleet_slots / max(1, self._entries)
+        rate = max(1.0, slots * lane.team.weight / active * PROMOTED_PART)
+        work = 0.0
+        for bucket in sorted(lane.buckets):
+            work += lane.buckets[bucket] * run
+            latest = bucket * DEADLINE_BUCKET - work / rate - run
+            if now + PROMOTION_PERIOD >= latest:
+                return True
+        return False
+
+    def _charge_overruns(self, now: float) -> None:
+        """Charges runs that outlast what they were charged for.
+
+        Each time, half of the time run so far is added, so that a run costs
+        a logarithmic number of looks.
+        """
+        overruns = self._overruns
+        while overruns and overruns[0][0] <= now:
+            _, order, item = heapq.heappop(overruns)
+            if self._items.get(item.job.request_id) is item:
+                elapsed = now - item.started
+                self._charge(item, elapsed * 1.5 - item.charged, now)
+                due = item.started + item.charged
+                heapq.heappush(overruns, (due, order, item))
+
     def _scale(self, now: float) -> float:
         """Returns the weight of usage that accrues at `now`.
 
@@ -568,20 +1007,29 @@
         if exponent > _MAX_EXPONENT:
             factor = math.exp(-exponent)
             for team in self._teams.values():
-                team.own *= factor
-                team.remote *= factor
+                team.rescale(factor)
                 self._scores[team.name] *= factor
             for pool in self._pools.values():
-                pool.level *= factor
+                pool.levels = [level * factor for level in pool.levels]
+            for peer in self._peers.values():
+                for name in peer.own_then:
+                    peer.own_then[name] *= factor
             self._epoch = now
             return 1.0
         return math.exp(exponent)
 
-    def _charge(self, team: _Team, seconds: float, now: float) -> None:
+    def _charge(self, item: _Item, seconds: float, now: float) -> None:
+        item.charged += seconds
+        team = item.team
         scale = self._scale(now)
         team.slot_seconds += seconds
         team.own += seconds * scale
-        self._update_score(team, scale)
+        team.cost += (item.charged - team.cost) * _Lane.SMOOTHING
+        if item.job.priority is Priority.URGENT:
+            team.urgent_seconds += seconds
+            team.urgent += seconds * scale
+        if team.name in self._scores:
+            self._scores[team.name] = self._score(team, scale)
 
     def _raise(self, team: _Team, level: float) -> None:
         missing = level - self._scores[team.name]
@@ -589,5 +1037,11 @@
             team.remote += missing * team.weight
             self._scores[team.name] = level
 
-    def _update_score(self, team: _Team, scale: float) -> None:
-        self._scores[team.name] = (team.own + team.remote) / team.weight
+    def _score(self, team: _Team, scale: float) -> float:
+        """Returns usage per share after half of the next run.
+
+        Comparing midpoints is unbiased between teams with long and short
+        runs; comparing usage before the run favours those with long ones.
+        """
+        usage = team.own * (1 + team.peers_waiting) + team.remote
+        return (usage + 0.5 * team.cost * scale) / team.weight
