Add upstream with typed outcomes; frame edge and client strictly

Cause: the edge passed on what h11 accepts (bare LF, folded lines, repeated equal lengths, non-ASCII, absolute targets), parsed requests of callers that had gone, had no time limit for slow readers and closed listeners of other parts on drain; the client called a request on a reused connection lost although no byte of it had left, reused connections without looking for their end, and raised inside the loop on a malformed header. Change: framing parses heads strictly and renders messages; h11 decodes chunked bodies. Edge bounds request bytes and unread answers in all, limits reading time, drains with a grace for idle connections. HttpClient retries an unsent call on a new connection, closes all idle connections after a silent one. Upstream adds the verdicts and header filters.

--- a/clementinewood/edge.py
+++ b/clementinewood/edge.py
@@ -5,15 +5,24 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
-import h11
+from loguru import logger
 
-from clementinewood import timer, transport, verdict
+from clementinewood import framing, timer, transport, verdict
 
-Header = tuple[bytes, bytes]
+Header = framing.Header
 
 SWEEP_PERIOD = 1.0
 """Seconds between checks of connection time limits."""
 
+REQUESTS_PER_TURN = 16
+"""Pipelined requests of one caller served before the loop goes on."""
+
+WRITE_LIMIT = 16 << 20
+"""Above the largest answer, so that no answer is cut for its size alone."""
+
+REFUSALS_AT_ONCE = 64
+"""Connections over the limit that get an answer; more are closed at once."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EdgeLimits:
@@ -23,22 +32,34 @@
         header_bytes: Request line and headers.
         body_bytes: Request body.
         pipelined_bytes: Bytes read ahead while a request is being served.
+        held_bytes: Bytes of incomplete and read-ahead requests of all callers.
+        unsent_bytes: Answer bytes of one caller above which its next request
+            waits.
+        buffered_bytes: Answer bytes of all connections above which a caller
+            that does not read is cut off.
         connections: Open connections in all.
         connections_per_address: Open connections of one peer address.
         request_seconds: Time from the first byte of a request to its last.
+        write_seconds: Time a caller may take to read what was sent.
         idle_seconds: Time a connection may stay open without a request.
+        drain_seconds: Time for a last request on an idle connection.
     """
 
     header_bytes: int = 16384
     body_bytes: int = 1 << 20
     pipelined_bytes: int = 65536
+    held_bytes: int = 32 << 20
+    unsent_bytes: int = 65536
+    buffered_bytes: int = 64 << 20
     connections: int = 4096
     connections_per_address: int = 1024
     request_seconds: float = 10.0
+    write_seconds: float = 30.0
     idle_seconds: float = 60.0
+    drain_seconds: float = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class HttpRequest:
     """A whole, well-framed request.
 
@@ -58,8 +79,10 @@
 
     def find_header(self, name: bytes) -> str | None:
         """Returns the first value of header `name`, in lower case."""
-        value = next((v for n, v in self.headers if n == name), None)
-        return None if value is None else value.decode("latin-1")
+        for found, value in self.headers:
+            if found == name:
+                return value.decode("latin-1")
+        return None
 
 
 class Exchange:
@@ -68,6 +91,10 @@
     Args:
         request: The request.
         on_answer: Sends the answer on the connection.
+
+    Attributes:
+        on_cancel: Set by the handler; called once when the caller has gone
+            before the answer.
     """
 
     __slots__ = ("_on_answer", "answered", "on_cancel", "request")
@@ -85,7 +112,14 @@
     def respond(
         self, status: int, headers: Sequence[Header], body: bytes
     ) -> None:
-        """Answers the request; a second answer is ignored."""
+        """Answers the request; a second answer is ignored.
+
+        Args:
+            status: Final HTTP status code.
+            headers: Headers; framing ones are replaced. `Connection: close`
+                closes the connection after the answer.
+            body: Whole body.
+        """
         if self.answered:
             return
         self.answered = True
@@ -112,16 +146,25 @@
         """Returns status, headers and body of a refusal by the edge."""
 
 
-class _Caller:
-    """One caller's connection."""
+class Caller:
+    """One caller's connection; the receiver of its events.
+
+    Args:
+        edge: The edge that accepted it.
+    """
 
     __slots__ = (
-        "_body",
+        "_body_left",
+        "_body_parts",
+        "_buffer",
+        "_chunked",
+        "_closing",
         "_edge",
         "_head",
-        "_parser",
-        "_size",
-        "_unparsed",
+        "_head_reader",
+        "_held",
+        "_parsing",
+        "_write_deadline",
         "connection",
         "deadline",
         "exchange",
@@ -129,198 +172,314 @@
 
     def __init__(self, edge: "Edge") -> None:
         self._edge = edge
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=edge.limits.header_bytes
-        )
-        self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._size = 0
-        self._unparsed = 0
+        self._head_reader = framing.HeadReader(edge.limits.header_bytes)
+        self._head: framing.RequestHead | None = None
+        self._buffer = b""
+        self._body_parts: list[bytes] = []
+        self._body_left = 0
+        self._chunked: framing.ChunkedBody | None = None
+        self._held = 0
+        self._parsing = False
+        self._closing = False
+        self._write_deadline: float | None = None
         self.connection: transport.Connection | None = None
         self.exchange: Exchange | None = None
         self.deadline = 0.0
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no part of a request is on the connection."""
+        return self.exchange is None and not self._is_receiving
+
+    @property
+    def _is_receiving(self) -> bool:
+        return self._head is not None or bool(self._buffer)
+
     def on_open(self, connection: transport.Connection) -> None:
+        """Starts the time limit of the first request."""
         self.connection = connection
         self.deadline = self._edge.clock() + self._edge.limits.request_seconds
         self._edge.add_caller(self)
 
     def on_data(self, connection: transport.Connection, data: bytes) -> None:
+        """Takes bytes of the current request or of later ones."""
+        if self._closing:
+            return
+        edge = self._edge
+        if self.is_idle:
+            self.deadline = edge.clock() + edge.limits.request_seconds
+        self._buffer = self._buffer + data if self._buffer else data
+        self._parse()
+        if len(self._buffer) > edge.limits.pipelined_bytes:
+            connection.pause_reading()
+
+    def on_drained(self, connection: transport.Connection) -> None:
+        """Goes on with requests that waited for the caller to read."""
+        self._write_deadline = None
+        self._parse()
+
+    def on_closed(self, connection: transport.Connection, reason: str) -> None:
+        """Cancels the request in progress."""
+        self._drop_input()
+        self._count_held()
+        self._edge.remove_caller(self)
         if self.exchange is not None:
-            self._unparsed += len(data)
-            if self._unparsed > self._edge.limits.pipelined_bytes:
-                connection.pause_reading()
-        elif self._head is None and self._parser.trailing_data[0] == b"":
-            self.deadline = (
-                self._edge.clock() + self._edge.limits.request_seconds
-            )
-        self._parser.receive_data(data)
-        if self.exchange is None:
-            self._read_events()
+            self.exchange.cancel()
+
+    def check_time(self, now: float) -> None:
+        """Ends the connection when one of its time limits has passed."""
+        connection = self.connection
+        assert connection is not None
+        if self._write_deadline is not None and now >= self._write_deadline:
+            connection.abort("caller does not read")
+        elif self._closing or self.exchange is not None or now < self.deadline:
+            return
+        elif self._is_receiving:
+            self._refuse(verdict.Reason.REQUEST_TIMEOUT)
+        elif not connection.buffered_bytes:
+            self._close()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is on it.
 
-    def _read_events(self) -> None:
-        """Parses until a request is whole or more bytes are needed."""
+        A request whose bytes are in the kernel already is served.
+        """
+        assert self.connection is not None
+        if self.is_idle and not self.connection.has_input():
+            self._close()
+
+    def _parse(self) -> None:
+        """Serves complete requests until one waits for its answer."""
+        if self._parsing:
+            return
+        self._parsing = True
+        connection, limits = self.connection, self._edge.limits
+        assert connection is not None
+        served = 0
         try:
-            while self.exchange is None:
-                match self._parser.next_event():
-                    case h11.Request() as head:
-                        if not self._accept_head(head):
-                            return
-                    case h11.Data(data=data):
-                        self._size += len(data)
-                        if self._size > self._edge.limits.body_bytes:
-                            self._refuse(verdict.Reason.BODY_TOO_LARGE)
-                            return
-                        self._body.append(bytes(data))
-                    case h11.EndOfMessage():
-                        self._dispatch()
-                    case _:
-                        return
-        except h11.RemoteProtocolError as error:
-            reason = (
+            while (
+                self.exchange is None
+                and not self._closing
+                and connection.is_open
+                and connection.buffered_bytes <= limits.unsent_bytes
+            ):
+                if served == REQUESTS_PER_TURN:
+                    self._edge.timers.subscribe_once(0.0, self._parse)
+                    break
+                if not self._read_request():
+                    break
+                served += 1
+        except framing.TooLargeError:
+            self._refuse(
                 verdict.Reason.HEADERS_TOO_LARGE
-                if error.error_status_hint == 431
-                else verdict.Reason.MALFORMED
+                if self._head is None
+                else verdict.Reason.BODY_TOO_LARGE
             )
-            self._refuse(reason)
+        except framing.FramingError as error:
+            self._refuse(verdict.Reason.MALFORMED, str(error))
+        finally:
+            self._parsing = False
+        self._count_held()
+        if len(self._buffer) <= limits.pipelined_bytes:
+            connection.resume_reading()
+
+    def _read_request(self) -> bool:
+        """Reads one request and dispatches it; False when bytes lack."""
+        if self._head is None and not self._read_head():
+            return False
+        if self._chunked is not None:
+            self._buffer = self._chunked.feed(self._buffer)
+            if not self._chunked.done:
+                return False
+            body = self._chunked.join()
+        elif self._body_left:
+            if not self._read_body():
+                return False
+            body = b"".join(self._body_parts)
+        else:
+            body = b""
+        self._dispatch(body)
+        return True
 
-    def _accept_head(self, head: h11.Request) -> bool:
-        names = [name for name, _ in head.headers]
-        framings = names.count(b"content-length") + names.count(
-            b"transfer-encoding"
-        )
-        if framings > 1 or b"\x00" in head.target:
-            # Two statements of the length invite request smuggling.
-            self._refuse(verdict.Reason.MALFORMED)
+    def _read_head(self) -> bool:
+        data = self._buffer
+        if not data:
             return False
-        length = next(
-            (v for n, v in head.headers if n == b"content-length"), b"0"
-        )
-        if int(length) > self._edge.limits.body_bytes:
-            self._refuse(verdict.Reason.BODY_TOO_LARGE)
+        end = self._head_reader.find_end(data)
+        if end < 0:
             return False
+        head = framing.parse_request_head(data[:end])
+        self._buffer = data[end + 4 :]
         self._head = head
-        self._body = []
-        self._size = 0
-        if self._parser.they_are_waiting_for_100_continue:
-            self._send(
-                self._parser.send(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
-            )
+        if head.chunked:
+            self._chunked = framing.ChunkedBody(self._edge.limits.body_bytes)
+        elif head.length:
+            if head.length > self._edge.limits.body_bytes:
+                raise framing.TooLargeError("body over its limit")
+            self._body_left = head.length
+        has_body = head.chunked or bool(head.length)
+        if head.expects_continue and has_body and not self._buffer:
+            assert self.connection is not None
+            self.connection.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         return True
 
-    def _dispatch(self) -> None:
+    def _read_body(self) -> bool:
+        part = self._buffer[: self._body_left]
+        self._buffer = self._buffer[len(part) :]
+        self._body_left -= len(part)
+        self._body_parts.append(part)
+        return not self._body_left
+
+    def _dispatch(self, body: bytes) -> None:
         head, connection = self._head, self.connection
         assert head is not None and connection is not None
-        request = HttpRequest(
-            head.method.decode("ascii"),
-            head.target.decode("ascii"),
-            tuple(head.headers),
-            b"".join(self._body),
-            connection.peer,
+        self._body_parts = []
+        self._chunked = None
+        exchange = Exchange(
+            HttpRequest(
+                head.method, head.target, head.headers, body, connection.peer
+            ),
+            self._answer,
         )
-        self._unparsed = 0
-        self.exchange = Exchange(request, self._answer)
-        self._edge.dispatch(self.exchange)
+        self.exchange = exchange
+        self._edge.dispatch(exchange)
 
     def _answer(
         self, status: int, headers: Sequence[Header], body: bytes
     ) -> None:
-        connection = self.connection
-        assert connection is not None
+        connection, head, edge = self.connection, self._head, self._edge
+        assert connection is not None and head is not None
         if not connection.is_open:
             return
-        framed = [*headers, (b"content-length", b"%d" % len(body))]
-        if self._edge.draining:
-            framed.append((b"connection", b"close"))
-        send = self._parser.send
-        head_only = self._head is not None and self._head.method == b"HEAD"
-        data = send(h11.Response(status_code=status, headers=framed)) or b""
-        if body and not head_only:
-            data += send(h11.Data(data=body)) or b""
-        data += send(h11.EndOfMessage()) or b""
-        self._send(data)
-        self._head = None
-        if self._parser.our_state is h11.MUST_CLOSE or (
-            self._parser.their_state in (h11.MUST_CLOSE, h11.CLOSED)
-        ):
-            connection.close()
+        close = edge.draining or not head.keep_alive or _asks_close(headers)
+        try:
+            data = framing.render_answer(
+                status,
+                headers,
+                body,
+                close=close,
+                head_only=head.method == "HEAD",
+            )
+        except framing.FramingError as error:
+            edge.record_failure(f"answer can't be sent: {error}")
+            close = True
+            data = edge.render_refused(
+                _INTERNAL, head_only=head.method == "HEAD"
+            )
+        connection.send(data)
+        if not connection.is_open:
             return
-        self._parser.start_next_cycle()
+        self._limit_unread()
+        self._head = None
         self.exchange = None
-        self.deadline = self._edge.clock() + self._edge.limits.idle_seconds
-        connection.resume_reading()
-        if self._parser.trailing_data[0]:
-            # A further request may be waiting; parsed from the loop, so that
-            # many pipelined requests do not nest calls.
-            self._edge.timers.subscribe_once(0.0, self._read_events)
-
-    def _refuse(self, reason: verdict.Reason) -> None:
-        """Answers a request that can't be served, then closes."""
-        connection = self.connection
-        assert connection is not None
-        status, headers, body = self._edge.render_refusal(reason)
-        self.exchange = _CLOSED
-        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            framed = [
-                *headers,
-                (b"content-length", b"%d" % len(body)),
-                (b"connection", b"close"),
-            ]
-            response = h11.Response(status_code=status, headers=framed)
-            data = self._parser.send(response) or b""
-            data += self._parser.send(h11.Data(data=body)) or b""
-            data += self._parser.send(h11.EndOfMessage()) or b""
-            self._send(data)
-        connection.close()
+        if close:
+            self._close()
+            return
+        now = edge.clock()
+        if self._buffer:
+            self.deadline = now + edge.limits.request_seconds
+            self._parse()
+        else:
+            self.deadline = now + edge.limits.idle_seconds
 
-    def _send(self, data: bytes | None) -> None:
-        if data and self.connection is not None:
-            self.connection.send(data)
+    def _refuse(self, reason: verdict.Reason, detail: str = "") -> None:
+        """Answers a request that can't be served, then closes."""
+        assert self.connection is not None
+        self.connection.send(
+            self._edge.render_refused(
+                verdict.Refusal(reason, detail=detail),
+                head_only=self._head is not None
+                and self._head.method == "HEAD",
+            )
+        )
+        self._limit_unread()
+        self._close()
 
-    def check_time(self, now: float) -> None:
-        """Ends the connection when its time limit has passed."""
-        if self.exchange is not None or now < self.deadline:
+    def _limit_unread(self) -> None:
+        """Bounds the time and the memory that unread answers may take."""
+        connection, edge = self.connection, self._edge
+        assert connection is not None
+        if not connection.buffered_bytes:
             return
+        if edge.is_over_buffer_limit():
+            connection.abort("answer buffers over their limit")
+        elif self._write_deadline is None:
+            self._write_deadline = edge.clock() + edge.limits.write_seconds
+
+    def _close(self) -> None:
+        self._drop_input()
         assert self.connection is not None
-        if self._head is not None or self._parser.trailing_data[0]:
-            self._refuse(verdict.Reason.REQUEST_TIMEOUT)
-        else:
-            self.connection.close()
+        self.connection.close()
+
+    def _drop_input(self) -> None:
+        self._closing = True
+        self._buffer = b""
+        self._body_parts = []
+        self._chunked = None
+
+    def _count_held(self) -> None:
+        held = len(self._buffer)
+        if self._body_parts and self._head is not None:
+            held += (self._head.length or 0) - self._body_left
+        if self._chunked is not None:
+            held += self._chunked.size
+        if held != self._held:
+            change, self._held = held - self._held, held
+            if self._edge.is_over_held_limit(change) and self.exchange is None:
+                self._refuse(verdict.Reason.TOO_MANY_CONNECTIONS)
+                self._count_held()
+
+
+class _Refused:
+    """A connection over the limits: answered at once and closed."""
 
-    def close_if_idle(self) -> None:
-        """Closes the connection unless a request is on it."""
-        if self.exchange is None and self._head is None:
-            assert self.connection is not None
-            self.connection.close()
+    def __init__(self, edge: "Edge") -> None:
+        self._edge = edge
+
+    def on_open(self, connection: transport.Connection) -> None:
+        refusal = verdict.Refusal(verdict.Reason.TOO_MANY_CONNECTIONS)
+        connection.send(self._edge.render_refused(refusal))
+        connection.close()
+
+    def on_data(self, connection: transport.Connection, data: bytes) -> None:
+        pass
 
     def on_drained(self, connection: transport.Connection) -> None:
         pass
 
     def on_closed(self, connection: transport.Connection, reason: str) -> None:
-        self._edge.remove_caller(self)
-        if self.exchange is not None:
-            self.exchange.cancel()
+        self._edge.refused_open -= 1
 
 
-_CLOSED = Exchange(
-    HttpRequest("", "", (), b"", ("", 0)), lambda status, headers, body: None
+def _asks_close(headers: Sequence[Header]) -> bool:
+    return any(
+        name == b"connection" and b"close" in framing.list_tokens(value)
+        for name, value in headers
+    )
+
+
+_INTERNAL = verdict.Refusal(
+    verdict.Reason.INTERNAL, verdict.Execution.MAY_HAVE_RUN
 )
-_CLOSED.answered = True
 
 
 class Edge:
     """Accepts callers' connections and passes whole requests on.
 
     circuits.web alone loses pipelined requests, accepts a negative
-    Content-Length and bounds nothing, so h11 frames requests here.
+    Content-Length and bounds nothing, so requests are framed here.
 
     Args:
         sockets: Owns the sockets.
         timers: Timer service for time limits.
         handler: Serves the requests.
         limits: Bounds on what callers may hold.
+        clock: Source of monotonic time in seconds.
+
+    Attributes:
+        draining: Whether answers close their connections.
+        failures: Handler errors so far.
+        refused_open: Connections over the limits that are being refused.
     """
 
     def __init__(
@@ -336,45 +495,106 @@
         self.timers = timers
         self.clock = clock
         self.draining = False
+        self.failures = 0
+        self.refused_open = 0
         self._sockets = sockets
         self._handler = handler
-        self._callers: set[_Caller] = set()
+        self._callers: set[Caller] = set()
         self._per_address: dict[str, int] = {}
-        timers.subscribe_every(SWEEP_PERIOD, self._sweep)
+        self._addresses: list[tuple[str, int]] = []
+        self._held_bytes = 0
+        self._on_drained: Callable[[], None] | None = None
+        self._sweeps = timers.subscribe_every(SWEEP_PERIOD, self._sweep)
 
     @property
     def connections(self) -> int:
         """Open connections."""
         return len(self._callers)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of incomplete and read-ahead requests."""
+        return self._held_bytes
+
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         """Accepts callers on `address` and returns the address bound."""
-        return self._sockets.listen(address, self._accept)
+        bound = self._sockets.listen(
+            address, self.accept, write_limit=WRITE_LIMIT
+        )
+        self._addresses.append(bound)
+        return bound
+
+    def accept(self, peer: tuple[str, int]) -> transport.Receiver | None:
+        """Returns the receiver of a new connection, or None to refuse it."""
+        limits = self.limits
+        if (
+            len(self._callers) < limits.connections
+            and self._per_address.get(peer[0], 0)
+            < limits.connections_per_address
+        ):
+            return Caller(self)
+        if self.refused_open >= REFUSALS_AT_ONCE:
+            return None
+        self.refused_open += 1
+        return _Refused(self)
 
-    def start_drain(self) -> None:
-        """Closes idle connections; later answers close theirs."""
+    def start_drain(self, on_drained: Callable[[], None] | None = None) -> None:
+        """Stops accepting and finishes what is in progress.
+
+        Idle connections stay for `drain_seconds`, since a request may be on
+        its way on them; it is answered with `Connection: close`.
+
+        Args:
+            on_drained: Called once, when no connection is left.
+        """
+        if self.draining:
+            return
         self.draining = True
-        for caller in list(self._callers):
-            caller.close_if_idle()
+        self._on_drained = on_drained
+        for address in self._addresses:
+            self._sockets.close_listener(address)
+        self.timers.subscribe_once(self.limits.drain_seconds, self._close_idle)
 
     def dispatch(self, exchange: Exchange) -> None:
         """Passes a whole request to the handler."""
-        self._handler.handle_exchange(exchange)
+        try:
+            self._handler.handle_exchange(exchange)
+        except Exception:
+            logger.exception("request handler failed")
+            self.failures += 1
+            exchange.respond(*self._handler.render_refusal(_INTERNAL))
+
+    def record_failure(self, message: str) -> None:
+        """Counts and logs a fault of the handler."""
+        self.failures += 1
+        logger.error(message)
+
+    def render_refused(
+        self, refusal: verdict.Refusal, *, head_only: bool = False
+    ) -> bytes:
+        """Renders a refusal by the edge itself, which ends the connection."""
+        status, headers, body = self._handler.render_refusal(refusal)
+        return framing.render_answer(
+            status, headers, body, close=True, head_only=head_only
+        )
 
-    def render_refusal(
-        self, reason: verdict.Reason
-    ) -> tuple[int, Sequence[Header], bytes]:
-        """Renders a refusal by the edge itself."""
-        return self._handler.render_refusal(verdict.Refusal(reason))
+    def is_over_held_limit(self, change: int) -> bool:
+        """Counts request bytes; True when a growth goes over the limit."""
+        self._held_bytes += change
+        return change > 0 and self._held_bytes > self.limits.held_bytes
 
-    def add_caller(self, caller: _Caller) -> None:
+    def is_over_buffer_limit(self) -> bool:
+        """Whether unread answers of all connections are over their limit."""
+        return self._sockets.buffered_bytes > self.limits.buffered_bytes
+
+    def add_caller(self, caller: Caller) -> None:
         """Counts an open connection."""
         assert caller.connection is not None
         self._callers.add(caller)
         host = caller.connection.peer[0]
         self._per_address[host] = self._per_address.get(host, 0) + 1
 
-    def remove_caller(self, caller: _Caller) -> None:
+    def remove_caller(self, caller: Caller) -> None:
         """Forgets a closed connection."""
         if caller not in self._callers:
             return
@@ -384,14 +604,17 @@
         self._per_address[host] -= 1
         if not self._per_address[host]:
             del self._per_address[host]
+        self._report_drained()
 
-    def _accept(self, peer: tuple[str, int]) -> _Caller | None:
-        if len(self._callers) >= self.limits.connections:
-            return None
-        used = self._per_address.get(peer[0], 0)
-        if used >= self.limits.connections_per_address:
-            return None
-        return _Caller(self)
+    def _close_idle(self) -> None:
+        for caller in list(self._callers):
+            caller.close_if_idle()
+        self._report_drained()
+
+    def _report_drained(self) -> None:
+        if self.draining and not self._callers and self._on_drained:
+            on_drained, self._on_drained = self._on_drained, None
+            on_drained()
 
     def _sweep(self) -> None:
         now = self.clock()
--- a/clementinewood/httpclient.py
+++ b/clementinewood/httpclient.py
@@ -1,20 +1,25 @@
-"""HTTP/1.1 client connections on the circuits loop, framed by h11."""
+"""HTTP/1.1 client connections on the circuits loop."""
 
 import collections
 import dataclasses
 from collections.abc import Callable, Sequence
 
-import h11
+from clementinewood import framing, timer, transport
 
-from clementinewood import timer, transport
-
-Header = tuple[bytes, bytes]
+Header = framing.Header
 
 MAX_ANSWER_BYTES = 8 << 20
 """Answers are passed on only when whole, so a whole one must fit."""
 
+MAX_HEAD_BYTES = 32768
+WRITE_LIMIT = 4 << 20
+"""Above the largest request, so that none is cut for its size alone."""
 
-@dataclasses.dataclass(frozen=True, slots=True)
+MAX_INFORMATIONAL = 8
+"""Interim (1xx) answers accepted before the final one."""
+
+
+@dataclasses.dataclass(slots=True)
 class Answer:
     """A whole answer.
 
@@ -30,7 +35,10 @@
 
     def find_header(self, name: bytes) -> bytes | None:
         """Returns the first value of header `name`, in lower case."""
-        return next((v for n, v in self.headers if n == name), None)
+        for found, value in self.headers:
+            if found == name:
+                return value
+        return None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,39 +72,26 @@
 
     Args:
         method: HTTP method.
-        target: Origin-form request target.
-        headers: Headers without framing ones.
-        body: Whole body.
+        data: The whole request as sent.
         on_result: Called once with the outcome unless cancelled.
     """
 
     __slots__ = (
         "_done",
         "_on_result",
-        "body",
+        "channel",
+        "data",
         "deadline",
-        "headers",
         "method",
-        "on_cancel",
-        "target",
     )
 
-    def __init__(
-        self,
-        method: str,
-        target: str,
-        headers: Sequence[Header],
-        body: bytes,
-        on_result: OnResult,
-    ) -> None:
+    def __init__(self, method: str, data: bytes, on_result: OnResult) -> None:
         self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
+        self.data = data
         self._on_result = on_result
         self._done = False
         self.deadline: timer.Subscription | None = None
-        self.on_cancel: Callable[[], None] | None = None
+        self.channel: _Channel | None = None
 
     @property
     def done(self) -> bool:
@@ -105,129 +100,169 @@
 
     def finish(self, result: Result) -> None:
         """Reports the outcome, once."""
-        if self._done:
-            return
-        self._done = True
-        if self.deadline is not None:
-            self.deadline.cancel()
-        self._on_result(result)
+        if self._end():
+            self._on_result(result)
 
     def cancel(self) -> None:
         """Ends the call without an outcome and closes its connection."""
+        if self._end() and self.channel is not None:
+            self.channel.cancel_call()
+
+    def _end(self) -> bool:
         if self._done:
-            return
+            return False
         self._done = True
         if self.deadline is not None:
             self.deadline.cancel()
-        if self.on_cancel is not None:
-            self.on_cancel()
+        return True
 
 
 class _Channel:
     """One connection that carries one call at a time."""
 
     __slots__ = (
-        "_body",
+        "_body_parts",
+        "_buffer",
+        "_chunked",
+        "_client",
         "_head",
-        "_parser",
-        "_size",
+        "_head_reader",
+        "_informational",
+        "_is_used",
+        "_left",
+        "_sent_before",
         "call",
-        "client",
         "connection",
-        "request_sent",
+        "last_received",
     )
 
     def __init__(self, client: "HttpClient", call: Call) -> None:
-        self.client = client
+        self._client = client
+        self._sent_before = 0
+        self._is_used = False
+        self._head_reader = framing.HeadReader(MAX_HEAD_BYTES)
         self.call: Call | None = call
         self.connection: transport.Connection | None = None
-        self.request_sent = False
-        self._parser = h11.Connection(h11.CLIENT)
-        self._head: h11.Response | None = None
-        self._body: list[bytes] = []
-        self._size = 0
+        self.last_received = 0.0
+        self._reset()
+
+    def _reset(self) -> None:
+        self._buffer = b""
+        self._head: framing.AnswerHead | None = None
+        self._body_parts: list[bytes] = []
+        self._left = 0
+        self._chunked: framing.ChunkedBody | None = None
+        self._informational = 0
+
+    @property
+    def has_sent(self) -> bool:
+        """Whether a byte of the current request may have left."""
+        connection = self.connection
+        return (
+            connection is not None and connection.sent_bytes > self._sent_before
+        )
 
     def start_call(self, call: Call) -> None:
         """Sends `call` on this idle, open connection."""
         self.call = call
+        self._is_used = True
+        call.channel = self
         self._send_request()
 
     def on_open(self, connection: transport.Connection) -> None:
-        self._send_request()
+        """Sends the request that the connection was opened for."""
+        self.last_received = self._client.clock()
+        if self.call is None:
+            connection.abort("cancelled")
+        else:
+            self._send_request()
 
     def _send_request(self) -> None:
-        call = self.call
-        assert call is not None and self.connection is not None
-        self._head = None
-        self._body = []
-        self._size = 0
-        self.request_sent = False
-        headers = [(b"host", self.client.host), *call.headers]
-        if call.body or call.method in ("POST", "PUT", "PATCH"):
-            headers.append((b"content-length", b"%d" % len(call.body)))
-        send = self._parser.send
-        data = send(
-            h11.Request(method=call.method, target=call.target, headers=headers)
-        )
-        assert data is not None
-        if call.body:
-            data += send(h11.Data(data=call.body)) or b""
-        data += send(h11.EndOfMessage()) or b""
-        before = self.connection.sent_bytes
-        self.connection.send(data)
-        self.request_sent = self.connection.sent_bytes > before
+        call, connection = self.call, self.connection
+        assert call is not None and connection is not None
+        self._reset()
+        self._sent_before = connection.sent_bytes
+        connection.send(call.data)
 
     def on_data(self, connection: transport.Connection, data: bytes) -> None:
+        """Takes bytes of the answer."""
+        self.last_received = self._client.clock()
         if self.call is None:
             # Bytes that answer no request would be taken for the answer to
             # the next one.
             connection.abort("unexpected bytes")
             return
+        self._buffer = self._buffer + data if self._buffer else data
         try:
-            self._parser.receive_data(data)
-            self._read_events()
-        except h11.RemoteProtocolError as error:
+            if self._read_answer():
+                self._complete()
+        except framing.FramingError as error:
             self._fail(
                 Lost(f"malformed answer: {error}", invalid=True), "malformed"
             )
 
-    def _read_events(self) -> None:
-        while True:
-            match self._parser.next_event():
-                case h11.Response() as head:
-                    self._head = head
-                case h11.Data(data=data):
-                    self._size += len(data)
-                    if self._size > MAX_ANSWER_BYTES:
-                        self._fail(
-                            Lost("answer too large", invalid=True), "too large"
-                        )
-                        return
-                    self._body.append(bytes(data))
-                case h11.EndOfMessage():
-                    self._complete()
-                    return
-                case h11.InformationalResponse():
-                    continue
-                case _:
-                    return
+    def _read_answer(self) -> bool:
+        """Reads what has arrived; True when the answer is whole."""
+        while self._head is None:
+            end = self._head_reader.find_end(self._buffer)
+            if end < 0:
+                return False
+            head = framing.parse_answer_head(self._buffer[:end])
+            self._buffer = self._buffer[end + 4 :]
+            if head.status >= 200:
+                self._start_body(head)
+            else:
+                self._informational += 1
+                if (
+                    head.status == 101
+                    or self._informational > MAX_INFORMATIONAL
+                ):
+                    raise framing.FramingError("unexpected interim answer")
+        if self._chunked is not None:
+            self._buffer = self._chunked.feed(self._buffer)
+            return self._chunked.done
+        if self._left:
+            part = self._buffer[: self._left]
+            self._buffer = self._buffer[len(part) :]
+            self._left -= len(part)
+            self._body_parts.append(part)
+        return not self._left
+
+    def _start_body(self, head: framing.AnswerHead) -> None:
+        assert self.call is not None
+        self._head = head
+        if self.call.method == "HEAD" or head.status in (204, 304):
+            return
+        if head.chunked:
+            self._chunked = framing.ChunkedBody(MAX_ANSWER_BYTES)
+        elif head.length is None:
+            # Its end can't be told from a cut connection.
+            raise framing.FramingError("answer without a length")
+        elif head.length > MAX_ANSWER_BYTES:
+            raise framing.TooLargeError("answer too large")
+        else:
+            self._left = head.length
 
     def _complete(self) -> None:
-        call, head = self.call, self._head
+        call, head, connection = self.call, self._head, self.connection
         assert call is not None and head is not None
-        answer = Answer(
-            head.status_code, tuple(head.headers), b"".join(self._body)
+        assert connection is not None
+        body = (
+            self._chunked.join()
+            if self._chunked is not None
+            else b"".join(self._body_parts)
         )
-        self.call = None
-        trailing, _ = self._parser.trailing_data
         reusable = (
-            self._parser.our_state is h11.DONE
-            and self._parser.their_state is h11.DONE
-            and not trailing
+            head.keep_alive
+            and connection.is_open
+            and not self._buffer
+            and not connection.buffered_bytes
         )
-        if reusable:
-            self._parser.start_next_cycle()
-        self.client.release_channel(self, reusable=reusable)
+        self.call = None
+        call.channel = None
+        self._reset()
+        answer = Answer(head.status, head.headers, body)
+        self._client.release_channel(self, reusable=reusable)
         call.finish(answer)
 
     def _fail(self, result: Result, reason: str) -> None:
@@ -235,14 +270,23 @@
         if self.connection is not None:
             self.connection.abort(reason)
         if call is not None:
+            call.channel = None
             call.finish(result)
 
     def time_out(self) -> None:
         """Ends the call in progress when its time is over."""
-        if not self.request_sent:
-            self._fail(NotSent("timed out before it was sent"), "timed out")
+        if self.has_sent:
+            self._client.suspect_idle()
+            self._fail(
+                Lost(
+                    "no whole answer in time",
+                    timed_out=True,
+                    invalid=self._head is not None,
+                ),
+                "timed out",
+            )
         else:
-            self._fail(Lost("no answer in time", timed_out=True), "timed out")
+            self._fail(NotSent("timed out before it was sent"), "timed out")
 
     def cancel_call(self) -> None:
         """Closes the connection, since its answer is not wanted."""
@@ -251,35 +295,24 @@
             self.connection.abort("cancelled")
 
     def on_drained(self, connection: transport.Connection) -> None:
-        self.request_sent = True
+        """Nothing to do: a request is buffered whole."""
 
     def on_closed(self, connection: transport.Connection, reason: str) -> None:
-        self.client.forget_channel(self)
+        """Reports the outcome of the call that was on the connection."""
         call, self.call = self.call, None
+        if call is not None and self._is_used and not self.has_sent:
+            # The server closed an idle connection; nothing was sent on it.
+            self._client.forget_channel(self, unsent=call)
+            return
+        self._client.forget_channel(self)
         if call is None:
             return
-        if not self.request_sent and connection.sent_bytes == 0:
+        call.channel = None
+        if self.has_sent:
+            partial = self._head is not None or bool(self._buffer)
+            call.finish(Lost(reason, invalid=partial))
+        else:
             call.finish(NotSent(reason))
-            return
-        if self._ends_at_close():
-            assert self._head is not None
-            call.finish(
-                Answer(
-                    self._head.status_code,
-                    tuple(self._head.headers),
-                    b"".join(self._body),
-                )
-            )
-            return
-        call.finish(Lost(reason, invalid=self._head is not None))
-
-    def _ends_at_close(self) -> bool:
-        """Whether the end of the connection ends the answer, as framed.
-
-        An answer without a length can't be told from a short one, so it is
-        never passed on as whole.
-        """
-        return False
 
 
 class HttpClient:
@@ -290,7 +323,12 @@
         timers: Ends calls at their time limit.
         address: IP address and port of the server.
         max_connections: Connections open at a time; further calls wait.
+        max_waiting: Calls that may wait for a connection.
         idle_limit: Idle connections kept open.
+        idle_seconds: Age at which an idle connection is not used again; below
+            the idle limit of servers, which may be closing it by then.
+        careful_seconds: The same for calls that must not meet a closing
+            connection (`reuse_careful`).
         connect_timeout: Seconds for one connection attempt.
     """
 
@@ -301,13 +339,20 @@
         address: tuple[str, int],
         *,
         max_connections: int = 64,
+        max_waiting: int = 1024,
         idle_limit: int = 16,
+        idle_seconds: float = 30.0,
+        careful_seconds: float = 5.0,
         connect_timeout: float = 1.0,
     ) -> None:
         self.address = address
         self.host = f"{address[0]}:{address[1]}".encode()
         self.max_connections = max_connections
+        self.clock = timers.clock
+        self._max_waiting = max_waiting
         self._idle_limit = idle_limit
+        self._idle_seconds = idle_seconds
+        self._careful_seconds = careful_seconds
         self._connect_timeout = connect_timeout
         self._sockets = sockets
         self._timers = timers
@@ -320,6 +365,11 @@
         """Connections open or being opened."""
         return len(self._channels)
 
+    @property
+    def idle_connections(self) -> int:
+        """Open connections that carry no call."""
+        return len(self._idle)
+
     def send(
         self,
         method: str,
@@ -329,68 +379,130 @@
         *,
         timeout: float,
         on_result: OnResult,
+        reuse_careful: bool = False,
     ) -> Call:
         """Sends one request.
 
         Args:
             method: HTTP method.
             target: Origin-form request target.
-            headers: Headers without Host and framing headers.
+            headers: Headers; Host and framing headers are replaced.
             body: Whole body.
             timeout: Seconds until the attempt is given up.
-            on_result: Called once with the outcome.
+            on_result: Called once with the outcome, never before `send` has
+                returned.
+            reuse_careful: Whether to use only a connection that was active a
+                moment ago, so that the server is hardly closing it.
 
         Returns:
             The call, which can be cancelled.
         """
-        call = Call(method, target, headers, body, on_result)
+        try:
+            data = framing.render_request(
+                method, target, self.host, headers, body
+            )
+        except framing.FramingError as error:
+            return self._fail_soon(method, on_result, str(error))
+        call = Call(method, data, on_result)
         call.deadline = self._timers.subscribe_once(
             timeout, lambda: self._time_out(call)
         )
-        if self._idle:
-            self._assign(self._idle.pop(), call)
-        elif len(self._channels) < self.max_connections:
-            self._open_channel(call)
-        else:
-            self._waiting.append(call)
+        if not self._start(call, careful=reuse_careful):
+            if len(self._waiting) < self._max_waiting:
+                self._waiting.append(call)
+            else:
+                call.deadline.cancel()
+                return self._fail_soon(method, on_result, "too many calls wait")
         return call
 
     def close(self) -> None:
         """Closes every connection; calls in progress fail."""
+        waiting, self._waiting = self._waiting, collections.deque()
         for channel in list(self._channels):
             if channel.connection is not None:
                 channel.connection.abort("client closed")
+        for call in waiting:
+            call.finish(NotSent("client closed"))
 
     def close_idle(self) -> None:
         """Closes connections that carry no call."""
         idle, self._idle = self._idle, []
         for channel in idle:
-            if channel.connection is not None:
-                channel.connection.abort("idle")
+            assert channel.connection is not None
+            channel.connection.abort("idle")
+
+    def suspect_idle(self) -> None:
+        """Closes idle connections after one was silent.
+
+        Whatever silenced one connection (a lost route, a restarted host) may
+        have silenced every connection that was open then. One in use proves
+        itself by its answer; an idle one would cost the next call its whole
+        time limit.
+        """
+        self.close_idle()
 
     def release_channel(self, channel: _Channel, *, reusable: bool) -> None:
         """Takes back a connection whose call has its answer."""
+        assert channel.connection is not None
         if not reusable:
-            if channel.connection is not None:
-                channel.connection.abort("not reusable")
+            channel.connection.abort("not reusable")
             return
         call = self._pop_waiting()
         if call is not None:
-            self._assign(channel, call)
+            channel.start_call(call)
         elif len(self._idle) < self._idle_limit:
             self._idle.append(channel)
-        elif channel.connection is not None:
+        else:
             channel.connection.abort("enough idle connections")
 
-    def forget_channel(self, channel: _Channel) -> None:
-        """Drops a closed connection and serves a waiting call."""
+    def forget_channel(
+        self, channel: _Channel, *, unsent: Call | None = None
+    ) -> None:
+        """Drops a closed connection and serves a waiting call.
+
+        Args:
+            channel: The closed connection.
+            unsent: Its call, when no byte of it left and the connection was
+                a used one; it gets a new connection.
+        """
         self._channels.discard(channel)
         if channel in self._idle:
             self._idle.remove(channel)
-        call = self._pop_waiting()
+        call = unsent or self._pop_waiting()
         if call is not None:
             self._open_channel(call)
 
+    def _start(self, call: Call, *, careful: bool) -> bool:
+        channel = self._take_idle(careful=careful)
+        if channel is not None:
+            channel.start_call(call)
+            return True
+        if len(self._channels) >= self.max_connections and self._idle:
+            oldest = self._idle.pop(0)
+            assert oldest.connection is not None
+            oldest.connection.abort("replaced by a new connection")
+        if len(self._channels) >= self.max_connections:
+            return False
+        self._open_channel(call)
+        return True
+
+    def _take_idle(self, *, careful: bool) -> _Channel | None:
+        """Returns the idle connection used last, if it is good to use."""
+        now = self.clock()
+        while self._idle:
+            channel = self._idle[-1]
+            connection = channel.connection
+            assert connection is not None
+            age = now - channel.last_received
+            if age <= self._idle_seconds and not connection.has_input():
+                if careful and age > self._careful_seconds:
+                    return None
+                return self._idle.pop()
+            # Input on an idle connection is its end, or bytes that would be
+            # taken for the answer to the next request.
+            connection.abort("idle for too long or closing")
+        return None
+
     def _pop_waiting(self) -> Call | None:
         while self._waiting:
             call = self._waiting.popleft()
@@ -398,24 +510,27 @@
                 return call
         return None
 
-    def _assign(self, channel: _Channel, call: Call) -> None:
-        call.on_cancel = channel.cancel_call
-        channel.start_call(call)
-
     def _open_channel(self, call: Call) -> None:
         channel = _Channel(self, call)
         self._channels.add(channel)
-        call.on_cancel = channel.cancel_call
+        call.channel = channel
         channel.connection = self._sockets.connect(
-            self.address, channel, timeout=self._connect_timeout
+            self.address,
+            channel,
+            timeout=self._connect_timeout,
+            write_limit=WRITE_LIMIT,
         )
 
+    def _fail_soon(self, method: str, on_result: OnResult, detail: str) -> Call:
+        call = Call(method, b"", on_result)
+        self._timers.subscribe_once(0.0, lambda: call.finish(NotSent(detail)))
+        return call
+
     def _time_out(self, call: Call) -> None:
-        for channel in self._channels:
-            if channel.call is call:
-                channel.time_out()
-                return
-        call.finish(NotSent("timed out while waiting for a connection"))
+        if call.channel is not None:
+            call.channel.time_out()
+        else:
+            call.finish(NotSent("timed out while waiting for a connection"))
 
 
 if __name__ == "__main__":
--- a/clementinewood/minion.py
+++ b/clementinewood/minion.py
@@ -128,7 +128,9 @@
     def listen(
         self,
         address: tuple[str, int],
-        accept: Callable[[tuple[str, int]], transport.Receiver | None],
+        accept: transport.Accept,
+        *,
+        write_limit: int,
     ) -> tuple[str, int]:
         def wrap(peer: tuple[str, int]) -> transport.Receiver | None:
             receiver = accept(peer)
@@ -136,7 +138,14 @@
                 return None
             return _FaultyConnection(self._minion, receiver)
 
-        return self._sockets.listen(address, wrap)
+        return self._sockets.listen(address, wrap, write_limit=write_limit)
+
+    def close_listener(self, address: tuple[str, int]) -> None:
+        self._sockets.close_listener(address)
+
+    @property
+    def buffered_bytes(self) -> int:
+        return self._sockets.buffered_bytes
 
 
 class Minion:
--- a/clementinewood/transport.py
+++ b/clementinewood/transport.py
@@ -22,6 +22,7 @@
 LINGER_BYTES = 1 << 20
 """Input discarded after a close, so that no reset destroys the last answer."""
 
+MAX_BACKLOG = 1024
 ACCEPTS_PER_EVENT = 64
 ACCEPT_RETRY_SECONDS = 0.1
 """Pause after descriptors ran out; the listener would be ready all the time."""
@@ -354,9 +355,14 @@
     """One listening socket."""
 
     def __init__(
-        self, transport: "Transport", sock: socket.socket, accept: Accept
+        self,
+        transport: "Transport",
+        sock: socket.socket,
+        accept: Accept,
+        write_limit: int,
     ) -> None:
         self.sock = sock
+        self._write_limit = write_limit
         self.address: tuple[str, int] = sock.getsockname()
         self._transport = transport
         self._accept = accept
@@ -365,7 +371,12 @@
         """Keeps the listener; one failed `accept` must not end service."""
 
     def handle_events(self, events: int) -> None:
-        for _ in range(ACCEPTS_PER_EVENT):
+        """Accepts connections; the rest waits for the next poll."""
+        self.accept_waiting(ACCEPTS_PER_EVENT)
+
+    def accept_waiting(self, count: int) -> None:
+        """Accepts up to `count` connections."""
+        for _ in range(count):
             try:
                 sock, peer = self.sock.accept()
             except BlockingIOError:
@@ -385,7 +396,7 @@
                 sock.close()
                 continue
             sock.setblocking(False)
-            self._transport.adopt(sock, receiver, peer)
+            self._transport.adopt(sock, receiver, peer, self._write_limit)
 
 
 class Transport(circuits.BaseComponent):
@@ -424,7 +435,8 @@
         address: tuple[str, int],
         accept: Accept,
         *,
-        backlog: int = 1024,
+        backlog: int = MAX_BACKLOG,
+        write_limit: int = DEFAULT_WRITE_LIMIT,
     ) -> tuple[str, int]:
         """Accepts connections on `address`.
 
@@ -432,6 +444,7 @@
             address: IP address and port; port 0 picks a free one.
             accept: Returns the receiver for a peer address, or None to refuse.
             backlog: Connections that may wait in the kernel.
+            write_limit: Bytes that may be buffered for a slow peer.
 
         Returns:
             The address bound.
@@ -448,7 +461,7 @@
         except OSError:
             sock.close()
             raise
-        listener = _Listener(self, sock, accept)
+        listener = _Listener(self, sock, accept, write_limit)
         self._listeners.append(listener)
         self._poll_listener(listener)
         return listener.address
@@ -462,7 +475,10 @@
         for listener in self._listeners[:]:
             if listener.address == address:
                 self._listeners.remove(listener)
-                self._guard(listener, select.EPOLLIN)
+                try:
+                    listener.accept_waiting(MAX_BACKLOG)
+                except Exception:
+                    self._record_failure(listener)
                 if self._polled.pop(listener.sock.fileno(), None):
                     self._epoll.unregister(listener.sock)
                 self._dispose(listener.sock)
@@ -523,10 +539,21 @@
         os.close(self._wake_write)
 
     def adopt(
-        self, sock: socket.socket, receiver: Receiver, peer: tuple[str, int]
+        self,
+        sock: socket.socket,
+        receiver: Receiver,
+        peer: tuple[str, int],
+        write_limit: int,
     ) -> None:
         """Takes over an accepted socket."""
-        connection = Connection(self, sock, receiver, peer=peer, accepted=True)
+        connection = Connection(
+            self,
+            sock,
+            receiver,
+            peer=peer,
+            write_limit=write_limit,
+            accepted=True,
+        )
         self._connections.add(connection)
         try:
             connection.open()
--- /dev/null
+++ b/clementinewood/upstream.py
@@ -0,0 +1,265 @@
+"""HTTP/1.1 requests to one minion, with a true verdict on each."""
+
+import dataclasses
+import math
+from collections.abc import Callable, Sequence
+
+from clementinewood import (
+    framing,
+    httpclient,
+    identifiers,
+    timer,
+    transport,
+    verdict,
+)
+
+Header = framing.Header
+
+CONTROL_HEADERS = frozenset(
+    (
+        b"x-customer",
+        b"x-deadline-ms",
+        b"x-execution",
+        b"x-idempotent",
+        b"x-priority",
+        b"x-request-id",
+        b"x-run-limit-ms",
+        b"x-start-before",
+    )
+)
+"""Fields between callers, entries and minions; never copied across."""
+
+_NOT_FORWARDED = (
+    framing.HOP_BY_HOP
+    | CONTROL_HEADERS
+    | {b"authorization", b"content-length", b"expect", b"host"}
+)
+"""`Authorization` holds the caller's key to the entry, so it stays here."""
+
+_NOT_RETURNED = framing.HOP_BY_HOP | CONTROL_HEADERS | {b"content-length"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The minion ran the request and gave a whole answer to it.
+
+    Attributes:
+        answer: The answer, without hop-by-hop and control headers.
+        execution: RAN, or MAY_HAVE_RUN when the minion said so.
+    """
+
+    answer: httpclient.Answer
+    execution: verdict.Execution = verdict.Execution.RAN
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request has left; it did not run."""
+
+    detail: str
+    execution: verdict.Execution = verdict.Execution.NOT_RUN
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The minion said that it did not run the request."""
+
+    detail: str
+    execution: verdict.Execution = verdict.Execution.NOT_RUN
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """The connection ended without an answer; it may have run."""
+
+    detail: str
+    execution: verdict.Execution = verdict.Execution.MAY_HAVE_RUN
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimedOut:
+    """No whole answer came in time; it may have run."""
+
+    detail: str
+    execution: verdict.Execution = verdict.Execution.MAY_HAVE_RUN
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Invalid:
+    """The answer was short, malformed or another request's; may have run."""
+
+    detail: str
+    execution: verdict.Execution = verdict.Execution.MAY_HAVE_RUN
+
+
+Outcome = Answered | NotSent | Refused | Lost | TimedOut | Invalid
+OnOutcome = Callable[[Outcome], None]
+
+
+def select_headers(
+    headers: Sequence[Header], dropped: frozenset[bytes]
+) -> list[Header]:
+    """Returns `headers` without `dropped` and those named in Connection.
+
+    `_` counts as `-`: servers that map names to variables take `X_Start_Before`
+    for `X-Start-Before`, so a caller could forge it.
+    """
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(framing.list_tokens(value))
+    selected = []
+    for field in headers:
+        name = field[0].lower()
+        if b"_" in name:
+            name = name.replace(b"_", b"-")
+        if name not in dropped and name not in named:
+            selected.append(field)
+    return selected
+
+
+class Upstream:
+    """Sends requests to one minion.
+
+    Args:
+        minion: The minion's id.
+        client: Connections to the minion.
+    """
+
+    def __init__(
+        self, minion: identifiers.MinionId, client: httpclient.HttpClient
+    ) -> None:
+        self.minion = minion
+        self.client = client
+
+    @property
+    def connections(self) -> int:
+        """Connections open or being opened."""
+        return self.client.connections
+
+    def send(
+        self,
+        request_id: identifiers.RequestId,
+        method: str,
+        target: str,
+        headers: Sequence[Header],
+        body: bytes,
+        *,
+        timeout: float,
+        on_outcome: OnOutcome,
+        idempotent: bool = False,
+        run_limit: float | None = None,
+        start_before: float | None = None,
+    ) -> httpclient.Call:
+        """Sends one attempt of a request.
+
+        Args:
+            request_id: Sent with the request; the answer must echo it. Each
+                attempt needs its own, or an answer to an earlier attempt
+                would pass for one to this.
+            method: HTTP method.
+            target: Origin-form request target.
+            headers: The caller's headers; hop-by-hop and control headers
+                among them are not forwarded.
+            body: Whole body.
+            timeout: Seconds until the attempt is given up.
+            on_outcome: Called once with the outcome, after `send` returned.
+            idempotent: Whether it may meet a connection that the minion is
+                closing.
+            run_limit: Seconds after which the minion stops the work.
+            start_before: Wall-clock time after which the minion must not
+                start it.
+
+        Returns:
+            The call; `cancel` closes its connection, without an outcome.
+        """
+        fields = select_headers(headers, _NOT_FORWARDED)
+        expected = request_id.encode("ascii")
+        fields.append((b"x-request-id", expected))
+        if run_limit is not None:
+            fields.append((b"x-run-limit-ms", b"%d" % (run_limit * 1000)))
+        if start_before is not None:
+            # Rounded down: a later start is not allowed.
+            floor = math.floor(start_before * 1000) / 1000
+            fields.append((b"x-start-before", b"%.3f" % floor))
+        return self.client.send(
+            method,
+            target,
+            fields,
+            body,
+            timeout=timeout,
+            on_result=lambda result: on_outcome(judge(result, expected)),
+            reuse_careful=not idempotent,
+        )
+
+    def close(self) -> None:
+        """Closes every connection; calls in progress are lost or not sent."""
+        self.client.close()
+
+    def close_idle(self) -> None:
+        """Closes connections that carry no request."""
+        self.client.close_idle()
+
+
+def judge(result: httpclient.Result, request_id: bytes) -> Outcome:
+    """Returns what a client result says about the request `request_id`."""
+    match result:
+        case httpclient.Answer():
+            return _judge_answer(result, request_id)
+        case httpclient.NotSent(detail=detail):
+            return NotSent(detail)
+        case httpclient.Lost(detail=detail, timed_out=True):
+            return TimedOut(detail)
+        case httpclient.Lost(detail=detail, invalid=True):
+            return Invalid(detail)
+        case httpclient.Lost(detail=detail):
+            return Lost(detail)
+
+
+def _judge_answer(answer: httpclient.Answer, request_id: bytes) -> Outcome:
+    echoed = []
+    executions = []
+    for name, value in answer.headers:
+        if name == b"x-request-id":
+            echoed.append(value)
+        elif name == b"x-execution":
+            executions.append(value)
+    if echoed != [request_id]:
+        return Invalid("answer with another request id or none")
+    execution = verdict.Execution.RAN
+    if executions:
+        # Two contradicting statements prove nothing.
+        stated = executions[0] if len(executions) == 1 else b""
+        if answer.status == 503 and stated == b"not-run":
+            return Refused("minion refused to start it")
+        if stated != b"ran":
+            execution = verdict.Execution.MAY_HAVE_RUN
+    headers = tuple(select_headers(answer.headers, _NOT_RETURNED))
+    return Answered(
+        httpclient.Answer(answer.status, headers, answer.body), execution
+    )
+
+
+if __name__ == "__main__":
+    timers = timer.TimerService()
+    sockets = transport.Transport(timers).register(timers)
+    upstream = Upstream(
+        identifiers.MinionId("example"),
+        httpclient.HttpClient(sockets, timers, ("127.0.0.1", 9)),
+    )
+
+    def show(outcome: Outcome) -> None:
+        """Prints the outcome and ends the loop."""
+        print(outcome)
+        timers.stop()
+
+    upstream.send(
+        identifiers.create_request_id(),
+        "GET",
+        "/",
+        [],
+        b"",
+        timeout=2.0,
+        on_outcome=show,
+    )
+    timers.run()
