Test settings and operator commands

Cause: wrong settings join an entry to the wrong fleet; an operator who is told too early that a bundle is in force leaves revoked keys working.

Change: features for settings and the bundle commands; a roll that reaches no entry says that its outcome is unknown and that repeating it is safe.

--- a/clementinewood/command_bundle.py
+++ b/clementinewood/command_bundle.py
@@ -452,9 +452,13 @@
     while True:
         try:
             reply = site.request("POST", "/v1/bundles", text.encode())
-        except CommandError:
+        except CommandError as error:
             if site.clock() >= deadline:
-                raise
+                raise CommandError(
+                    error.code,
+                    f"{error}\nit is not known whether version {version} was"
+                    " accepted; rolling it again is safe",
+                ) from None
             site.sleep(POLL_SECONDS)
             continue
         if reply.status in (200, 202):
--- /dev/null
+++ b/features/command_bundle.feature
@@ -0,0 +1,45 @@
+Feature: Operator commands for bundles
+  An operator who is told "done" too early leaves revoked keys working; one
+  who is told nothing rolls twice.
+
+  Scenario: Exit codes tell what happened to local files
+    Given operator files for the guild
+    Then these bundle commands end so
+      | command                                               | code | output             |
+      | check guild.ini                                       | 0    | version 1 of guild |
+      | check broken.ini guild.ini                            | 1    | did you mean       |
+      | check missing.ini                                     | 7    | missing.ini        |
+      | keygen night --out night.pem                          | 0    | night =            |
+      | keygen night --out night.pem                          | 7    | night.pem          |
+      | sign guild.ini --operator night --key night.pem --out signed.ini | 0 |            |
+      | sign broken.ini --operator night --key night.pem      | 1    | limt               |
+      | sign guild.ini --operator night --key guild.ini       | 3    | guild.ini          |
+      | diff signed.ini next.ini                              | 0    | limit falls        |
+      | diff signed.ini next.ini --json                       | 0    | "new": 150         |
+      | plan next.ini --against signed.ini                    | 0    | starts nothing     |
+      | plan signed.ini --against next.ini                    | 1    | version 2          |
+      | roll guild.ini                                        | 3    | no signature       |
+      | roll signed.ini --entry 127.0.0.1:9 --timeout 0.1                   | 6    | 127.0.0.1:9        |
+    And the private key file is readable by its owner only
+
+  Scenario: A roll is safe to repeat and waits for every entry
+    Given an operator site whose entries follow after 3 polls
+    When a bundle of version 2 is rolled, and rolled again
+    Then both rolls succeed and the site accepted it once
+    And the first roll waited until the last entry followed
+
+  Scenario: A roll whose answers get lost is posted again
+    Given an operator site whose entries follow after 1 polls
+    And the operator site loses the next 2 answers
+    When a bundle of version 2 is rolled, and rolled again
+    Then both rolls succeed and the site accepted it once
+
+  Scenario: A roll that is not in force everywhere names the entries
+    Given an operator site whose entries follow after 1000 polls
+    When a bundle of version 2 is rolled, and rolled again
+    Then both rolls end as pending and name entry-2
+
+  Scenario: A losing operator is told who won
+    Given an operator site whose entries follow after 1 polls
+    When operators night and day roll different bundles of version 2
+    Then the roll of day ends as lost and names operator night
