--- /dev/null
+++ b/bench/declarations.py
@@ -0,0 +1,335 @@
+"""Benchmarks of bundles, the control fold and the log client.
+
+Run with `python -m bench.declarations [NAME...]`; one JSON object per line.
+"""
+
+import json
+import random
+import statistics
+import sys
+import time
+
+from bench import sites
+from clementinewood import (
+    bundle,
+    httpclient,
+    logclient,
+    logservice,
+    record,
+    state,
+    timer,
+    transport,
+)
+
+SIZES = (120, 1200, 12000)
+POOLS, TEAMS = 168, 170
+CHANGES_A_DAY = 9400
+BUDGET = 10 * 1024
+"""Bytes per second that control may cost a node."""
+
+
+def report(name, **figures):
+    rounded = {
+        key: round(value, 3) if isinstance(value, float) else value
+        for key, value in figures.items()
+    }
+    print(json.dumps({"bench": name, **rounded}), flush=True)
+
+
+def create_folder(workers):
+    folder = sites.Folder()
+    folder.accept(sites.create_text(workers=workers, pools=POOLS, teams=TEAMS))
+    return folder
+
+
+def create_events(folder, count, source):
+    """Appends assignments, steps and leases as a planner writes them."""
+    workers = list(folder.state.assignments)
+    pools = list(folder.state.bundle.pools)
+    for _ in range(count):
+        worker = source.choice(workers)
+        step = folder.state.steps.get(worker)
+        match source.randrange(8):
+            case 0:
+                lease = folder.state.planner_lease
+                folder.append(
+                    record.PlannerLease(
+                        sites.name_entry(1), 5.0, lease.version if lease else 0
+                    )
+                )
+            case 1 | 2 | 3:
+                version = folder.state.assignments[worker].version
+                pool = source.choice(pools)
+                folder.append(record.WorkerAssigned(worker, pool, version))
+            case _:
+                folder.append(
+                    record.MaintenanceStep(
+                        worker,
+                        source.choice(list(record.Step)),
+                        step.version if step else 0,
+                    )
+                )
+
+
+def run_parse():
+    for workers in SIZES:
+        text = sites.create_text(workers=workers, pools=POOLS, teams=TEAMS)
+        times = []
+        for _ in range(5):
+            begin = time.perf_counter()
+            bundle.parse_bundle(text).unwrap()
+            times.append(time.perf_counter() - begin)
+        report(
+            "parse",
+            workers=workers,
+            text_bytes=len(text),
+            median_ms=statistics.median(times) * 1e3,
+        )
+
+
+def run_fold():
+    for workers in SIZES:
+        folder = create_folder(workers)
+        start = len(folder.log)
+        create_events(folder, 5000, random.Random(1))
+        target = create_folder(workers).state
+        begin = time.perf_counter()
+        decoded = [
+            record.decode_record(data, sites.CLUSTER_KEY).unwrap()
+            for data in folder.log[start:]
+        ]
+        middle = time.perf_counter()
+        for offset, entry in enumerate(decoded, start=start):
+            target.apply(entry, offset, 1.8e9 + offset)
+        end = time.perf_counter()
+        assert target.outcomes[state.Outcome.APPLIED] == len(folder.log)
+        report(
+            "fold",
+            workers=workers,
+            records=len(decoded),
+            records_per_second=len(decoded) / (end - begin),
+            decode_us=(middle - begin) / len(decoded) * 1e6,
+            apply_us=(end - middle) / len(decoded) * 1e6,
+            record_bytes=statistics.mean(map(len, folder.log[start:])),
+        )
+
+
+def run_snapshot():
+    for workers in SIZES:
+        folder = create_folder(workers)
+        for events in (0, 2000):
+            create_events(folder, events, random.Random(1))
+            makes, restores = [], []
+            for _ in range(5):
+                begin = time.perf_counter()
+                data = folder.state.snapshot()
+                makes.append(time.perf_counter() - begin)
+                begin = time.perf_counter()
+                restored = state.ControlState()
+                restored.restore(data).unwrap()
+                restores.append(time.perf_counter() - begin)
+            assert restored.snapshot() == data
+            report(
+                "snapshot",
+                workers=workers,
+                planner_records=events,
+                bytes=len(data),
+                create_ms=statistics.median(makes) * 1e3,
+                restore_ms=statistics.median(restores) * 1e3,
+            )
+
+
+def run_change():
+    """One option changes per bundle, as an operator rolls it."""
+    for workers in SIZES:
+        source = random.Random(1)
+        folder = create_folder(workers)
+        text = sites.create_text(workers=workers, pools=POOLS, teams=TEAMS)
+        deltas, wholes, makes, folds = [], [], [], []
+        for version in range(2, 386):
+            text = sites.change_text(text, version, source)
+            signed = sites.sign(text)
+            begin = time.perf_counter()
+            payload = folder.state.create_bundle_payload(signed)
+            middle = time.perf_counter()
+            size = folder.append(payload)
+            folds.append(time.perf_counter() - middle)
+            makes.append(middle - begin)
+            (deltas if payload.delta else wholes).append(size)
+        mean = (sum(deltas) + sum(wholes)) / (len(deltas) + len(wholes))
+        # Records travel in base64 inside JSON.
+        wire = mean * 4 / 3 + 60
+        report(
+            "change",
+            workers=workers,
+            changes=len(makes),
+            delta_bytes=statistics.mean(deltas),
+            delta_bytes_max=max(deltas),
+            whole_bytes=statistics.mean(wholes),
+            mean_bytes=mean,
+            read_bytes_per_second=wire * CHANGES_A_DAY / 86400,
+            always_whole_bytes_per_second=(
+                (statistics.mean(wholes) * 4 / 3 + 60) * CHANGES_A_DAY / 86400
+            ),
+            make_ms=statistics.median(makes) * 1e3,
+            fold_ms=statistics.median(folds) * 1e3,
+            fold_ms_max=max(folds) * 1e3,
+        )
+
+
+class Cluster:
+    """Clients of one stand-in log in one process, in real time."""
+
+    def __init__(self, clients, *, delay=0.0):
+        self.timers = timer.TimerService()
+        self.sockets = transport.Transport(self.timers).register(self.timers)
+        self.service = logservice.LogService(self.sockets, self.timers)
+        self.service.switches.delay = delay
+        address = self.service.listen(("127.0.0.1", 0))
+        self.states = [state.ControlState() for _ in range(clients)]
+        self.seen = []
+        self.clients = [
+            logclient.LogClient(
+                httpclient.HttpClient(self.sockets, self.timers, address),
+                self.timers,
+                "control",
+                lambda found, number=number: self.fold(number, found),
+                key=sites.CLUSTER_KEY,
+                rate=logclient.AppendRate(1000.0),
+            )
+            for number in range(clients)
+        ]
+        for client in self.clients:
+            client.start()
+
+    def fold(self, number, found):
+        for item in found:
+            self.states[number].apply(item.record, item.offset, item.time)
+            self.seen.append((number, item.offset, time.perf_counter()))
+
+
+def run_traffic():
+    """Bytes of HTTP that one entry sends and receives for the log."""
+    total = [0]
+    send = transport.Connection.send
+
+    def count(connection, data):
+        total[0] += len(data)
+        return send(connection, data)
+
+    transport.Connection.send = count
+    try:
+        for period in (None, 2.0, 0.5):
+            cluster = Cluster(1)
+            text = sites.create_text(workers=12000, pools=POOLS, teams=TEAMS)
+            source = random.Random(1)
+            made = [1]
+
+            def change(cluster=cluster, made=made, source=source):
+                nonlocal text
+                made[0] += 1
+                text = sites.change_text(text, made[0], source)
+                payload = cluster.states[0].create_bundle_payload(
+                    sites.sign(text)
+                )
+                cluster.service.append(
+                    "control",
+                    record.encode_record(
+                        record.create_record(sites.name_entry(1), payload),
+                        sites.CLUSTER_KEY,
+                    ),
+                )
+
+            first = state.ControlState().create_bundle_payload(sites.sign(text))
+            cluster.service.append(
+                "control",
+                record.encode_record(
+                    record.create_record(sites.name_entry(1), first),
+                    sites.CLUSTER_KEY,
+                ),
+            )
+            marks = []
+
+            def mark(marks=marks):
+                marks.append((total[0], time.process_time()))
+
+            cluster.timers.subscribe_once(1.0, mark)
+            if period:
+                cluster.timers.subscribe_every(period, change)
+            cluster.timers.subscribe_once(11.0, mark)
+            cluster.timers.subscribe_once(11.01, cluster.timers.stop)
+            cluster.timers.run()
+            report(
+                "traffic",
+                changes_per_second=0 if period is None else 1 / period,
+                bytes_per_second=(marks[1][0] - marks[0][0]) / 10,
+                budget_bytes_per_second=BUDGET,
+                core_percent_with_stand_in=(
+                    (marks[1][1] - marks[0][1]) / 10 * 100
+                ),
+            )
+    finally:
+        transport.Connection.send = send
+
+
+def run_propagation():
+    """From the call of `append` to the fold at the last of 7 entries."""
+    for delay in (0.0, 0.005, 0.05):
+        cluster = Cluster(7, delay=delay)
+        text = sites.create_text(workers=12000, pools=POOLS, teams=TEAMS)
+        source = random.Random(1)
+        begun = []
+
+        def append(cluster=cluster, begun=begun, source=source):
+            nonlocal text
+            if len(begun) == 60:
+                cluster.timers.stop()
+                return
+            version = len(begun) + 1
+            if version > 1:
+                text = sites.change_text(text, version, source)
+            payload = cluster.states[0].create_bundle_payload(sites.sign(text))
+            begun.append(time.perf_counter())
+            cluster.clients[0].append(
+                record.create_record(sites.name_entry(1), payload),
+                lambda outcome: None,
+            )
+
+        cluster.timers.subscribe_every(0.4, append)
+        cluster.timers.run()
+        last = {}
+        for _, offset, at in cluster.seen:
+            last[offset] = max(last.get(offset, 0.0), at)
+        delays = sorted(
+            (last[offset] - begin) * 1e3
+            for offset, begin in enumerate(begun)
+            if offset
+        )
+        assert all(one.version == len(begun) for one in cluster.states)
+        report(
+            "propagation",
+            entries=len(cluster.states),
+            log_delay_ms=delay * 1e3,
+            changes=len(delays),
+            median_ms=statistics.median(delays),
+            max_ms=delays[-1],
+        )
+
+
+RUNS = {
+    "parse": run_parse,
+    "fold": run_fold,
+    "snapshot": run_snapshot,
+    "change": run_change,
+    "traffic": run_traffic,
+    "propagation": run_propagation,
+}
+
+
+def main(names):
+    for name in names or RUNS:
+        RUNS[name]()
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
