--- /dev/null
+++ b/clementinewood/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line."""
+
+import sys
+
+from clementinewood import cli
+
+sys.exit(cli.main())
--- /dev/null
+++ b/clementinewood/command_entry.py
@@ -0,0 +1,95 @@
+"""`clementinewood entry`: runs one entry process."""
+
+import argparse
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from returns import result
+
+from clementinewood import (
+    entry,
+    event,
+    page,
+    settings,
+    timer,
+    transport,
+    web,
+)
+
+EXIT_SETTINGS = 2
+EXIT_REMOVED = 75
+"""The other entries removed this one; start it again (EX_TEMPFAIL)."""
+
+
+def add_commands(subparsers: Any) -> None:
+    """Adds the command to the command line."""
+    parser = subparsers.add_parser(
+        "entry",
+        help="run one entry",
+        description="Runs one entry until SIGTERM or SIGINT, which start a"
+        " graceful stop. Exit codes: 0 stopped; 2 invalid settings; 75 the"
+        " other entries removed this one, start it again.",
+    )
+    parser.add_argument(
+        "--settings", required=True, metavar="FILE", help="INI settings"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    parser.set_defaults(run=run_entry)
+
+
+def run_entry(options: argparse.Namespace) -> int:
+    """Runs the entry.
+
+    Returns:
+        The process exit status.
+    """
+    match settings.read_settings(options.settings):
+        case result.Success(config):
+            if options.check:
+                print(f"{options.settings}: settings are valid")
+                return 0
+            return serve(config)
+        case result.Failure(faults):
+            for item in faults:
+                print(item.render(), file=sys.stderr)
+    return EXIT_SETTINGS
+
+
+def serve(config: settings.Settings) -> int:
+    """Runs an entry until it is stopped or removed."""
+    event.configure_log(
+        level=config.log_level.name,
+        json=config.log_format is settings.LogFormat.JSON,
+    )
+    timers = GracefulTimers()
+    sockets = transport.Transport(timers).register(timers)
+    site = web.Web(timers).register(timers)
+    page.register_pages(site)
+    daemon = entry.Entry(
+        config, sockets, timers, site, on_stopped=lambda: timers.stop()
+    )
+    timers.on_signal = daemon.stop
+    daemon.start()
+    timers.run()
+    return EXIT_REMOVED if daemon.was_removed else 0
+
+
+class GracefulTimers(timer.TimerService):
+    """A loop whose termination signals start a graceful stop.
+
+    circuits installs its own signal handlers when the loop starts; they end
+    the loop at once, which would cut requests.
+
+    Args:
+        on_signal: Called on SIGINT and SIGTERM.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.on_signal: Callable[[], None] = lambda: None
+
+    def _signal_handler(self, number: int, frame: object) -> None:
+        self.subscribe_once(0.0, lambda: self.on_signal())
--- a/clementinewood/coordination.py
+++ b/clementinewood/coordination.py
@@ -194,6 +194,12 @@
             )
         self.freshness.on_offset(offset)
 
+    def on_other_control(self, offset: int) -> None:
+        """Notes a control record that concerns neither members nor limits."""
+        if offset > self.offset:
+            self.offset = offset
+            self.freshness.on_offset(offset)
+
     def on_control_head(self, sent: float) -> None:
         """Notes that a control read sent at `sent` reached the head.
 
--- /dev/null
+++ b/clementinewood/dev.py
@@ -0,0 +1,209 @@
+"""A whole site in one process: entries, stand-ins and an example bundle."""
+
+import pathlib
+import re
+import secrets
+import socket
+import time
+from collections.abc import Sequence
+
+from returns import result
+
+from clementinewood import (
+    bundle,
+    edge,
+    entry,
+    identifiers,
+    logservice,
+    minion,
+    page,
+    settings,
+    signature,
+    timer,
+    transport,
+    web,
+)
+
+HOST = "127.0.0.1"
+SIGNATURE_SECONDS = 3600.0
+RACK_WORKERS = 4
+
+
+class DevSite:
+    """Entries, minions, the log and the host list on loopback.
+
+    Args:
+        text: Bundle text, unsigned.
+        base_port: First port used; 0 picks free ports.
+        entries: Number of entries.
+        run_seconds: Run time of requests without a `Run-Ms` header.
+    """
+
+    def __init__(
+        self,
+        text: str,
+        *,
+        base_port: int = 0,
+        entries: int = 3,
+        run_seconds: float = 0.02,
+    ) -> None:
+        self.text = text
+        self.timers = timer.TimerService()
+        self.sockets = transport.Transport(self.timers).register(self.timers)
+        self.pages = web.Web(self.timers).register(self.timers)
+        page.register_pages(self.pages)
+        self.log = logservice.LogService(self.sockets, self.timers)
+        self.log_address = self.log.listen((HOST, _next_port(base_port, 0)))
+        self.declared = _parse(text)
+        self.minions: dict[identifiers.WorkerId, minion.Minion] = {}
+        self._private_key, public = signature.generate_key()
+        self.operator = signature.OperatorKey(
+            "dev", public, time.time() + SIGNATURE_SECONDS
+        )
+        self.cluster_key = secrets.token_bytes(32)
+        self._start_minions(base_port, run_seconds)
+        self.settings = self._create_settings(base_port, entries)
+        self.entries = [
+            entry.Entry(item, self.sockets, self.timers, self.pages)
+            for item in self.settings
+        ]
+
+    def start(self) -> None:
+        """Starts the entries; `post_bundle` brings the bundle into force."""
+        for item in self.entries:
+            item.start()
+
+    def sign(self, text: str) -> str:
+        """Returns `text` signed by the site's operator."""
+        now = time.time()
+        return signature.sign_bundle(
+            text,
+            "dev",
+            self._private_key,
+            signed=now,
+            expires=now + SIGNATURE_SECONDS,
+        )
+
+    def post_bundle(self, text: str) -> edge.Exchange:
+        """Hands a bundle to the first entry as an operator's request."""
+        request = edge.HttpRequest(
+            "POST", "/v1/bundles", (), self.sign(text).encode(), (HOST, 0)
+        )
+        exchange = edge.Exchange(request, lambda status, headers, body: None)
+        self.entries[0].handle_exchange(exchange)
+        return exchange
+
+    def list_secrets(self) -> list[str]:
+        """Returns the example keys named in the bundle's comments."""
+        return re.findall(r"^# +([a-z0-9-]+\.[0-9a-f]{16,})$", self.text, re.M)
+
+    def _start_minions(self, base_port: int, run_seconds: float) -> None:
+        zones = list(self.declared.zones)
+        hosts = []
+        port = 100
+        for name, pool in self.declared.pools.items():
+            service = self.declared.services[pool.service]
+            for index, worker in enumerate(pool.workers):
+                server = minion.Minion(
+                    self.sockets,
+                    self.timers,
+                    name=worker,
+                    slots=service.slots,
+                    connections=service.connections,
+                    run_seconds=run_seconds,
+                )
+                address = server.listen((HOST, _next_port(base_port, port)))
+                port += 1
+                self.minions[worker] = server
+                hosts.append(
+                    {
+                        "id": worker,
+                        "zone": zones[index % len(zones)],
+                        "rack": f"{name}-rack-{index // RACK_WORKERS}",
+                        "address": f"{address[0]}:{address[1]}",
+                        "state": "live",
+                    }
+                )
+        self.log.hosts = hosts
+
+    def _create_settings(
+        self, base_port: int, entries: int
+    ) -> list[settings.Settings]:
+        zones = list(self.declared.zones)
+        names = [
+            identifiers.EntryId(f"entry-{index + 1}")
+            for index in range(entries)
+        ]
+        callers, peers = [], []
+        for index in range(entries):
+            callers.append((HOST, _next_port(base_port, 1 + index)))
+            peers.append((HOST, _next_port(base_port, 51 + index)))
+        if not base_port:
+            callers = [(HOST, port) for port in _find_ports(entries)]
+            peers = [(HOST, port) for port in _find_ports(entries)]
+        return [
+            settings.Settings(
+                entry=name,
+                zone=zones[index % len(zones)],
+                callers=callers[index],
+                peers=peers[index],
+                log=self.log_address,
+                hosts=self.log_address,
+                cluster_key=self.cluster_key,
+                others={
+                    other: peers[place]
+                    for place, other in enumerate(names)
+                    if other != name
+                },
+                operators={"dev": self.operator},
+                operator_token=None,
+                edge_limits=edge.EdgeLimits(),
+                log_level=settings.LogLevel.INFO,
+                log_format=settings.LogFormat.TEXT,
+            )
+            for index, name in enumerate(names)
+        ]
+
+
+def _next_port(base: int, index: int) -> int:
+    return base + index if base else 0
+
+
+def _find_ports(count: int) -> Sequence[int]:
+    """Returns ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind((HOST, 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def _parse(text: str) -> bundle.Bundle:
+    parsed = bundle.parse_bundle(text, "bundle")
+    match parsed:
+        case result.Success(value):
+            return value
+        case _:
+            faults = "\n".join(item.render() for item in parsed.failure())
+            raise ValueError(faults)
+
+
+def read_example(site: str) -> str:
+    """Returns the text of an example bundle, `guild` or `sanctum`."""
+    path = pathlib.Path(__file__).parent.parent / "examples" / f"{site}.ini"
+    return path.read_text(encoding="utf-8")
+
+
+if __name__ == "__main__":
+    example = DevSite(read_example("guild"))
+    example.start()
+    example.timers.subscribe_once(
+        1.0, lambda: print(example.post_bundle(example.text).answered)
+    )
+    example.timers.subscribe_once(2.0, lambda: example.timers.stop())
+    example.timers.run()
+    for item in example.entries:
+        print(item.describe_status())
--- a/clementinewood/edge.py
+++ b/clementinewood/edge.py
@@ -95,9 +95,10 @@
     Attributes:
         on_cancel: Set by the handler; called once when the caller has gone
             before the answer.
+        context: Set by the handler for the pages that it passes on.
     """
 
-    __slots__ = ("_on_answer", "answered", "on_cancel", "request")
+    __slots__ = ("_on_answer", "answered", "context", "on_cancel", "request")
 
     def __init__(
         self,
@@ -108,6 +109,7 @@
         self._on_answer = on_answer
         self.answered = False
         self.on_cancel: Callable[[], None] | None = None
+        self.context: object = None
 
     def respond(
         self, status: int, headers: Sequence[Header], body: bytes
--- /dev/null
+++ b/clementinewood/entry.py
@@ -0,0 +1,977 @@
+"""The entry daemon: everything between callers and minions in one process."""
+
+import hmac
+import json
+import random
+import time
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from returns import result
+
+from clementinewood import (
+    bundle,
+    claim,
+    coordination,
+    edge,
+    event,
+    gateway,
+    hostlist,
+    httpclient,
+    identifiers,
+    ledger,
+    logclient,
+    membership,
+    metric,
+    peer,
+    peerwire,
+    record,
+    relay,
+    retry,
+    router,
+    scheduler,
+    settings,
+    signature,
+    state,
+    timer,
+    transport,
+    upstream,
+    verdict,
+    web,
+)
+
+ADVANCE_SECONDS = 0.25
+"""Period of status messages to peers."""
+
+POLL_SECONDS = 0.02
+"""Period at which log progress and claims are looked at."""
+
+LOG_CONNECTIONS = 8
+
+BUNDLE_SECONDS = 10.0
+"""Time after which the outcome of an appended bundle counts as unknown."""
+
+_UPSTREAM_OUTCOMES: dict[type, retry.Outcome] = {
+    upstream.Answered: retry.Outcome.ANSWERED,
+    upstream.NotSent: retry.Outcome.NOT_SENT,
+    upstream.Refused: retry.Outcome.REFUSED,
+    upstream.Lost: retry.Outcome.LOST,
+    upstream.TimedOut: retry.Outcome.TIMED_OUT,
+    upstream.Invalid: retry.Outcome.INVALID,
+}
+
+
+def translate_payload(
+    payload: record.Payload, author: identifiers.Incarnation
+) -> membership.Payload | None:
+    """Returns what a control record says about members, if anything."""
+    match payload:
+        case record.Joined():
+            return membership.Joined()
+        case record.Suspected(incarnation=member):
+            return membership.Suspected(member)
+        case record.Refuted(offset=offset, flushed=flushed, complete=complete):
+            return membership.Refuted(offset, flushed, complete)
+        case record.Removed(incarnation=member, expected=expected):
+            return membership.Removed(member, expected)
+        case record.Left(complete=complete):
+            return membership.Left(complete)
+        case record.Closed(incarnation=member, given=given, received=received):
+            return ledger.Closing(
+                member,
+                author,
+                {ledger.ResourceId(r): n for r, n in given.items()},
+                {ledger.ResourceId(r): n for r, n in received.items()},
+            )
+    return None
+
+
+def translate_claims(payload: record.Claims) -> claim.Batch:
+    """Returns the claims of a record of the claims stream."""
+    return claim.Batch(
+        tuple(
+            claim.Claim(
+                claim.ClaimKey(item.team, item.key_digest),
+                item.request,
+                item.claimant,
+                item.request_digest,
+                item.outage,
+            )
+            for item in payload.claims
+        ),
+        tuple(
+            claim.Outcome(
+                claim.ClaimKey(item.team, item.key_digest),
+                item.request,
+                item.execution,
+            )
+            for item in payload.outcomes
+        ),
+    )
+
+
+def create_claims(batch: claim.Batch) -> record.Claims:
+    """Returns the record of a batch of claims."""
+    return record.Claims(
+        tuple(
+            record.Claim(
+                item.key.team,
+                item.key.digest,
+                item.request,
+                item.request_id,
+                item.claimant,
+                item.outage,
+            )
+            for item in batch.claims
+        ),
+        tuple(
+            record.ClaimOutcome(
+                item.key.team,
+                item.key.digest,
+                item.request_id,
+                item.execution,
+            )
+            for item in batch.outcomes
+        ),
+    )
+
+
+class Upstreams:
+    """Connections to every minion in use.
+
+    Args:
+        sockets: Opens connections.
+        timers: Timer service.
+    """
+
+    def __init__(
+        self, sockets: transport.Transport, timers: timer.TimerService
+    ) -> None:
+        self._sockets = sockets
+        self._timers = timers
+        self._upstreams: dict[
+            tuple[identifiers.MinionId, tuple[str, int]], upstream.Upstream
+        ] = {}
+
+    def send(
+        self,
+        target: router.Target,
+        request_id: identifiers.RequestId,
+        method: str,
+        path: str,
+        headers: Sequence[edge.Header],
+        body: bytes,
+        *,
+        idempotent: bool,
+        timeout: float,
+        run_limit: float,
+        start_before: float,
+        on_result: Callable[[retry.Outcome, httpclient.Answer | None], None],
+    ) -> None:
+        """Sends one attempt and reports its outcome once."""
+
+        def report(outcome: upstream.Outcome) -> None:
+            if not isinstance(outcome, upstream.Answered):
+                on_result(_UPSTREAM_OUTCOMES[type(outcome)], None)
+                return
+            failed = outcome.answer.status >= 500
+            on_result(
+                retry.Outcome.FAILED if failed else retry.Outcome.ANSWERED,
+                outcome.answer,
+            )
+
+        self._find(target).send(
+            request_id,
+            method,
+            path,
+            headers,
+            body,
+            timeout=timeout,
+            on_outcome=report,
+            idempotent=idempotent,
+            run_limit=run_limit,
+            start_before=start_before,
+        )
+
+    def close_all(self) -> None:
+        """Closes every connection."""
+        for item in self._upstreams.values():
+            item.close()
+
+    def _find(self, target: router.Target) -> upstream.Upstream:
+        key = (target.minion, target.address)
+        found = self._upstreams.get(key)
+        if found is None:
+            client = httpclient.HttpClient(
+                self._sockets, self._timers, target.address
+            )
+            found = upstream.Upstream(target.minion, client)
+            self._upstreams[key] = found
+        return found
+
+
+class Entry:
+    """One entry process.
+
+    Args:
+        config: Settings of this process.
+        sockets: Owns the sockets.
+        timers: Timer service.
+        site: Serves pages; shared by entries of one process.
+        on_stopped: Called after a graceful stop, or after the other entries
+            removed this one; the process should end then.
+        wall_clock: Wall-clock time in seconds.
+        seed: Seed of all random choices.
+    """
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        sockets: transport.Transport,
+        timers: timer.TimerService,
+        site: web.Web,
+        *,
+        on_stopped: Callable[[], None] = lambda: None,
+        wall_clock: Callable[[], float] = time.time,
+        seed: int | None = None,
+    ) -> None:
+        self.config = config
+        self.me = identifiers.create_incarnation(config.entry)
+        self.state = state.ControlState()
+        self.coordination = coordination.Coordination(self.me)
+        self.metrics = metric.Metrics()
+        self._timers = timers
+        self._clock = timers.clock
+        self._wall_clock = wall_clock
+        self._on_stopped = on_stopped
+        self._site = site
+        self._sockets = sockets
+        self._random = random.Random(seed)
+        self.was_removed = False
+        self._stopping = False
+        self._stopped = False
+        self._fresh = False
+        self._peer_versions: dict[identifiers.EntryId, tuple[int, bool]] = {}
+        self._told_usage: dict[identifiers.TeamId, scheduler.Usage] = {}
+        self._hosts: Mapping[identifiers.WorkerId, hostlist.Host] = {}
+        self._recent: dict[str, dict[str, Any]] = {}
+        self._create_log_clients()
+        self._create_request_path()
+        self._create_links()
+        self._observe_gauges()
+
+    def _create_log_clients(self) -> None:
+        config = self.config
+        http = httpclient.HttpClient(
+            self._sockets,
+            self._timers,
+            config.log,
+            max_connections=LOG_CONNECTIONS,
+        )
+        rate = logclient.AppendRate()
+        self._relay = relay.RelayBuffer("control", config.cluster_key)
+        self._claims_relay = relay.RelayBuffer("claims", config.cluster_key)
+        self._control = logclient.LogClient(
+            http,
+            self._timers,
+            "control",
+            self._on_control,
+            key=config.cluster_key,
+            rate=rate,
+        )
+        self._claims = logclient.LogClient(
+            http,
+            self._timers,
+            "claims",
+            self._on_claims,
+            key=config.cluster_key,
+            rate=rate,
+        )
+        self._control_read: float | None = None
+        self._claims_read: float | None = None
+        self._host_list = hostlist.HostList(
+            httpclient.HttpClient(self._sockets, self._timers, config.hosts),
+            self._timers,
+            self._on_hosts,
+        )
+
+    def _create_request_path(self) -> None:
+        self._router = router.Router(self.config.zone, self._random)
+        self._upstreams = Upstreams(self._sockets, self._timers)
+        self.gateway = gateway.Gateway(
+            self._timers,
+            pages=self,
+            sender=self._upstreams,
+            rights=self.coordination.ledger,
+            claims=self,
+            router_=self._router,
+            retries=retry.RetryPolicy(self._random),
+            is_fresh=lambda: self.coordination.may_act(self._clock()),
+            explain_stale=lambda: self.coordination.freshness.explain(
+                self._clock()
+            ),
+            me=self.me,
+            metrics=self.metrics,
+            context=self,
+            wall_clock=self._wall_clock,
+        )
+        self._edge = edge.Edge(
+            self._sockets,
+            self._timers,
+            self.gateway,
+            limits=self.config.edge_limits,
+            clock=self._clock,
+        )
+
+    def _create_links(self) -> None:
+        self._hub = peer.PeerHub(
+            self._sockets,
+            self._timers,
+            identity=peer.PeerIdentity(
+                self.config.entry, self.me, self.config.zone
+            ),
+            cluster_key=self.config.cluster_key,
+            peers=self.config.others,
+            listener=self,
+            metrics=self.metrics,
+        )
+
+    def _observe_gauges(self) -> None:
+        observe = self.metrics.observe
+        observe(metric.FRESH, lambda: [({}, float(self.is_fresh))])
+        observe(metric.BUNDLE_VERSION, lambda: [({}, self.state.version)])
+        observe(
+            metric.LOG_LAG,
+            lambda: [({}, self._clock() - self.coordination.freshness.read_at)],
+        )
+        observe(
+            metric.QUEUED,
+            lambda: [
+                ({"team": team}, usage.queued)
+                for team, usage in self.gateway.scheduler.usage().items()
+            ],
+        )
+        observe(
+            metric.RUNNING,
+            lambda: [
+                ({"team": team}, usage.running)
+                for team, usage in self.gateway.scheduler.usage().items()
+            ],
+        )
+        observe(
+            metric.HELD_RIGHTS,
+            lambda: [
+                ({"team": team}, self._count_held(team))
+                for team in self.gateway.scheduler.usage()
+            ],
+        )
+
+    def _count_held(self, team: identifiers.TeamId) -> int:
+        return self.coordination.ledger.held(ledger.team_resource(team))
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether this entry may act on its configuration now."""
+        return self.coordination.freshness.is_fresh(self._clock())
+
+    def start(self) -> None:
+        """Listens, follows the log and joins the other entries."""
+        self._hub.listen(self.config.peers)
+        self._hub.start_dialling()
+        self._edge.listen(self.config.callers)
+        self._control.start()
+        self._claims.start()
+        self._host_list.start()
+        self._timers.subscribe_every(ADVANCE_SECONDS, self._advance)
+        self._timers.subscribe_every(POLL_SECONDS, self._poll)
+        event.emit(event.Event.ENTRY_STARTED, incarnation=self.me)
+
+    def stop(self) -> None:
+        """Starts a graceful shutdown, which cuts no request."""
+        if self._stopping:
+            return
+        self._stopping = True
+        event.emit(event.Event.DRAIN_STARTED, incarnation=self.me)
+        self._edge.start_drain(self._on_drained)
+
+    def _on_drained(self) -> None:
+        self.coordination.leave()
+
+    def _finish_stop(self) -> None:
+        if self._stopped:
+            return
+        self._stopped = True
+        self._hub.close()
+        self._upstreams.close_all()
+        self._control.close()
+        self._claims.close()
+        event.emit(event.Event.DRAIN_FINISHED, incarnation=self.me)
+        self._on_stopped()
+
+    # Log.
+
+    def _on_control(self, entries: list[logclient.LoggedRecord]) -> None:
+        for item in entries:
+            self._fold(item)
+        self._flush()
+
+    def _fold(self, item: logclient.LoggedRecord) -> None:
+        """Folds the next control record, once, from the log or a peer."""
+        if item.offset < self.state.next_offset:
+            return
+        self._relay.add(item)
+        now = self._clock()
+        version = self.state.version
+        author, payload = item.record.author, item.record.payload
+        outcome = self.state.apply(item.record, item.offset, item.time)
+        translated = translate_payload(payload, author)
+        if translated is not None:
+            self.coordination.on_control(author, translated, item.offset, now)
+        elif outcome is state.Outcome.APPLIED and isinstance(
+            payload, record.BundleAccepted | record.WorkerAssigned
+        ):
+            self.coordination.on_control(
+                author,
+                membership.Limits(self._list_limits()),
+                item.offset,
+                now,
+            )
+        else:
+            self.coordination.on_other_control(item.offset)
+        if self.state.version != version:
+            self._apply_bundle()
+        if isinstance(payload, record.Joined | record.Left | record.Removed):
+            self._on_members(payload)
+
+    def _list_limits(self) -> dict[ledger.ResourceId, int]:
+        """Returns the limits that are kept exactly.
+
+        Connections to minions are bounded by the slots, since a connection
+        carries one request at a time.
+        """
+        return {
+            ledger.ResourceId(resource): limit
+            for resource, limit in self.state.list_limits().items()
+            if not resource.startswith("connection:")
+        }
+
+    def _apply_bundle(self) -> None:
+        declared = self.state.bundle
+        assert declared is not None
+        event.emit(
+            event.Event.BUNDLE_IN_FORCE,
+            version=declared.version,
+            entry=self.config.entry,
+        )
+        self._router.set_zones_out(
+            zone
+            for zone, spec in declared.zones.items()
+            if spec.state is bundle.ZoneState.OUT
+        )
+        self._update_targets()
+        self.gateway.configure(
+            declared, entries=max(1, len(self.coordination.roster.members))
+        )
+
+    def _on_members(
+        self, payload: record.Joined | record.Left | record.Removed
+    ) -> None:
+        names = {
+            record.Joined: event.Event.MEMBER_JOINED,
+            record.Left: event.Event.MEMBER_REMOVED,
+            record.Removed: event.Event.MEMBER_REMOVED,
+        }
+        event.emit(names[type(payload)], member=payload.incarnation)
+        if self.coordination.is_removed:
+            self._on_removed()
+
+    def _on_removed(self) -> None:
+        if self.coordination.leaving:
+            self._finish_stop()
+            return
+        event.emit(event.Event.REMOVED_SELF, incarnation=self.me)
+        # Rights and claims of this incarnation are void; a new one starts
+        # with empty state. Answers under way are still delivered.
+        self.was_removed = True
+        self._stopping = True
+        self._edge.start_drain(self._finish_stop)
+
+    def _on_claims(self, entries: list[logclient.LoggedRecord]) -> None:
+        now = self._clock()
+        for item in entries:
+            payload = item.record.payload
+            if item.offset < self._claims_relay.next_offset:
+                continue
+            if isinstance(payload, record.Claims):
+                self._claims_relay.add(item)
+                self.coordination.on_claims(
+                    translate_claims(payload), item.time, now
+                )
+        self._flush()
+
+    def _poll(self) -> None:
+        """Notes reads to the head and appends claims."""
+        if self._stopped:
+            return
+        if self._control.last_head_read != self._control_read:
+            self._control_read = self._control.last_head_read
+            assert self._control_read is not None
+            self.coordination.on_control_head(self._control_read)
+        if self._claims.last_head_read != self._claims_read:
+            self._claims_read = self._claims.last_head_read
+            assert self._claims_read is not None
+            self.coordination.on_claims_head(self._claims_read)
+        fresh = self.is_fresh
+        if fresh != self._fresh:
+            self._fresh = fresh
+            name = (
+                event.Event.CONFIGURATION_FRESH
+                if fresh
+                else event.Event.CONFIGURATION_STALE
+            )
+            event.emit(
+                name,
+                entry=self.config.entry,
+                why=self.coordination.freshness.explain(self._clock()),
+            )
+            self.gateway.pump()
+        self._append_claims()
+
+    def _append_claims(self) -> None:
+        if not self._claims.reachable:
+            return
+        batch = self.coordination.claims.take_batch(self._clock())
+        if batch is not None:
+            entry = record.create_record(self.me, create_claims(batch))
+            self._claims.append(entry, lambda outcome: None)
+
+    def _advance(self) -> None:
+        """Sends status to peers and appends what membership asks for."""
+        if self._stopped:
+            return
+        now = self._clock()
+        self._set_demand()
+        self.coordination.advance(now, log_usable=self._control.reachable)
+        if self.coordination.is_removed and not self._stopping:
+            self._on_removed()
+        self._update_targets()
+        self._send_usage()
+        self._flush()
+        self.gateway.pump()
+
+    def _set_demand(self) -> None:
+        balancer = self.coordination.balancer
+        pools: dict[identifiers.PoolId, int] = {}
+        for team, usage in self.gateway.scheduler.usage().items():
+            balancer.set_waiting(ledger.team_resource(team), usage.queued)
+        for item in self.gateway.flows.values():
+            if item.phase is gateway.Phase.QUEUED:
+                pools[item.pool] = pools.get(item.pool, 0) + 1
+        for worker, assignment in self.state.assignments.items():
+            slot = ledger.slot_resource(identifiers.MinionId(worker))
+            balancer.set_waiting(slot, pools.get(assignment.pool, 0))
+
+    def _flush(self) -> None:
+        """Sends and appends what the decisions have asked for."""
+        for member, message in self.coordination.take_messages():
+            if isinstance(message, coordination.Relay):
+                self._relay_to(member, message.after + 1)
+            else:
+                self._hub.send(member, message)
+        for payload in self.coordination.take_appends():
+            self._append(payload)
+        for decision in self.coordination.take_decisions():
+            self.gateway.on_decision(decision)
+
+    def _relay_to(
+        self, member: identifiers.Incarnation, next_offset: int
+    ) -> None:
+        message = self._relay.select(next_offset)
+        if message is not None:
+            self._hub.send(member, message)
+
+    def _append(self, payload: membership.Payload) -> None:
+        entry = record.create_record(self.me, self._create_payload(payload))
+
+        def report(outcome: logclient.AppendResult) -> None:
+            if isinstance(outcome, logclient.Rejected):
+                self.coordination.on_append_failed(payload)
+
+        self._control.append(entry, report)
+
+    def _create_payload(self, payload: membership.Payload) -> record.Payload:
+        match payload:
+            case membership.Joined():
+                host, port = self.config.peers
+                return record.Joined(
+                    self.me, self.config.entry, host, port, self.config.zone
+                )
+            case membership.Suspected(member):
+                event.emit(event.Event.MEMBER_SUSPECTED, member=member)
+                return record.Suspected(member)
+            case membership.Refuted(offset, flushed, complete):
+                return record.Refuted(offset, flushed, complete)
+            case membership.Removed(member, expected):
+                return record.Removed(member, expected)
+            case membership.Left(complete):
+                return record.Left(self.me, complete)
+            case ledger.Closing(member, _, given, received):
+                event.emit(event.Event.MEMBER_CLOSED, member=member)
+                return record.Closed(
+                    member,
+                    {str(r): n for r, n in given.items()},
+                    {str(r): n for r, n in received.items()},
+                )
+        raise TypeError(f"no record for {payload!r}")
+
+    # Peers.
+
+    def on_message(self, sender: peer.PeerIdentity, message: Any) -> None:
+        """Applies a message from another entry."""
+        now = self._clock()
+        match message:
+            case peerwire.UsageReport(teams=teams, version=version):
+                self._peer_versions[sender.entry] = (version, True)
+                usage = {
+                    item.team: scheduler.Usage(
+                        item.queued,
+                        item.running,
+                        item.slot_seconds,
+                        item.urgent_seconds,
+                    )
+                    for item in teams
+                }
+                self.gateway.scheduler.report_usage(
+                    sender.incarnation, usage, now
+                )
+            case peerwire.RelayRequest(next_offset=next_offset):
+                self._relay_to(sender.incarnation, next_offset)
+            case peerwire.RelayRecords():
+                for item in relay.decode_relayed(
+                    message, self.state.next_offset, self.config.cluster_key
+                ):
+                    if item.offset == self.state.next_offset:
+                        self._control.observe(item)
+                        self._fold(item)
+            case _:
+                self.coordination.on_message(sender.incarnation, message, now)
+        self._flush()
+
+    def on_peer_up(self, sender: peer.PeerIdentity) -> None:
+        """Tells a new link's peer the usage of all teams."""
+        self._told_usage.clear()
+        for member in self.coordination.roster.members:
+            if (
+                member.startswith(f"{sender.entry}/")
+                and member != sender.incarnation
+            ):
+                # The same entry runs as a new incarnation.
+                self.coordination.on_peer_absent(member, self._clock())
+
+    def on_peer_down(self, sender: peer.PeerIdentity) -> None:
+        """Does nothing: silence is judged by membership."""
+
+    def on_peer_refused(self, entry: identifiers.EntryId) -> None:
+        """Notes that nothing listens at the address of `entry`."""
+        for member in self.coordination.roster.members:
+            if member.startswith(f"{entry}/"):
+                self.coordination.on_peer_absent(member, self._clock())
+
+    def _send_usage(self) -> None:
+        changed = []
+        for team, usage in self.gateway.scheduler.usage().items():
+            if self._told_usage.get(team) != usage:
+                self._told_usage[team] = usage
+                changed.append(
+                    peerwire.TeamUsage(
+                        team,
+                        usage.queued,
+                        usage.running,
+                        usage.slot_seconds,
+                        usage.urgent_seconds,
+                    )
+                )
+        self._hub.broadcast(
+            peerwire.UsageReport(tuple(changed), self.state.version)
+        )
+
+    # Minions.
+
+    def _on_hosts(
+        self, hosts: Mapping[identifiers.WorkerId, hostlist.Host]
+    ) -> None:
+        self._hosts = hosts
+        self._update_targets()
+
+    def _update_targets(self) -> None:
+        """Tells the router which minions serve which pool."""
+        targets = []
+        rights = self.coordination.ledger
+        for worker, assignment in self.state.assignments.items():
+            host = self._hosts.get(worker)
+            if host is None:
+                continue
+            minion = identifiers.MinionId(worker)
+            targets.append(
+                router.Target(
+                    minion,
+                    assignment.pool,
+                    host.zone,
+                    host.address,
+                    slots=max(0, rights.held(ledger.slot_resource(minion))),
+                    leaving=host.leaving,
+                )
+            )
+        self._router.update(targets, self._clock())
+
+    # Claims, as the gateway sees them.
+
+    def submit(self, item: claim.Claim) -> claim.Decision:
+        """Starts the claim of a keyed request."""
+        decision = self.coordination.submit(item, self._clock())
+        self._append_claims()
+        return decision
+
+    def finish(
+        self,
+        item: claim.Claim,
+        answer: object | None,
+        size: int,
+        *,
+        execution: verdict.Execution,
+    ) -> None:
+        """Notes how the request of a claim ended."""
+        self.coordination.claims.finish(
+            item.key,
+            item.request_id,
+            execution,
+            self._clock(),
+            answer=answer,
+            size=size,
+        )
+
+    # Pages.
+
+    def handle_exchange(self, exchange: edge.Exchange) -> None:
+        """Serves a page."""
+        request = exchange.request
+        path = request.target.partition("?")[0]
+        if (request.method, path) == ("POST", "/v1/bundles"):
+            self._post_bundle(exchange)
+        else:
+            self._site.handle_exchange(exchange)
+
+    def render_refusal(
+        self, refusal: verdict.Refusal
+    ) -> tuple[int, Sequence[edge.Header], bytes]:
+        """Renders a refusal by the edge."""
+        return self._site.render_refusal(refusal)
+
+    def _post_bundle(self, exchange: edge.Exchange) -> None:
+        """Appends a signed bundle and answers with what the log made of it."""
+        text = exchange.request.body.decode("utf-8", "replace")
+        checked = signature.verify_bundle(
+            text, self.config.operators, now=self._wall_clock()
+        )
+        if not isinstance(checked, result.Success):
+            fault = checked.failure()
+            event.emit(event.Event.BUNDLE_REFUSED, detail=fault.detail)
+            _respond_json(exchange, 403, {"error": fault.detail, "faults": []})
+            return
+        digest = checked.unwrap().digest
+        for accepted in self.state.history:
+            if accepted.digest == digest:
+                _respond_json(exchange, 200, {"version": accepted.version})
+                return
+        if not self._control.reachable:
+            _respond_json(exchange, 503, {"error": "the log can't be reached"})
+            return
+        parsed = bundle.parse_bundle(checked.unwrap().text)
+        if isinstance(parsed, result.Failure):
+            faults = [item.render() for item in parsed.failure()]
+            _respond_json(
+                exchange, 400, {"error": "invalid bundle", "faults": faults}
+            )
+            return
+        if parsed.unwrap().version <= self.state.version:
+            _respond_json(
+                exchange,
+                409,
+                {"error": f"version {self.state.version} is in force"},
+            )
+            return
+        self._append_bundle(exchange, text, digest)
+
+    def _append_bundle(
+        self, exchange: edge.Exchange, text: str, digest: str
+    ) -> None:
+        try:
+            payload = self.state.create_bundle_payload(text)
+        except ValueError as error:
+            _respond_json(
+                exchange, 400, {"error": str(error), "faults": [str(error)]}
+            )
+            return
+
+        def report(outcome: logclient.AppendResult) -> None:
+            event.emit(
+                event.Event.BUNDLE_APPENDED,
+                version=payload.version,
+                outcome=type(outcome).__name__,
+            )
+            if not isinstance(outcome, logclient.Appended):
+                _respond_json(exchange, 503, {"error": "outcome unknown"})
+            else:
+                self._timers.subscribe_once(
+                    0.0,
+                    lambda: self._answer_bundle(
+                        exchange, digest, outcome.offset, BUNDLE_SECONDS
+                    ),
+                )
+
+        entry = record.create_record(self.me, payload)
+        self._control.append(entry, report)
+
+    def _answer_bundle(
+        self,
+        exchange: edge.Exchange,
+        digest: str,
+        offset: int,
+        patience: float,
+    ) -> None:
+        """Answers once the bundle's record is folded here."""
+        if self.state.next_offset <= offset and patience > 0:
+            self._timers.subscribe_once(
+                POLL_SECONDS,
+                lambda: self._answer_bundle(
+                    exchange, digest, offset, patience - POLL_SECONDS
+                ),
+            )
+            return
+        if any(item.digest == digest for item in self.state.history):
+            _respond_json(exchange, 200, {"version": self.state.version})
+        else:
+            _respond_json(exchange, 409, {"error": "another bundle came first"})
+
+    def is_operator(self, request: web.Request) -> bool:
+        """Returns whether a request carries the operators' token."""
+        digest = self.config.operator_token
+        if digest is None:
+            return True
+        given = request.exchange.request.find_header(b"authorization") or ""
+        token = given.removeprefix("Bearer ")
+        return hmac.compare_digest(signature.hash_secret(token), digest)
+
+    def read_readiness(self) -> tuple[bool, str]:
+        """Returns whether callers may be sent here, and why not."""
+        failures = self._sockets.failures + self._timers.failures
+        if failures:
+            return False, f"{failures} handler failures"
+        if self._stopping:
+            return False, "stopping"
+        if self.state.bundle is None:
+            return False, "no bundle is in force"
+        if not self.is_fresh:
+            return False, self.coordination.freshness.explain(self._clock())
+        return True, "ready"
+
+    def render_metrics(self) -> bytes:
+        """Returns the metrics as Prometheus text."""
+        return self.metrics.render()
+
+    def list_bundles(self) -> list[dict[str, Any]]:
+        """Returns the accepted bundles, oldest first."""
+        return [
+            {
+                "version": item.version,
+                "operator": item.operator,
+                "digest": item.digest,
+                "time": item.time,
+                "entry": item.author,
+            }
+            for item in self.state.history
+        ]
+
+    def describe_status(self) -> dict[str, Any]:
+        """Returns the state of the site as this entry sees it."""
+        ready, detail = self.read_readiness()
+        usage = self.gateway.scheduler.usage()
+        return {
+            "entry": self.config.entry,
+            "incarnation": self.me,
+            "zone": self.config.zone,
+            "version": self.state.version,
+            "ready": ready,
+            "detail": detail,
+            "entries": self._describe_entries(),
+            "teams": {
+                team: {
+                    "queued": item.queued,
+                    "running": item.running,
+                    "held": self._count_held(team),
+                    "slot_seconds": round(item.slot_seconds, 3),
+                }
+                for team, item in usage.items()
+            },
+            "pools": self._describe_pools(),
+        }
+
+    def _describe_entries(self) -> list[dict[str, Any]]:
+        entries: list[dict[str, Any]] = [
+            {
+                "entry": self.config.entry,
+                "version": self.state.version,
+                "fresh": self.is_fresh,
+            }
+        ]
+        for name in self.config.others:
+            version, fresh = self._peer_versions.get(name, (0, False))
+            entries.append({"entry": name, "version": version, "fresh": fresh})
+        return entries
+
+    def _describe_pools(self) -> dict[str, dict[str, Any]]:
+        pools: dict[str, dict[str, Any]] = {}
+        for worker, assignment in self.state.assignments.items():
+            found = pools.setdefault(
+                assignment.pool, {"workers": 0, "listed": 0, "leaving": 0}
+            )
+            host = self._hosts.get(worker)
+            found["workers"] += 1
+            found["listed"] += host is not None
+            found["leaving"] += host is not None and host.leaving
+        return pools
+
+    def explain(self, subject: str) -> dict[str, Any] | None:
+        """Returns why a request, team or worker is in its state."""
+        item = self.gateway.flows.get(identifiers.RequestId(subject))
+        if item is not None:
+            return {
+                "request": subject,
+                "phase": item.phase.value,
+                "queue": item.grant.queue,
+                "team": item.grant.team,
+                "attempts": item.attempts,
+            }
+        team = identifiers.TeamId(subject)
+        usage = self.gateway.scheduler.usage().get(team)
+        if usage is not None:
+            return {
+                "team": subject,
+                "queued": usage.queued,
+                "running": usage.running,
+                "held": self._count_held(team),
+            }
+        assignment = self.state.assignments.get(identifiers.WorkerId(subject))
+        if assignment is not None:
+            return {"worker": subject, "pool": assignment.pool}
+        return None
+
+
+def _respond_json(
+    exchange: edge.Exchange, status: int, content: object
+) -> None:
+    exchange.respond(
+        status,
+        [(b"content-type", b"application/json")],
+        json.dumps(content).encode() + b"\n",
+    )
--- a/clementinewood/flow.py
+++ b/clementinewood/flow.py
@@ -46,7 +46,7 @@
         failed_on: Minions to avoid.
         target: Minion of the attempt in progress.
         started: Monotonic time at which the attempt was sent.
-        claim: The claim of its idempotency key, if it has one.
+        key_claim: The claim of its idempotency key, if it has one.
         cancelled: Whether the caller has gone.
     """
 
@@ -66,7 +66,7 @@
     failed_on: frozenset[identifiers.MinionId] = frozenset()
     target: router.Target | None = None
     started: float = 0.0
-    claim: claim.Claim | None = None
+    key_claim: claim.Claim | None = None
     cancelled: bool = False
 
     def create_job(self, estimate: float) -> scheduler.Job:
--- a/clementinewood/gateway.py
+++ b/clementinewood/gateway.py
@@ -42,30 +42,8 @@
 ANSWER_MARGIN = 0.5
 """Time for an answer to arrive after the run limit."""
 
-_NOT_FORWARDED = frozenset(
-    (
-        b"host",
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"content-length",
-        b"upgrade",
-        b"expect",
-        b"authorization",
-        b"x-request-id",
-        b"x-run-limit-ms",
-        b"x-start-before",
-        b"x-execution",
-        b"x-team",
-        b"x-customer",
-    )
-)
-"""Headers that are never passed on: hop-by-hop ones (RFC 9110, section 7.6.1),
-the caller's key, and those by which an entry controls minions."""
+CHOICES = 6
+"""Minions looked at for one with a free slot; a pool has 6 today."""
 
 
 class Rights(Protocol):
@@ -110,7 +88,10 @@
         headers: Sequence[edge.Header],
         body: bytes,
         *,
+        idempotent: bool,
         timeout: float,
+        run_limit: float,
+        start_before: float,
         on_result: Callable[[retry.Outcome, httpclient.Answer | None], None],
     ) -> None:
         """Sends one attempt and reports its outcome once."""
@@ -131,6 +112,7 @@
         explain_stale: Says why it may not.
         me: Incarnation of this entry.
         metrics: Counts.
+        context: Set on the exchanges that go to `pages`.
         wall_clock: Wall-clock time in seconds, for minions.
     """
 
@@ -148,8 +130,10 @@
         explain_stale: Callable[[], str],
         me: identifiers.Incarnation,
         metrics: metric.Metrics,
+        context: object = None,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
+        self._context = context
         self.admission: admission.Admission | None = None
         self.scheduler = scheduler.Scheduler({}, {})
         self.flows: dict[identifiers.RequestId, flow.Flow] = {}
@@ -185,6 +169,7 @@
     def handle_exchange(self, exchange: edge.Exchange) -> None:
         """Admits one request, or refuses it."""
         if not exchange.request.target.startswith(requesthead.QUEUE_PREFIX):
+            exchange.context = self._context
             self._pages.handle_exchange(exchange)
             return
         match requesthead.parse_request_head(exchange.request):
@@ -270,8 +255,8 @@
         self._retries.record_request(grant.team)
         if head.idempotency_key is not None and not head.idempotent:
             item.phase = Phase.CLAIMING
-            item.claim = self._create_claim(item, head.idempotency_key)
-            self._apply_decision(item, self._claims.submit(item.claim))
+            item.key_claim = self._create_claim(item, head.idempotency_key)
+            self._apply_decision(item, self._claims.submit(item.key_claim))
         else:
             self._enqueue(item)
         self.pump()
@@ -293,20 +278,20 @@
     def _apply_decision(
         self, item: flow.Flow, decision: claim.Decision
     ) -> None:
-        match decision.verdict:
-            case claim.Verdict.WAIT:
+        match decision.ruling:
+            case claim.Ruling.WAIT:
                 return
-            case claim.Verdict.RUN if item.cancelled:
+            case claim.Ruling.RUN if item.cancelled:
                 self._refuse(item, verdict.Refusal(Reason.CANCELLED))
-            case claim.Verdict.RUN:
+            case claim.Ruling.RUN:
                 self._enqueue(item)
-            case claim.Verdict.ANSWER:
+            case claim.Ruling.ANSWER:
                 assert isinstance(decision.answer, httpclient.Answer)
                 # Another request holds the claim.
-                item.claim = None
+                item.key_claim = None
                 self._answer(item, decision.answer, replayed=True)
             case other:
-                item.claim = None
+                item.key_claim = None
                 self._refuse(item, _CLAIM_REFUSALS[other])
 
     def _enqueue(self, item: flow.Flow) -> None:
@@ -320,46 +305,50 @@
         item = self.flows[job.request_id]
         if self._rights.available(ledger.team_resource(job.team)) <= 0:
             return False
+        self._chosen = self._choose(item, item.failed_on)
+        if self._chosen is None and item.failed_on:
+            self._chosen = self._choose(item, frozenset())
+        return self._chosen is not None
+
+    def _choose(
+        self, item: flow.Flow, exclude: frozenset[identifiers.MinionId]
+    ) -> router.Target | None:
+        """Returns a minion that has a free slot of this entry's part."""
         now = self._clock()
-        target = self._router.choose(item.pool, now, exclude=item.failed_on)
-        if target is None and item.failed_on:
-            target = self._router.choose(item.pool, now)
-        self._chosen = target
-        return target is not None
+        for _ in range(CHOICES):
+            target = self._router.choose(
+                item.pool, now, exclude, probe=item.idempotent
+            )
+            if target is None:
+                return None
+            slot = ledger.slot_resource(target.minion)
+            if self._rights.available(slot) > 0:
+                return target
+            exclude |= {target.minion}
+        return None
 
     def _start(self, item: flow.Flow, now: float) -> None:
         target = self._chosen
         assert target is not None
-        taken = self._rights.acquire(ledger.team_resource(item.grant.team))
-        assert taken, "the scheduler picked a job without rights"
+        for resource in _list_resources(item, target):
+            taken = self._rights.acquire(resource)
+            assert taken, "the scheduler picked a job without rights"
         item.phase = Phase.RUNNING
         item.target = target
         item.started = now
         item.attempts += 1
         self._router.start(target.minion, now)
         request = item.exchange.request
-        headers = [
-            header
-            for header in request.headers
-            if header[0] not in _NOT_FORWARDED
-        ]
-        started_wall = self._wall_clock()
-        headers += [
-            (b"x-request-id", item.request_id.encode()),
-            (b"x-team", item.grant.team.encode()),
-            (b"x-run-limit-ms", b"%d" % int(item.run_limit * 1000)),
-            (
-                b"x-start-before",
-                b"%.3f" % (started_wall + START_WINDOW),
-            ),
-        ]
         self._sender.send(
             target,
             item.request_id,
             request.method,
             request.target,
-            headers,
+            request.headers,
             request.body,
+            idempotent=item.idempotent,
+            run_limit=item.run_limit,
+            start_before=self._wall_clock() + START_WINDOW,
             timeout=START_WINDOW + item.run_limit + ANSWER_MARGIN,
             on_result=lambda outcome, answer: self._finish_attempt(
                 item, target, outcome, answer
@@ -375,7 +364,7 @@
     ) -> None:
         now = self._clock()
         self._metrics.count(metric.ATTEMPTS, outcome=outcome.value)
-        self._release_right(item, outcome, now)
+        self._release_rights(item, target, outcome, now)
         self._router.finish(target.minion, outcome, now - item.started, now)
         self.scheduler.finish(item.request_id, now)
         attempt = self._describe_attempt(item, target, outcome)
@@ -438,18 +427,25 @@
             self._enqueue(item)
             self.pump()
 
-    def _release_right(
-        self, item: flow.Flow, outcome: retry.Outcome, now: float
+    def _release_rights(
+        self,
+        item: flow.Flow,
+        target: router.Target,
+        outcome: retry.Outcome,
+        now: float,
     ) -> None:
-        """Frees the team's right once the work can't be running any more."""
-        resource = ledger.team_resource(item.grant.team)
+        """Frees the rights once the work can't be running any more."""
+        resources = _list_resources(item, target)
+
+        def release() -> None:
+            for resource in resources:
+                self._rights.release(resource)
+
         if retry.EXECUTIONS[outcome] is not verdict.Execution.MAY_HAVE_RUN:
-            self._rights.release(resource)
+            release()
             return
         over = item.started + START_WINDOW + item.run_limit + LEASE_MARGIN
-        self._timers.subscribe_once(
-            max(0.0, over - now), lambda: self._rights.release(resource)
-        )
+        self._timers.subscribe_once(max(0.0, over - now), release)
 
     def _cancel(self, item: flow.Flow) -> None:
         """Ends a request whose caller has gone."""
@@ -471,11 +467,7 @@
         replayed: bool = False,
     ) -> None:
         headers = [
-            header
-            for header in answer.headers
-            if header[0] not in _NOT_FORWARDED
-        ]
-        headers += [
+            *answer.headers,
             (b"x-request-id", item.request_id.encode()),
             (b"x-execution", verdict.Execution.RAN.value.encode()),
         ]
@@ -511,9 +503,11 @@
         item.phase = Phase.DONE
         self.flows.pop(item.request_id, None)
         self._estimates.pop(item.request_id, None)
-        if item.claim is not None:
+        if item.key_claim is not None:
             size = 0 if answer is None else len(answer.body)
-            self._claims.finish(item.claim, answer, size, execution=execution)
+            self._claims.finish(
+                item.key_claim, answer, size, execution=execution
+            )
 
     def _refuse_exchange(
         self, exchange: edge.Exchange, refusal: verdict.Refusal
@@ -540,23 +534,23 @@
         self.pump()
 
 
-_CLAIM_REFUSALS: Mapping[claim.Verdict, verdict.Refusal] = {
-    claim.Verdict.RUNNING: verdict.Refusal(
+_CLAIM_REFUSALS: Mapping[claim.Ruling, verdict.Refusal] = {
+    claim.Ruling.RUNNING: verdict.Refusal(
         Reason.DUPLICATE_RUNNING,
         verdict.Execution.MAY_HAVE_RUN,
         "A request with this idempotency key was accepted and may be running.",
         1.0,
     ),
-    claim.Verdict.RAN: verdict.Refusal(
+    claim.Ruling.RAN: verdict.Refusal(
         Reason.DUPLICATE_RAN,
         verdict.Execution.RAN,
         "A request with this idempotency key ran; its answer is not kept.",
     ),
-    claim.Verdict.REUSED: verdict.Refusal(
+    claim.Ruling.REUSED: verdict.Refusal(
         Reason.KEY_REUSED,
         detail="The idempotency key belongs to another request.",
     ),
-    claim.Verdict.UNAVAILABLE: verdict.Refusal(
+    claim.Ruling.UNAVAILABLE: verdict.Refusal(
         Reason.CLAIM_UNAVAILABLE,
         detail="The idempotency key can't be checked now.",
         retry_after=1.0,
@@ -564,6 +558,16 @@
 }
 
 
+def _list_resources(
+    item: flow.Flow, target: router.Target
+) -> tuple[ledger.ResourceId, ...]:
+    """Returns the rights that one attempt takes."""
+    return (
+        ledger.team_resource(item.grant.team),
+        ledger.slot_resource(target.minion),
+    )
+
+
 def render_refusal(
     refusal: verdict.Refusal, request_id: identifiers.RequestId
 ) -> tuple[int, Sequence[edge.Header], bytes]:
--- /dev/null
+++ b/clementinewood/hostlist.py
@@ -0,0 +1,124 @@
+"""The platform's lagging list of live and leaving hosts."""
+
+import dataclasses
+import json
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from loguru import logger
+
+from clementinewood import httpclient, identifiers, timer
+
+POLL_SECONDS = 1.0
+TIMEOUT_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Host:
+    """One host of the list.
+
+    Attributes:
+        worker: The host.
+        zone: Availability zone.
+        rack: Rack.
+        address: Where its minion listens.
+        leaving: Whether it gets no new work.
+    """
+
+    worker: identifiers.WorkerId
+    zone: identifiers.ZoneId
+    rack: identifiers.RackId
+    address: tuple[str, int]
+    leaving: bool
+
+
+def parse_hosts(body: bytes) -> dict[identifiers.WorkerId, Host]:
+    """Reads the list.
+
+    Raises:
+        ValueError: The body is not a list of hosts.
+    """
+    content = json.loads(body)
+    if not isinstance(content, dict):
+        raise ValueError("not an object")
+    hosts = [_parse_host(item) for item in content.get("hosts", [])]
+    return {host.worker: host for host in hosts}
+
+
+def _parse_host(item: Any) -> Host:
+    try:
+        address, _, port = item["address"].rpartition(":")
+        return Host(
+            identifiers.WorkerId(item["id"]),
+            identifiers.ZoneId(item["zone"]),
+            identifiers.RackId(item.get("rack", "")),
+            (address, int(port)),
+            item.get("state", "live") != "live",
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"not a host: {item!r}") from error
+
+
+class HostList:
+    """Polls the list; keeps the last one while the platform is out.
+
+    Args:
+        http: Connections to the list's server.
+        timers: Timer service.
+        on_hosts: Called with each list read.
+    """
+
+    def __init__(
+        self,
+        http: httpclient.HttpClient,
+        timers: timer.TimerService,
+        on_hosts: Callable[[Mapping[identifiers.WorkerId, Host]], None],
+    ) -> None:
+        self.read_at: float | None = None
+        self.failures = 0
+        self._http = http
+        self._timers = timers
+        self._on_hosts = on_hosts
+        self._asking = False
+
+    def start(self) -> None:
+        """Reads the list now and then once a second."""
+        self._ask()
+        self._timers.subscribe_every(POLL_SECONDS, self._ask)
+
+    def _ask(self) -> None:
+        if self._asking:
+            return
+        self._asking = True
+        sent = self._timers.clock()
+        self._http.send(
+            "GET",
+            "/hosts",
+            [],
+            b"",
+            timeout=TIMEOUT_SECONDS,
+            on_result=lambda outcome: self._receive(outcome, sent),
+        )
+
+    def _receive(self, outcome: httpclient.Result, sent: float) -> None:
+        self._asking = False
+        if not isinstance(outcome, httpclient.Answer) or outcome.status != 200:
+            self.failures += 1
+            return
+        try:
+            hosts = parse_hosts(outcome.body)
+        except ValueError as error:
+            self.failures += 1
+            logger.warning("host list is malformed: {}", error)
+            return
+        self.read_at = sent
+        self._on_hosts(hosts)
+
+
+if __name__ == "__main__":
+    print(
+        parse_hosts(
+            b'{"hosts": [{"id": "quotes-1", "zone": "hobart", "rack": "r1",'
+            b' "address": "127.0.0.1:9001", "state": "live"}]}'
+        )
+    )
--- a/clementinewood/logclient.py
+++ b/clementinewood/logclient.py
@@ -35,7 +35,7 @@
 APPENDS_PER_SECOND = 20.0
 
 _STREAM_KINDS: dict[str, tuple[type, ...]] = {
-    "claims": (record.Claims, record.ClaimOutcomes),
+    "claims": (record.Claims,),
 }
 
 
--- a/clementinewood/peer.py
+++ b/clementinewood/peer.py
@@ -25,6 +25,7 @@
 An open connection can go silent for good while new ones work.
 """
 
+PROBE_SECONDS = 0.5
 HANDSHAKE_SECONDS = 2.0
 
 
@@ -111,7 +112,7 @@
         )
         me = self._hub.identity
         self._send_plain(
-            peerwire.messages.Challenge(
+            peerwire.Challenge(
                 version=peerwire.PROTOCOL_VERSION,
                 entry=me.entry,
                 incarnation=me.incarnation,
@@ -175,19 +176,18 @@
         self._received = sequence
         assert self.identity is not None
         match message:
-            case peerwire.messages.StatusAck():
+            case peerwire.ProbeAck():
                 self.unacknowledged_since = None
-            case peerwire.messages.Status():
-                self.send(
-                    peerwire.messages.StatusAck(sequence=message.sequence)
-                )
-        self._hub.deliver(self.identity, message)
+            case peerwire.Probe(sequence=number):
+                self.send(peerwire.ProbeAck(number))
+            case _:
+                self._hub.deliver(self.identity, message)
 
     def _receive_handshake(self, message: Any) -> None:
         match self._phase, message:
-            case _Phase.CHALLENGE, peerwire.messages.Challenge():
+            case _Phase.CHALLENGE, peerwire.Challenge():
                 self._accept_challenge(message)
-            case _Phase.PROOF, peerwire.messages.Proof():
+            case _Phase.PROOF, peerwire.Proof():
                 expected = self._prove(sender_is_me=False)
                 if not hmac.compare_digest(expected, message.mac or b""):
                     raise peerwire.FrameError("wrong proof of the cluster key")
@@ -214,9 +214,7 @@
             raise peerwire.FrameError("connected to itself")
         self._peer_nonce = nonce
         self._phase = _Phase.PROOF
-        self._send_plain(
-            peerwire.messages.Proof(mac=self._prove(sender_is_me=True))
-        )
+        self._send_plain(peerwire.Proof(mac=self._prove(sender_is_me=True)))
 
     def _describe(self, *, mine: bool) -> bytes:
         identity = self._hub.identity if mine else self.identity
@@ -290,6 +288,7 @@
         self._dialled: dict[identifiers.EntryId, PeerLink] = {}
         self._links: dict[identifiers.Incarnation, list[PeerLink]] = {}
         self._closed = False
+        self._probes = 0
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         """Accepts links on `address` and returns the address bound."""
@@ -301,7 +300,7 @@
         """Dials every peer and keeps the links up."""
         for entry in self._peers:
             self._dial(entry)
-        self.timers.subscribe_every(SILENCE_SECONDS / 3, self._check_silence)
+        self.timers.subscribe_every(PROBE_SECONDS, self._probe_links)
 
     def list_up(self) -> list[PeerIdentity]:
         """Returns the peers to which a link is up."""
@@ -321,14 +320,6 @@
         """Sends `message` to every peer with a link; returns how many."""
         return sum(self.send(member, message) for member in list(self._links))
 
-    def send_status(self, message: Any) -> None:
-        """Sends a status on every link, so that each one is probed."""
-        now = self.timers.clock()
-        for links in list(self._links.values()):
-            for link in list(links):
-                if link.send(message) and link.unacknowledged_since is None:
-                    link.unacknowledged_since = now
-
     def close(self) -> None:
         """Ends all links and dials no more."""
         self._closed = True
@@ -387,14 +378,17 @@
         self._dialled[entry] = link
         self._sockets.connect(self._peers[entry], link, timeout=1.0)
 
-    def _check_silence(self) -> None:
+    def _probe_links(self) -> None:
+        """Cuts links that have gone silent and probes the others."""
         now = self.timers.clock()
         for links in list(self._links.values()):
             for link in list(links):
                 since = link.unacknowledged_since
-                if since is None or now - since < SILENCE_SECONDS:
-                    continue
-                if link.connection is not None:
+                if since is None:
+                    self._probes += 1
+                    link.unacknowledged_since = now
+                    link.send(peerwire.Probe(self._probes))
+                elif now - since >= SILENCE_SECONDS and link.connection:
                     link.connection.abort("no acknowledgement")
 
 
@@ -441,9 +435,13 @@
         addresses[entry] = hub.listen(("127.0.0.1", 0))
         hubs.append(hub)
     hubs[1].start_dialling()
+
+    def send() -> None:
+        hubs[0].broadcast(peerwire.RelayRequest("control", 0))
+
     service.subscribe_once(
         0.2,
-        lambda: hubs[0].send_status(peerwire.messages.Status(sequence=1)),
+        send,
     )
     service.run()
 
--- a/clementinewood/peer.thrift
+++ b/clementinewood/peer.thrift
@@ -1,5 +1,9 @@
-// Messages on links between entries. Each frame on the wire is a 4-byte
-// big-endian length, a 16-byte MAC (after the handshake) and one Frame.
+namespace py clementinewood
+
+// Messages on links between entries. A frame on the wire is a 4-byte
+// big-endian length, a 16-byte MAC (after the handshake) and one Frame, which
+// holds exactly one message. Structs have the names and fields of the data
+// classes that they carry, which document them.
 
 struct Challenge {
   1: i32 version
@@ -13,53 +17,92 @@
   1: binary mac
 }
 
-// Usage of one team at the sender.
-struct TeamUsage {
+struct Probe {
+  1: i64 sequence
+}
+
+struct ProbeAck {
+  1: i64 sequence
+}
+
+struct ClaimKey {
   1: string team
-  2: i32 running
-  3: i32 queued
-  4: double slot_seconds
+  2: binary digest
 }
 
-// A resource of which the sender can give, or of which it needs more.
-struct RightsReport {
-  1: string resource
-  2: i32 surplus
-  3: i32 needed
+struct Claim {
+  1: ClaimKey key
+  2: string request_id
+  3: string claimant
+  4: binary request
+  5: bool outage
 }
 
-struct Status {
-  1: i64 sequence
-  2: i64 control_offset
-  3: double head_age
-  4: bool log_reachable
-  5: i64 bundle_version
-  6: list<TeamUsage> usage
-  7: list<RightsReport> rights
-  8: bool draining
-  9: bool fresh
+struct Outcome {
+  1: ClaimKey key
+  2: string request_id
+  3: string execution
+}
+
+struct ClaimAsk {
+  1: Claim claim
+  2: i64 changed
+}
+
+struct ClaimAnswer {
+  1: ClaimKey key
+  2: string request_id
+  3: string record
+  4: i64 covered
+}
+
+struct Releases {
+  1: list<Outcome> outcomes
+}
+
+struct Report {
+  1: i64 offset
+  2: list<string> debts
+  3: i64 opened
+  4: map<string, i64> surplus
+  5: map<string, i64> need
+  6: bool whole
 }
 
-struct StatusAck {
+struct Confirmation {
+  1: i64 offset
+  2: bool complete
+  3: list<Claim> claims
+}
+
+struct Status {
   1: i64 sequence
+  2: i64 echo
+  3: bool reachable
+  4: i64 known
+  5: double age
+  6: Report report
+  7: bool awaits
+  8: optional Confirmation confirmation
 }
 
-// Cumulative total given by the sender to the receiver of one resource.
 struct Transfer {
   1: string resource
-  2: i64 total
-}
-
-struct Transfers {
-  1: list<Transfer> transfers
+  2: string giver
+  3: string receiver
+  4: i64 total
 }
 
-struct TransferAcks {
-  1: list<Transfer> received
+struct TransferAck {
+  1: Transfer transfer
 }
 
 struct RightsRequest {
-  1: list<RightsReport> wanted
+  1: string resource
+  2: i64 need
+  3: i64 extra
+  4: i64 held
+  5: i64 demand
 }
 
 struct RelayedRecord {
@@ -68,59 +111,44 @@
   3: binary data
 }
 
-struct RelayRequest {
+struct RelayRecords {
   1: string stream
-  2: i64 from_offset
+  2: i64 next_offset
+  3: list<RelayedRecord> records
 }
 
-struct Relay {
+struct RelayRequest {
   1: string stream
-  2: i64 from_offset
-  3: i64 head
-  4: double head_age
-  5: list<RelayedRecord> records
+  2: i64 next_offset
 }
 
-struct Claim {
+struct TeamUsage {
   1: string team
-  2: binary digest
-  3: binary request_digest
-  4: string request_id
-  5: string claimant
-}
-
-struct ClaimAsk {
-  1: i64 sequence
-  2: Claim claim
-}
-
-struct ClaimAnswer {
-  1: i64 sequence
-  2: bool recorded
-}
-
-struct ClaimSync {
-  1: list<Claim> unflushed
-  2: bool complete
+  2: i64 queued
+  3: i64 running
+  4: double slot_seconds
+  5: double urgent_seconds
 }
 
-struct Leaving {
-  1: string incarnation
+struct UsageReport {
+  1: list<TeamUsage> teams
+  2: i64 version
 }
 
 struct Frame {
   1: i64 sequence
   2: optional Challenge challenge
   3: optional Proof proof
-  4: optional Status status
-  5: optional StatusAck status_ack
-  6: optional Transfers transfers
-  7: optional TransferAcks transfer_acks
-  8: optional RightsRequest rights_request
-  9: optional RelayRequest relay_request
-  10: optional Relay relay
-  11: optional ClaimAsk claim_ask
-  12: optional ClaimAnswer claim_answer
-  13: optional ClaimSync claim_sync
-  14: optional Leaving leaving
+  4: optional Probe probe
+  5: optional ProbeAck probe_ack
+  6: optional Status status
+  7: optional Transfer transfer
+  8: optional TransferAck transfer_ack
+  9: optional RightsRequest rights_request
+  10: optional ClaimAsk claim_ask
+  11: optional ClaimAnswer claim_answer
+  12: optional Releases releases
+  13: optional RelayRecords relay_records
+  14: optional RelayRequest relay_request
+  15: optional UsageReport usage_report
 }
--- a/clementinewood/peerwire.py
+++ b/clementinewood/peerwire.py
@@ -1,5 +1,6 @@
-"""Codec of the frames on links between entries."""
+"""Messages on links between entries, and their codec."""
 
+import dataclasses
 import pathlib
 import struct
 from typing import Any
@@ -8,49 +9,151 @@
 from thriftpy2 import utils
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 
-messages: Any = thriftpy2.load(
+from clementinewood import claim, coordination, identifiers, ledger, structmap
+
+wire: Any = thriftpy2.load(
     str(pathlib.Path(__file__).with_name("peer.thrift")),
-    module_name="peer_thrift",
+    module_name="clementinewood_peer_thrift",
 )
-"""Thrift structs by name; peer.thrift documents their fields."""
 
 PROTOCOL_VERSION = 1
 MAC_BYTES = 16
 NONCE_BYTES = 32
-MAX_FRAME_BYTES = 4 << 20
+MAX_FRAME_BYTES = 8 << 20
 _LENGTH = struct.Struct(">I")
 _FACTORY = TCyBinaryProtocolFactory()
 
-_FIELDS: dict[type, str] = {
-    messages.Challenge: "challenge",
-    messages.Proof: "proof",
-    messages.Status: "status",
-    messages.StatusAck: "status_ack",
-    messages.Transfers: "transfers",
-    messages.TransferAcks: "transfer_acks",
-    messages.RightsRequest: "rights_request",
-    messages.RelayRequest: "relay_request",
-    messages.Relay: "relay",
-    messages.ClaimAsk: "claim_ask",
-    messages.ClaimAnswer: "claim_answer",
-    messages.ClaimSync: "claim_sync",
-    messages.Leaving: "leaving",
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Challenge:
+    """First message of both sides of a link.
+
+    Attributes:
+        version: Protocol version of the sender.
+        entry: Configured name of the sender.
+        incarnation: This run of the sender.
+        zone: Its availability zone.
+        nonce: Random bytes that the other side's proof must cover.
+    """
+
+    version: int
+    entry: identifiers.EntryId
+    incarnation: identifiers.Incarnation
+    zone: identifiers.ZoneId
+    nonce: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """Shows knowledge of the cluster key."""
+
+    mac: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks for an acknowledgement on the same link."""
+
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeAck:
+    """Answers a probe."""
+
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedRecord:
+    """A log record as its reader got it; the MAC in it is the author's."""
+
+    offset: int
+    time: float
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayRecords:
+    """Records of a stream, without a gap before `next_offset`.
+
+    Attributes:
+        stream: The stream.
+        next_offset: Offset after the last one covered; records that are
+            missing before it were refused by the sender.
+        records: In the order of their offsets.
+    """
+
+    stream: str
+    next_offset: int
+    records: tuple[RelayedRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayRequest:
+    """Asks for the records of a stream from an offset on."""
+
+    stream: str
+    next_offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamUsage:
+    """Usage of one team at the sender, as in `scheduler.Usage`."""
+
+    team: identifiers.TeamId
+    queued: int
+    running: int
+    slot_seconds: float
+    urgent_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageReport:
+    """Usage of the teams for which it changed.
+
+    Attributes:
+        teams: The teams.
+        version: Bundle version in force at the sender.
+    """
+
+    teams: tuple[TeamUsage, ...]
+    version: int
+
+
+_KINDS: dict[str, type] = {
+    "challenge": Challenge,
+    "proof": Proof,
+    "probe": Probe,
+    "probe_ack": ProbeAck,
+    "status": coordination.Status,
+    "transfer": ledger.Transfer,
+    "transfer_ack": coordination.TransferAck,
+    "rights_request": ledger.RightsRequest,
+    "claim_ask": claim.ClaimAsk,
+    "claim_answer": claim.ClaimAnswer,
+    "releases": coordination.Releases,
+    "relay_records": RelayRecords,
+    "relay_request": RelayRequest,
+    "usage_report": UsageReport,
 }
+_FIELDS = {kind: name for name, kind in _KINDS.items()}
+_MAP = structmap.StructMap(wire)
 
 
 class FrameError(ValueError):
     """Bytes that are no frame of this protocol."""
 
 
-def name_message(message: Any) -> str:
+def name_message(message: object) -> str:
     """Returns the field name of `message` in a frame, for metrics."""
     return _FIELDS[type(message)]
 
 
-def encode_frame(sequence: int, message: Any) -> bytes:
+def encode_frame(sequence: int, message: object) -> bytes:
     """Returns one frame without length and MAC."""
-    frame = messages.Frame(sequence=sequence)
-    setattr(frame, _FIELDS[type(message)], message)
+    frame = wire.Frame(sequence=sequence)
+    setattr(frame, _FIELDS[type(message)], _MAP.encode(message))
     return utils.serialize(frame, proto_factory=_FACTORY)
 
 
@@ -61,19 +164,17 @@
         FrameError: The bytes hold no frame with exactly one known message.
     """
     try:
-        frame = utils.deserialize(
-            messages.Frame(), data, proto_factory=_FACTORY
-        )
-    except Exception as error:
+        frame = utils.deserialize(wire.Frame(), data, proto_factory=_FACTORY)
+        found = [
+            (kind, part)
+            for name, kind in _KINDS.items()
+            if (part := getattr(frame, name)) is not None
+        ]
+        if len(found) != 1 or type(frame.sequence) is not int:
+            raise ValueError(f"frame holds {len(found)} messages")
+        return frame.sequence, _MAP.decode(*found[0])
+    except Exception as error:  # The codec documents no set of exceptions.
         raise FrameError(f"undecodable frame: {error}") from error
-    found = [
-        message
-        for field in _FIELDS.values()
-        if (message := getattr(frame, field)) is not None
-    ]
-    if len(found) != 1 or frame.sequence is None:
-        raise FrameError(f"frame holds {len(found)} messages")
-    return frame.sequence, found[0]
 
 
 def pack_frame(body: bytes, mac: bytes = b"") -> bytes:
@@ -110,5 +211,5 @@
 
 
 if __name__ == "__main__":
-    example = encode_frame(1, messages.StatusAck(sequence=7))
+    example = encode_frame(1, ProbeAck(7))
     print(len(example), decode_frame(example))
--- a/clementinewood/record.py
+++ b/clementinewood/record.py
@@ -20,6 +20,7 @@
     PoolId,
     RecordId,
     RequestId,
+    TeamId,
     WorkerId,
     ZoneId,
 )
@@ -115,11 +116,39 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Removed:
-    """A member is gone and must not act any more."""
+    """A member is gone and must not act any more.
+
+    Attributes:
+        incarnation: The member.
+        expected: Offset of the suspicion that was not refuted.
+    """
+
+    incarnation: Incarnation
+    expected: int = -1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspected:
+    """A member is silent; it refutes this if it reads the log."""
 
     incarnation: Incarnation
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuted:
+    """The author is alive.
+
+    Attributes:
+        offset: Control offset that it has folded.
+        flushed: All claims it recorded in an outage are in the log.
+        complete: It knows every claim that may have run.
+    """
+
+    offset: int
+    flushed: bool
+    complete: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Closed:
     """The author's final account with a removed member.
@@ -137,9 +166,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Left:
-    """A member stopped on its own, with nothing running."""
+    """A member stopped on its own, with nothing running.
+
+    Attributes:
+        incarnation: The member.
+        complete: It knew every claim that may have run.
+    """
 
     incarnation: Incarnation
+    complete: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -192,38 +227,37 @@
     """A claim of an idempotency key.
 
     Attributes:
-        key_digest: SHA-256 of team and idempotency key.
+        team: Team of the key.
+        key_digest: SHA-256 of the idempotency key.
         request_digest: SHA-256 of the request, to detect reuse of the key.
         request: The request that claims.
         claimant: The entry that claims.
+        outage: All members recorded it while the log was out.
     """
 
+    team: TeamId
     key_digest: bytes
     request_digest: bytes
     request: RequestId
     claimant: Incarnation
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Claims:
-    """A batch of claims."""
-
-    claims: tuple[Claim, ...]
+    outage: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimOutcome:
     """How the request of a claim ended."""
 
+    team: TeamId
     key_digest: bytes
+    request: RequestId
     execution: verdict.Execution
-    answer_digest: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ClaimOutcomes:
-    """A batch of outcomes."""
+class Claims:
+    """A batch of claims, and outcomes of earlier ones."""
 
+    claims: tuple[Claim, ...]
     outcomes: tuple[ClaimOutcome, ...]
 
 
@@ -238,8 +272,9 @@
     | RollStep
     | PlannerLease
     | Snapshot
+    | Suspected
+    | Refuted
     | Claims
-    | ClaimOutcomes
 )
 
 _KINDS: dict[int, type[Payload]] = {
@@ -253,8 +288,9 @@
     8: RollStep,
     9: PlannerLease,
     10: Snapshot,
+    11: Suspected,
+    12: Refuted,
     20: Claims,
-    21: ClaimOutcomes,
 }
 """Kinds on the wire; a number is never used again for another kind."""
 _NUMBERS = {kind: number for number, kind in _KINDS.items()}
--- a/clementinewood/settings.py
+++ b/clementinewood/settings.py
@@ -50,6 +50,8 @@
         cluster_key: Shared by all entries of the site.
         others: Peer addresses of the other entries.
         operators: Keys that may sign bundles, by operator.
+        operator_token: SHA-256 of the token that opens the operators' pages;
+            None leaves them open to everyone who reaches this entry.
         edge_limits: Bounds on what callers may hold.
         log_level: Least severe level that is logged.
         log_format: How log lines are written.
@@ -64,6 +66,7 @@
     cluster_key: bytes = dataclasses.field(repr=False)
     others: Mapping[EntryId, Address]
     operators: Mapping[str, signature.OperatorKey]
+    operator_token: bytes | None
     edge_limits: edge.EdgeLimits
     log_level: LogLevel
     log_format: LogFormat
@@ -103,6 +106,13 @@
     return key
 
 
+def _parse_digest(text: str) -> bytes:
+    prefix, _, digits = text.partition(":")
+    if prefix != "sha256" or not re.fullmatch(r"[0-9a-f]{64}", digits):
+        raise ValueError("not a SHA-256 digest")
+    return bytes.fromhex(digits)
+
+
 _NAME_RULE = "a name of a-z, 0-9, '.', '_' and '-'"
 _ADDRESS_RULE = "an IPv4 address and a port, such as 10.0.0.1:8080"
 _OPERATOR_RULE = "public key in base64 and expiry time in Unix seconds"
@@ -122,6 +132,11 @@
     pydantic.BeforeValidator(_parse_cluster_key),
     pydantic.Field(description="at least 64 hexadecimal digits"),
 ]
+_TokenOption = Annotated[
+    bytes,
+    pydantic.BeforeValidator(_parse_digest),
+    pydantic.Field(description="sha256: and 64 hexadecimal digits"),
+]
 
 
 def _bounded(low: float, high: float, unit: str) -> Any:
@@ -142,6 +157,7 @@
     log: _AddressOption
     hosts: _AddressOption
     cluster_key: _KeyOption
+    operator_token: _TokenOption | None = None
 
 
 _DEFAULTS = edge.EdgeLimits()
@@ -237,6 +253,7 @@
             cluster_key=main.cluster_key,
             others=others,
             operators=operators,
+            operator_token=main.operator_token,
             edge_limits=edge.EdgeLimits(**limits.model_dump()),
             log_level=logging.level,
             log_format=logging.format,
--- a/clementinewood/signature.py
+++ b/clementinewood/signature.py
@@ -215,6 +215,11 @@
     return result.Success(signed)
 
 
+def hash_secret(secret: str) -> bytes:
+    """Returns the SHA-256 digest by which a random secret is stored."""
+    return hashlib.sha256(secret.encode()).digest()
+
+
 def compute_mac(key: bytes, data: bytes) -> bytes:
     """Returns the HMAC-SHA256 of `data` under the cluster key."""
     return hmac.digest(key, data, "sha256")
--- a/clementinewood/wire.thrift
+++ b/clementinewood/wire.thrift
@@ -31,6 +31,17 @@
 
 struct Removed {
   1: string incarnation
+  2: i64 expected
+}
+
+struct Suspected {
+  1: string incarnation
+}
+
+struct Refuted {
+  1: i64 offset
+  2: bool flushed
+  3: bool complete
 }
 
 struct Closed {
@@ -41,6 +52,7 @@
 
 struct Left {
   1: string incarnation
+  2: bool complete
 }
 
 struct WorkerAssigned {
@@ -74,24 +86,24 @@
 }
 
 struct Claim {
-  1: binary key_digest
-  2: binary request_digest
-  3: string request
-  4: string claimant
-}
-
-struct Claims {
-  1: list<Claim> claims
+  1: string team
+  2: binary key_digest
+  3: binary request_digest
+  4: string request
+  5: string claimant
+  6: bool outage
 }
 
 struct ClaimOutcome {
-  1: binary key_digest
-  2: string execution
-  3: binary answer_digest
+  1: string team
+  2: binary key_digest
+  3: string request
+  4: string execution
 }
 
-struct ClaimOutcomes {
-  1: list<ClaimOutcome> outcomes
+struct Claims {
+  1: list<Claim> claims
+  2: list<ClaimOutcome> outcomes
 }
 
 // What follows is the content of a snapshot.
