--- a/clementinewood/coordination.py
+++ b/clementinewood/coordination.py
@@ -55,6 +55,7 @@
         age: Seconds since the read to the head of the log that it relies on
             was sent.
         report: Its part of the limits; the offset in it is folded.
+        leaving: It is leaving and takes no new work.
         awaits: It waits for the confirmation of the addressee.
         confirmation: Answers the addressee's `awaits`.
     """
@@ -65,6 +66,7 @@
     known: int
     age: float
     report: ledger.Report
+    leaving: bool = False
     awaits: bool = False
     confirmation: Confirmation | None = None
 
@@ -149,6 +151,7 @@
         )
         self._echo: dict[Incarnation, int] = {}
         self._await_me: set[Incarnation] = set()
+        self._leaving: set[Incarnation] = set()
         self._records: collections.deque[ControlRecord] = collections.deque(
             maxlen=RELAY_RECORDS
         )
@@ -185,6 +188,7 @@
             members = self.roster.members
             self.freshness.set_members(members)
             self._await_me &= members.keys()
+            self._leaving &= members.keys()
             for peer in self._echo.keys() - members.keys():
                 del self._echo[peer]
             if departed != self.roster.departed or author == self.me:
@@ -212,7 +216,7 @@
     def on_peer_absent(self, member: Incarnation, now: float) -> None:
         """Notes that the process of a member does not exist any more."""
         self.freshness.on_peer_absent(member, now)
-        self.membership.on_absent(member)
+        self.membership.on_absent(member, now)
 
     def on_append_failed(self, payload: membership.Payload) -> None:
         """Notes that a record certainly did not reach the log."""
@@ -265,7 +269,9 @@
                 self._append(membership.Joined())
             return
         may_append = log_usable and self.freshness.may_append(now)
-        for action in self.membership.decide(now, may_append=may_append):
+        for action in self.membership.decide(
+            now, may_append=may_append, log_usable=log_usable
+        ):
             match action:
                 case membership.Action(membership.Intent.REFUTE):
                     self._append(self._refute(now))
@@ -298,6 +304,14 @@
         """Returns whether this entry may start work now."""
         return not self.leaving and self.freshness.is_fresh(now)
 
+    def may_publish(self, now: float) -> bool:
+        """Returns whether bundles may be appended and reported accepted."""
+        return (
+            self.membership.is_confirmed
+            and self.freshness.may_append(now)
+            and not self.leaving
+        )
+
     def start(self, resources: Sequence[ledger.ResourceId], now: float) -> bool:
         """Takes one right of each resource, or none.
 
@@ -312,6 +326,17 @@
                 return False
         return True
 
+    def may_dispatch(
+        self, resources: Iterable[ledger.ResourceId], now: float
+    ) -> bool:
+        """Returns whether work that took its rights earlier may be sent now.
+
+        Ask again after any wait between `start` and the send.
+        """
+        return self.may_act(now) and all(
+            self.ledger.keeps(resource) for resource in resources
+        )
+
     def finish(self, resources: Iterable[ledger.ResourceId]) -> None:
         """Gives back the rights taken by `start`."""
         for resource in resources:
@@ -365,7 +390,9 @@
 
     def _exchange_rights(self, now: float) -> None:
         if self.leaving:
-            gifts = self.balancer.hand_over()
+            # Two leaving entries would pass their rights back and forth.
+            staying = [p for p in self._peers() if p not in self._leaving]
+            gifts = self.balancer.hand_over(staying)
         else:
             gifts = self.balancer.pay(now)
             for peer, request in self.balancer.ask(now):
@@ -404,6 +431,7 @@
             self.freshness.known_offset,
             now - self.freshness.read_at,
             report,
+            self.leaving,
         )
         confirmation = None
         if self._await_me:
@@ -438,6 +466,8 @@
                 status.age, asked, head=status.report.offset
             )
         self.balancer.on_report(sender, status.report)
+        if status.leaving:
+            self._leaving.add(sender)
         if status.awaits:
             self._await_me.add(sender)
         else:
--- a/clementinewood/ledger.py
+++ b/clementinewood/ledger.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NewType
 
 from clementinewood import identifiers
@@ -393,6 +393,15 @@
         if resource in self._gates:
             self._check_gate(resource)
 
+    def keeps(self, resource: ResourceId) -> bool:
+        """Returns whether rights taken earlier may still be used.
+
+        A limit may have been lowered between `acquire` and the start of the
+        work, for example while the claim of a key was decided.
+        """
+        held = self.held(resource)
+        return resource not in self._gates and self.running(resource) <= held
+
     def reserve(self, resource: ResourceId, amount: int) -> None:
         """Keeps `amount` free rights from being acquired here."""
         if amount > 0:
@@ -730,9 +739,8 @@
             self.ledger.reserve(resource, self._owed_total(resource))
         return transfers
 
-    def hand_over(self) -> list[Transfer]:
-        """Returns transfers that give everything free to the peers."""
-        peers = [m for m in self.ledger.mints.members if m != self.ledger.me]
+    def hand_over(self, peers: Sequence[Incarnation]) -> list[Transfer]:
+        """Returns transfers that give everything free to `peers`."""
         if not peers:
             return []
         transfers = []
--- a/clementinewood/membership.py
+++ b/clementinewood/membership.py
@@ -253,7 +253,8 @@
         self.window = window
         self.joined_at: float | None = None
         self._heard: dict[Incarnation, float] = {}
-        self._absent: set[Incarnation] = set()
+        self._absent: dict[Incarnation, float] = {}
+        self._closed: set[Incarnation] = set()
         self._removed_at: dict[Incarnation, float] = {}
         self._suspected_at: dict[Incarnation, tuple[int, float]] = {}
         self._suspect_again: dict[Incarnation, float] = {}
@@ -313,6 +314,8 @@
                 self._forget(author)
                 if flushed:
                     self.on_confirmed(author, folded, complete)
+            case ledger.Closing(member):
+                self._closed.add(member)
             case Removed(member):
                 self._removed_at[member] = now
                 self._forget(member)
@@ -327,6 +330,8 @@
         removals = self.roster.mints.removals
         for member in self._removed_at.keys() - removals.keys():
             del self._removed_at[member]
+            self._absent.pop(member, None)
+            self._closed.discard(member)
         self._awaited &= self.roster.members.keys() | removals.keys()
         return True
 
@@ -354,10 +359,14 @@
         self._awaited.discard(member)
         self._inherited = self._inherited or complete
 
-    def on_absent(self, member: Incarnation) -> None:
-        """Notes that the process of a member does not exist any more."""
-        if member in self.roster.members:
-            self._absent.add(member)
+    def on_absent(self, member: Incarnation, now: float) -> None:
+        """Notes that the process of a member does not exist any more.
+
+        Its host refuses connections or is off the host list, or a new
+        incarnation speaks from its address.
+        """
+        if member in self.roster.mints.accounts:
+            self._absent.setdefault(member, now)
 
     def suspects(self, now: float) -> list[Incarnation]:
         """Returns the members that are gone or have been silent too long."""
@@ -368,7 +377,7 @@
         ]
 
     def decide(
-        self, now: float, *, may_append: bool
+        self, now: float, *, may_append: bool, log_usable: bool = True
     ) -> list[Action | Suspected | Removed]:
         """Returns what this entry should do now; call it a few times a second.
 
@@ -376,6 +385,8 @@
             now: Monotonic time.
             may_append: Whether this entry reads the log and made no promise
                 to append nothing.
+            log_usable: Whether it reads the log; a refutation breaks no
+                promise, since it changes no configuration.
         """
         if now - self._decided > self.timing.suspect_after / 2:
             # After a pause of this process every peer looks silent.
@@ -384,11 +395,13 @@
         self._decided = now
         if self.joined_at is not None and not self.is_member:
             return [Action(Intent.REJOIN, self.me)]
-        if self.joined_at is None or not may_append:
+        if self.joined_at is None or not log_usable:
             return []
         actions: list[Action | Suspected | Removed] = []
         if self.me in self.roster.suspicions:
             actions.append(Action(Intent.REFUTE, self.me))
+        if not may_append:
+            return actions
         actions.extend(self._decide_suspicions(now))
         actions.extend(
             Action(Intent.CLOSE, member)
@@ -398,11 +411,19 @@
         return actions
 
     def may_close(self, member: Incarnation, now: float) -> bool:
-        """Returns whether all work of a removed member has stopped."""
-        if not self.roster.mints.must_wait(member):
+        """Returns whether all work of a removed member has stopped.
+
+        A member that never confirmed this entry may go on acting with others
+        that cannot reach the log either, since it does not know that this
+        entry reads the log. Then only the end of its process counts, or the
+        closing by a member that it knows.
+        """
+        if not self.roster.mints.must_wait(member) or member in self._closed:
             return True
-        removed = self._removed_at.setdefault(member, now)
-        return now - removed >= self.timing.close_wait
+        since = self._removed_at.setdefault(member, now)
+        if member in self._awaited:
+            since = max(since, self._absent.get(member, float("inf")))
+        return now - since >= self.timing.close_wait
 
     def _start(self, now: float) -> None:
         """Begins membership; every older member must confirm it."""
@@ -420,7 +441,6 @@
 
     def _forget(self, member: Incarnation) -> None:
         self._suspected_at.pop(member, None)
-        self._absent.discard(member)
 
     def _decide_suspicions(self, now: float) -> Iterable[Suspected | Removed]:
         for member in self.suspects(now):
