--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -11,7 +11,7 @@
 import time
 
 from bench import baselines, simulation
-from clementinewood import retry, router
+from clementinewood import retry, router, scheduler
 from clementinewood.priority import Priority
 
 POOL = "quotes"
@@ -57,6 +57,7 @@
     queue=POOL,
     begin=0.0,
     first="r",
+    priority=Priority.INTERACTIVE,
 ):
     """Draws Poisson arrivals; `load` is offered work over capacity.
 
@@ -85,7 +86,7 @@
                     queue,
                     name,
                     f"customer-{min(5, int(rng.paretovariate(1.0)) - 1)}",
-                    Priority.URGENT if is_urgent else Priority.INTERACTIVE,
+                    Priority.URGENT if is_urgent else priority,
                     patience,
                     run,
                     mean * 5.0 ** rng.uniform(-1, 1),
@@ -197,9 +198,298 @@
                 )
 
 
+def count_window(run, begin, end):
+    """Returns attempts per request and the answered part in a window."""
+    started = [span for span in run.spans if begin <= span.start < end]
+    names = {span.request.name for span in started}
+    answered = {
+        span.request.name
+        for span in run.spans
+        if span.outcome is retry.Outcome.ANSWERED
+    }
+    return {
+        "requests": len(names),
+        "amplification": len(started) / len(names),
+        "answered": len(names & answered) / len(names),
+    }
+
+
+RETRIES = {
+    "clementinewood": (retry.RetryPolicy, router.Router),
+    "no-ejection": (retry.RetryPolicy, baselines.LeastLoaded),
+    "no-budget": (baselines.EagerRetry, router.Router),
+    "no-budget-no-ejection": (baselines.EagerRetry, baselines.LeastLoaded),
+    "no-retry": (baselines.NoRetry, router.Router),
+}
+
+
+def bench_amplification(seeds=(1, 2)):
+    """One of three zones dies unannounced; the bound without retries is 1."""
+    queues = {POOL: simulation.Queue(POOL, 600)}
+    for seed in seeds:
+        for load in (0.6, 2.0):
+            arrivals = draw_arrivals(
+                TEAMS, seed=seed, load=load, slots=48, until=25.0
+            )
+            for name, (make_retry, make_router) in RETRIES.items():
+                run = simulation.Simulation(
+                    build_parts(
+                        queues, make_retry=make_retry, make_router=make_router
+                    ),
+                    build_minions(),
+                    queues,
+                    seed=seed,
+                )
+                gone = [f"{POOL}-2", f"{POOL}-5"]
+                run.at(10.0, lambda run=run, gone=gone: run.kill(gone))
+                run.run(arrivals, 25.0)
+                report(
+                    "retry-amplification",
+                    name,
+                    seed=seed,
+                    load=load,
+                    **count_window(run, 9.5, 20.0),
+                    first_second=count_window(run, 9.5, 11.0)["amplification"],
+                    refusals=dict(run.refusals),
+                    bound=1.0,
+                )
+
+
+def bench_ejection(seeds=(1, 2, 3)):
+    """A minion fails everything after 5 ms; a bound is 3 failures an entry."""
+    queues = {POOL: simulation.Queue(POOL, 600)}
+    routers = {
+        "clementinewood": router.Router,
+        "least-loaded": baselines.LeastLoaded,
+        "round-robin": baselines.TurnTaking,
+    }
+    for seed in seeds:
+        for load in (0.3, 1.5):
+            arrivals = draw_arrivals(
+                TEAMS, seed=seed, load=load, slots=48, until=20.0
+            )
+            for name, make_router in routers.items():
+                run = simulation.Simulation(
+                    build_parts(queues, make_router=make_router),
+                    build_minions(),
+                    queues,
+                    seed=seed,
+                )
+                bad = run.minions[f"{POOL}-1"]
+                run.at(5.0, lambda bad=bad: setattr(bad, "failing", True))
+                run.run(arrivals, 20.0)
+                times = [
+                    time - 5.0
+                    for (_, minion), time in run.ejections.items()
+                    if minion == bad.name
+                ]
+                failed = sum(
+                    span.minion == bad.name and span.start >= 5.0
+                    for span in run.spans
+                )
+                report(
+                    "ejection",
+                    name,
+                    seed=seed,
+                    load=load,
+                    entries_that_ejected=len(times),
+                    first_s=min(times, default=None),
+                    last_s=max(times, default=None),
+                    failed_attempts=failed,
+                    wrongly_ejected=len(run.ejections) - len(times),
+                    answered=count_window(run, 5.0, 18.0)["answered"],
+                    bound_failed_attempts=3 * len(run.entries),
+                )
+
+
+def bench_zone(seeds=(1, 2)):
+    """A zone leaves and returns at 2x load; the bound is what is in service.
+
+    In the unplanned case it dies at 10 s and operators take it out at 13 s.
+    """
+    queues = {POOL: simulation.Queue(POOL, 600)}
+    gone = [f"{POOL}-2", f"{POOL}-5"]
+    for seed in seeds:
+        for planned in (True, False):
+            arrivals = draw_arrivals(
+                TEAMS, seed=seed, load=2.0, slots=48, until=32.0
+            )
+            for name, (make_retry, make_router) in RETRIES.items():
+                run = simulation.Simulation(
+                    build_parts(
+                        queues, make_retry=make_retry, make_router=make_router
+                    ),
+                    build_minions(),
+                    queues,
+                    seed=seed,
+                )
+                out = 10.0 if planned else 13.0
+                if not planned:
+                    run.at(10.0, lambda run=run: run.kill(gone))
+                    run.at(20.0, lambda run=run: run.revive(gone))
+                run.at(out, lambda run=run: run.set_zones_out(["burnie"]))
+                run.at(20.0, lambda run=run: run.set_zones_out([]))
+                run.run(arrivals, 32.0)
+                late = sum(
+                    span.minion in gone and out <= span.start < 20.0
+                    for span in run.spans
+                )
+                away = run.useful(10.0, 20.0, besides=gone) / 320.0
+                back = run.useful(20.0, 30.0) / 480.0
+                report(
+                    "zone",
+                    name,
+                    seed=seed,
+                    planned=planned,
+                    away=away,
+                    back=back,
+                    whole=(away * 320.0 + back * 480.0) / 800.0,
+                    starts_in_zone_out=late,
+                    bound=1.0,
+                )
+
+
+def pick_quantile(values, part):
+    return sorted(values)[min(len(values) - 1, int(len(values) * part))]
+
+
+def bench_urgent(seeds=(1, 2)):
+    """Start delay of urgent work at 2x load, with short and with long runs.
+
+    In the long case, overnight runs of 30 s fill the pool first. The bound is
+    the wait for the next slot to come free at any minion.
+    """
+    for seed in seeds:
+        for long in (False, True):
+            queues = {
+                POOL: simulation.Queue(POOL, 600),
+                "urgent": simulation.Queue(POOL, 120, Priority.URGENT),
+            }
+            arrivals = draw_arrivals(
+                TEAMS,
+                seed=seed,
+                load=0.02 if long else 2.0,
+                slots=48,
+                until=60.0 if long else 20.0,
+                urgent=1.0 if long else 0.05,
+                patience=10.0,
+            )
+            if long:
+                arrivals = (
+                    draw_arrivals(
+                        {"large": TEAMS["large"]},
+                        seed=seed + 100,
+                        load=2.0,
+                        slots=48,
+                        until=60.0,
+                        patience=3600.0,
+                        mean_runs=(30.0,),
+                        priority=Priority.OVERNIGHT,
+                        first="night",
+                    )
+                    + arrivals
+                )
+                arrivals.sort(key=lambda request: request.time)
+            for name, make_scheduler in SCHEDULERS.items():
+                run = simulation.Simulation(
+                    build_parts(queues, make_scheduler=make_scheduler),
+                    build_minions(),
+                    queues,
+                    seed=seed,
+                )
+                end = arrivals[-1].time
+                run.run(arrivals, end)
+                urgent = [
+                    request
+                    for request in arrivals
+                    if request.priority is Priority.URGENT
+                    and 5.0 < request.time < end - 10.0
+                ]
+                delays = [
+                    run.delays.get(request.name, math.inf) for request in urgent
+                ]
+                report(
+                    "urgent",
+                    name,
+                    seed=seed,
+                    long_runs=long,
+                    count=len(urgent),
+                    p50=pick_quantile(delays, 0.5),
+                    p99=pick_quantile(delays, 0.99),
+                    worst=max(delays),
+                    never_started=sum(delay == math.inf for delay in delays),
+                    within_2_9=sum(delay <= 2.9 for delay in delays)
+                    / len(delays),
+                    busy=sum(run.busy(5.0, end - 5.0).values())
+                    / (48 * (end - 10.0)),
+                )
+
+
+def bench_cpu():
+    """CPU time of one submit, pick and finish with all teams waiting."""
+    for team_count in (6, 170):
+        for queue_count in (5, 168):
+            teams = {
+                f"team-{i}": simulation.Team(1.0 + i % 5)
+                for i in range(team_count)
+            }
+            queues = {
+                f"queue-{i}": simulation.Queue(f"pool-{i}", 4000)
+                for i in range(queue_count)
+            }
+            for name in ("clementinewood", "fifo", "round-robin"):
+                measure_cpu(name, teams, queues)
+
+
+def measure_cpu(name, teams, queues, rounds=20_000):
+    rng = random.Random(1)
+    subject = SCHEDULERS[name](teams, queues)
+    team_names = list(teams)
+    queue_names = list(queues)
+    jobs = [
+        scheduler.Job(
+            f"r{i}",
+            queue_names[rng.randrange(len(queues))],
+            team_names[rng.randrange(len(teams))],
+            f"customer-{rng.randrange(3)}",
+            Priority.INTERACTIVE,
+            1e6,
+            0.2,
+        )
+        for i in range(10_000 + rounds)
+    ]
+    now = 0.0
+    for job in jobs[:10_000]:
+        subject.submit(job, now)
+    begin = time.process_time()
+    for index, job in enumerate(jobs[10_000:]):
+        now += 0.001
+        subject.submit(job, now)
+        subject.expire(now)
+        picked = subject.pick(
+            now, lambda job: True, pool=queues[job.queue].pool
+        )
+        if index % 250 == 0:
+            subject.report_usage("peer", subject.usage(), now)
+        subject.finish(picked.request_id, now + 0.2)
+    spent = time.process_time() - begin
+    report(
+        "cpu",
+        name,
+        teams=len(teams),
+        queues=len(queues),
+        microseconds=spent / rounds * 1e6,
+    )
+
+
 BENCHES = {
     "share": bench_share,
     "goodput": bench_goodput,
+    "amplification": bench_amplification,
+    "ejection": bench_ejection,
+    "zone": bench_zone,
+    "urgent": bench_urgent,
+    "cpu": bench_cpu,
 }
 
 
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -213,15 +213,20 @@
                     used[action.request.team] += overlap
         return used
 
-    def useful(self, begin: float, end: float) -> float:
+    def useful(
+        self, begin: float, end: float, *, besides: Iterable[str] = ()
+    ) -> float:
         """Returns slot-seconds of runs that were answered in time.
 
-        A run that reaches beyond an end of the window counts in part.
+        A run that reaches beyond an end of the window counts in part. Runs
+        at the minions in `besides` do not count.
         """
+        besides = frozenset(besides)
         return sum(
             max(0.0, min(span.end, end) - max(span.start, begin))
             for span in self.spans
             if span.outcome is retry.Outcome.ANSWERED
+            and span.minion not in besides
             and span.end <= span.request.time + span.request.patience
         )
 
