Let urgent work displace lower classes and judge failure series by chance

Cause: a queue filled by a team's own interactive jobs refused its urgent ones; a long history of successes hid a minion that had begun to fail. Change: push-out takes the lowest class first, run estimates are kept per class; a series of failures ejects when the pool's usual rate makes it unlikely; a failed attempt counts as load for about one run.

--- a/clementinewood/priority.py
+++ b/clementinewood/priority.py
@@ -10,13 +10,9 @@
     INTERACTIVE = "interactive"
     OVERNIGHT = "overnight"
 
-    @property
-    def rank(self) -> int:
+    def __init__(self, value: str) -> None:
+        self.rank: int = len(type(self).__members__)
         """Position in start order; the lowest starts first."""
-        return _RANKS[self]
-
-
-_RANKS = {priority: rank for rank, priority in enumerate(Priority)}
 
 
 def limit_priority(requested: Priority | None, ceiling: Priority) -> Priority:
--- a/clementinewood/router.py
+++ b/clementinewood/router.py
@@ -26,6 +26,13 @@
 EJECT_FAILURES = 3
 """Consecutive failures that make a minion a candidate for ejection."""
 
+EJECT_CHANCE = 0.001
+"""Most likely such a series of failures may be on a healthy minion.
+
+It is judged by the failure rate of the rest of the pool: requests that can
+never run fail everywhere, and must not eject minions.
+"""
+
 EJECT_RATE = 0.5
 """Failure rate that makes a minion a candidate for ejection."""
 
@@ -33,10 +40,7 @@
 """Attempts in the window before the failure rate is looked at."""
 
 EJECT_MARGIN = 0.3
-"""Failure rate a candidate must have above that of the rest of its pool.
-
-Requests that can never run fail everywhere; they must not eject minions.
-"""
+"""Failure rate a candidate must have above that of the rest of its pool."""
 
 EJECT_PART = 3
 """At most one in this many usable minions of a pool is ejected."""
@@ -50,13 +54,17 @@
 MAX_PROBE_DELAY = 30.0
 """Most seconds between probes; what a repaired minion may stay unused."""
 
-FAILURE_HOLD = 1.0
-"""Time constant in seconds for which a failed attempt still counts as load.
+FAILURE_HOLD = 0.05, 1.0
+"""Bounds in seconds of the time for which a failed attempt counts as load.
 
 A minion that fails at once has the fewest requests in flight and would
-otherwise attract most of the work.
+otherwise attract most of the work. Between the bounds, a failure counts about
+as long as a run takes; longer, and it takes long to see enough failures.
 """
 
+RUN_SAMPLES = 16
+"""Answers over which a pool's run time is averaged."""
+
 LEAVING_TRUST = 30.0
 """Seconds after which a live entry on the host list overrides what a
 connection said; longer than the list lags."""
@@ -94,6 +102,7 @@
         "failures",
         "held",
         "held_at",
+        "hold_time",
         "in_flight",
         "leaving_seen",
         "listed_leaving",
@@ -116,6 +125,7 @@
         self.window_at = 0.0
         self.held = 0.0
         self.held_at = 0.0
+        self.hold_time = FAILURE_HOLD[1]
         self.ejected = False
         self.probing = False
         self.probe_at = 0.0
@@ -127,7 +137,7 @@
         """Requests in flight, plus failed ones that still count."""
         if not self.held:
             return self.in_flight
-        held = self.held * math.exp((self.held_at - now) / FAILURE_HOLD)
+        held = self.held * math.exp((self.held_at - now) / self.hold_time)
         return self.in_flight + (held if held > 0.01 else 0.0)
 
     def capacity(self, now: float) -> float:
@@ -152,9 +162,11 @@
     def score(self, now: float) -> float:
         return (self.load(now) + 1.0) / self.capacity(now) * self.cost
 
-    def hold(self, now: float) -> None:
+    def hold(self, seconds: float, now: float) -> None:
+        """Counts a failed attempt as load for about `seconds`."""
         self.held = self.load(now) - self.in_flight + 1.0
         self.held_at = now
+        self.hold_time = min(max(FAILURE_HOLD[0], seconds), FAILURE_HOLD[1])
 
     def count(self, failed: bool, now: float) -> None:
         fade = math.exp((self.window_at - now) / WINDOW)
@@ -173,9 +185,10 @@
 class _Pool:
     """Minions of one pool that may be used, and those that are ejected."""
 
-    __slots__ = ("ejected", "open", "usable")
+    __slots__ = ("ejected", "open", "run_time", "usable")
 
-    def __init__(self) -> None:
+    def __init__(self, run_time: float = FAILURE_HOLD[1]) -> None:
+        self.run_time = run_time
         self.usable: list[_Minion] = []
         self.open: list[_Minion] = []
         self.ejected: list[_Minion] = []
@@ -329,18 +342,20 @@
             if not known.in_flight:
                 del self._retired[minion]
             return
+        pool = self._pools[known.target.pool]
         match outcome:
             case Outcome.ANSWERED:
                 known.count(False, now)
+                pool.run_time += (seconds - pool.run_time) / RUN_SAMPLES
                 if known.ejected and known.probing:
                     self._readmit(known, now)
             case Outcome.REFUSED:
                 # An overloaded or leaving minion is healthy.
-                known.hold(now)
+                known.hold(pool.run_time, now)
                 if known.ejected and known.probing:
                     self._defer_probe(known, now)
             case _:
-                known.hold(now)
+                known.hold(pool.run_time, now)
                 if known.ejected and known.probing:
                     self._defer_probe(known, now)
                 elif blame:
@@ -369,7 +384,7 @@
 
     def _rebuild(self) -> None:
         pools: dict[identifiers.PoolId, _Pool] = {
-            name: _Pool() for name in self._pools
+            name: _Pool(pool.run_time) for name, pool in self._pools.items()
         }
         for minion in self._minions.values():
             target = minion.target
@@ -394,18 +409,23 @@
 
     def _judge(self, minion: _Minion, now: float) -> None:
         pool = self._pools[minion.target.pool]
-        rate = minion.failures / minion.attempts
-        suspicious = minion.consecutive >= EJECT_FAILURES or (
-            minion.attempts >= EJECT_SAMPLES and rate >= EJECT_RATE
-        )
-        if not suspicious or minion.ejected or minion not in pool.open:
+        if minion not in pool.open:
             return
         if len(pool.ejected) >= len(pool.usable) // EJECT_PART:
             return
         others = [other for other in pool.open if other is not minion]
-        attempts = sum(other.attempts for other in others)
-        failures = sum(other.failures for other in others)
-        if attempts and rate - failures / attempts < EJECT_MARGIN:
+        usual = sum(other.failures for other in others) / max(
+            1.0, sum(other.attempts for other in others)
+        )
+        rate = minion.failures / minion.attempts
+        in_series = (
+            minion.consecutive >= EJECT_FAILURES
+            and usual**minion.consecutive <= EJECT_CHANCE
+        )
+        by_rate = minion.attempts >= EJECT_SAMPLES and rate >= max(
+            EJECT_RATE, usual + EJECT_MARGIN
+        )
+        if not (in_series or by_rate):
             return
         minion.ejected = True
         minion.probing = False
--- a/clementinewood/scheduler.py
+++ b/clementinewood/scheduler.py
@@ -337,6 +337,9 @@
         self.release_rate = 0.0
 
 
+_Customers = dict[identifiers.CustomerId, dict[identifiers.RequestId, _Item]]
+
+
 class _Queue:
     """Occupancy of one bounded queue."""
 
@@ -347,22 +350,25 @@
         self.capacity = capacity
         self.size = 0
         self.counts: dict[identifiers.TeamId, int] = {}
-        self.items: dict[
-            identifiers.TeamId,
-            dict[identifiers.CustomerId, dict[identifiers.RequestId, _Item]],
-        ] = {}
+        self.items: dict[identifiers.TeamId, tuple[_Customers, ...]] = {}
 
     def add(self, item: _Item) -> None:
         job = item.job
         self.size += 1
-        self.counts[job.team] = self.counts.get(job.team, 0) + 1
-        customers = self.items.setdefault(job.team, {})
-        customers.setdefault(job.customer, {})[job.request_id] = item
+        count = self.counts.get(job.team, 0)
+        self.counts[job.team] = count + 1
+        if not count:
+            self.items[job.team] = ({}, {}, {})
+        customers = self.items[job.team][job.priority.rank]
+        waiting = customers.get(job.customer)
+        if waiting is None:
+            waiting = customers[job.customer] = {}
+        waiting[job.request_id] = item
 
     def remove(self, item: _Item) -> None:
         job = item.job
         self.size -= 1
-        customers = self.items[job.team]
+        customers = self.items[job.team][job.priority.rank]
         customers[job.customer].pop(job.request_id, None)
         if not customers[job.customer]:
             del customers[job.customer]
@@ -371,6 +377,16 @@
             del self.counts[job.team]
             del self.items[job.team]
 
+    def pop_newest(self, team: identifiers.TeamId, rank: int) -> _Item:
+        """Returns the newest job of the customer with the most in a class.
+
+        The caller removes it; taking the last item of a dictionary with
+        `popitem` stays cheap after deletions, which iteration does not.
+        """
+        customers = self.items[team][rank]
+        largest = max(customers, key=lambda name: len(customers[name]))
+        return customers[largest].popitem()[1]
+
 
 class _Team:
     """Usage of one team; `own`, `remote` and `urgent` are scaled.
@@ -461,7 +477,7 @@
         self._queues: dict[identifiers.QueueId, _Queue] = {}
         self._items: dict[identifiers.RequestId, _Item] = {}
         self._estimates: dict[
-            tuple[identifiers.QueueId, identifiers.TeamId], RunEstimate
+            tuple[identifiers.QueueId, identifiers.TeamId, int], RunEstimate
         ] = {}
         self._peers: dict[identifiers.Incarnation, _Peer] = {}
         self._scores: dict[identifiers.TeamId, float] = {}
@@ -573,7 +589,7 @@
             )
         if not team.queued and not team.peers_waiting:
             self._raise(team, pool.levels[rank])
-        self._enqueue(job, queue, lane)
+        self._enqueue(job, queue, lane, estimator)
         return None
 
     def pick(
@@ -733,9 +749,11 @@
                 lane.buckets = {}
         return lane
 
-    def _enqueue(self, job: Job, queue: _Queue, lane: _Lane) -> None:
+    def _enqueue(
+        self, job: Job, queue: _Queue, lane: _Lane, estimator: RunEstimate
+    ) -> None:
         pool = queue.pool
-        item = _Item(job, lane.team, pool, lane, self._estimator(job))
+        item = _Item(job, lane.team, pool, lane, estimator)
         order = next(self._order)
         lane.push(order, item)
         pool.ready[job.priority.rank][job.team] = lane
@@ -746,7 +764,7 @@
         self._items[job.request_id] = item
 
     def _estimator(self, job: Job) -> RunEstimate:
-        key = (job.queue, job.team)
+        key = (job.queue, job.team, job.priority.rank)
         estimator = self._estimates.get(key)
         if estimator is None:
             estimator = self._estimates[key] = RunEstimate()
@@ -808,8 +826,8 @@
             return
         score = self._scores.__getitem__
         first = min(names, key=score)
-        rest = [name for name in names if name != first]
         yield first
+        rest = [name for name in names if name != first]
         rest.sort(key=score)
         yield from rest
 
@@ -905,7 +923,8 @@
         """Moves the waiting jobs of a queue to the lanes of another pool."""
         jobs = [
             item.job
-            for customers in queue.items.values()
+            for classes in queue.items.values()
+            for customers in classes
             for items in customers.values()
             for item in items.values()
         ]
@@ -913,7 +932,9 @@
             self._remove(self._items[job.request_id])
         queue.pool = pool
         for job in jobs:
-            self._enqueue(job, queue, self._lane(job, pool))
+            self._enqueue(
+                job, queue, self._lane(job, pool), self._estimator(job)
+            )
 
     def _remove(self, item: _Item) -> None:
         """Takes a waiting item out of its lane and queue."""
@@ -934,29 +955,37 @@
     def _make_room(self, queue: _Queue, job: Job) -> bool:
         """Evicts a job of the team that fills most of `queue` for its share.
 
-        Inside the submitting team, the customer with the most jobs gives way.
+        If that is the submitter, one of its own jobs of a lower class gives
+        way, or one of a customer that has more jobs.
 
         Returns:
-            False when the submitter itself has the largest part.
+            False when nothing gives way to `job`.
         """
         teams = self._teams
         counts = queue.counts
         worst = max(counts, key=lambda name: counts[name] / teams[name].weight)
         mine = (counts.get(job.team, 0) + 1) / teams[job.team].weight
-        customers = queue.items[worst]
-        largest = max(customers, key=lambda name: len(customers[name]))
-        if worst == job.team:
-            own = len(customers.get(job.customer, ())) + 1
-            if len(customers[largest]) <= own:
+        if counts[worst] / teams[worst].weight > mine and worst != job.team:
+            classes = queue.items[worst]
+            rank = max(rank for rank in range(3) if classes[rank])
+        elif job.team in counts:
+            classes = queue.items[job.team]
+            rank = max(rank for rank in range(3) if classes[rank])
+            if rank < job.priority.rank:
                 return False
-        elif counts[worst] / teams[worst].weight <= mine:
+            if rank == job.priority.rank:
+                customers = classes[rank]
+                most = max(map(len, customers.values()))
+                if most <= len(customers.get(job.customer, ())) + 1:
+                    return False
+            worst = job.team
+        else:
             return False
-        _, item = customers[largest].popitem()
         self._refuse(
-            item,
+            queue.pop_newest(worst, rank),
             verdict.Refusal(
                 verdict.Reason.QUEUE_FULL,
-                detail="The queue is full and others have a smaller part.",
+                detail="The queue is full and others go first.",
                 retry_after=1.0,
             ),
         )
