Learn run times from measured runs only when shedding

Cause: a declared run time beyond the deadline refused every request, so that no run could correct it; the same held for a learned one gone stale. Change: shedding uses measured runs, and lets one request in 10 s through against them.

--- a/clementinewood/scheduler.py
+++ b/clementinewood/scheduler.py
@@ -134,15 +134,18 @@
 class RunEstimate:
     """Run time of one kind of request, learned from observed runs."""
 
-    __slots__ = ("count", "deviation", "mean")
+    __slots__ = ("count", "deviation", "mean", "next_trial")
 
     PRIOR_RUNS = 2.0
     MAX_RUNS = 64
+    TRUSTED_RUNS = 3
+    TRIAL_PERIOD = 10.0
 
     def __init__(self) -> None:
         self.count = 0
         self.mean = 0.0
         self.deviation = 0.0
+        self.next_trial = 0.0
 
     def observe(self, seconds: float) -> None:
         """Adds one measured run."""
@@ -158,6 +161,27 @@
         expected = (self.mean * runs + declared * self.PRIOR_RUNS) / weight
         return max(MIN_ESTIMATE, expected)
 
+    def need(self, deviations: float = 0.0) -> float:
+        """Returns the time to keep before a deadline.
+
+        Declared run times play no part: a request refused because of one
+        would never correct it.
+        """
+        if self.count < self.TRUSTED_RUNS:
+            return 0.0
+        return self.mean + deviations * self.deviation
+
+    def take_trial(self, now: float) -> bool:
+        """Whether one request may run against the estimate, to check it.
+
+        Otherwise an estimate that has become too long refuses every request
+        and stays.
+        """
+        if now < self.next_trial:
+            return False
+        self.next_trial = now + self.TRIAL_PERIOD
+        return True
+
 
 class _Item:
     """One job from submission to finish."""
@@ -172,6 +196,7 @@
         "pool",
         "started",
         "team",
+        "trial",
     )
 
     def __init__(
@@ -188,6 +213,7 @@
         self.lane = lane
         self.estimator = estimator
         self.live = True
+        self.trial = False
         self.started = 0.0
         self.expected = 0.0
         self.charged = 0.0
@@ -566,21 +592,22 @@
         if job.request_id in self._items:
             raise ValueError(f"request {job.request_id} is already scheduled")
         estimator = self._estimator(job)
-        expected = estimator.expect(job.estimate)
         rank = job.priority.rank
         pool = queue.pool
         lane = self._lane(job, pool)
         wait = 0.0
         if lane.live and rank != _OVERNIGHT:
             wait = lane.predict_wait(job, now) * WAIT_SAFETY
-            if wait:
-                expected += SAFETY * estimator.deviation
-        if now + wait + expected > job.deadline:
-            return verdict.Refusal(
-                verdict.Reason.DEADLINE,
-                detail="It would start too late for its deadline.",
-                retry_after=wait or None,
-            )
+        needed = estimator.need(SAFETY if wait else 0.0)
+        trial = False
+        if now + wait + needed > job.deadline:
+            trial = now + wait <= job.deadline and estimator.take_trial(now)
+            if not trial:
+                return verdict.Refusal(
+                    verdict.Reason.DEADLINE,
+                    detail="It would start too late for its deadline.",
+                    retry_after=wait or None,
+                )
         if queue.size >= queue.capacity and not self._make_room(queue, job):
             return verdict.Refusal(
                 verdict.Reason.QUEUE_FULL,
@@ -589,9 +616,13 @@
             )
         if not team.queued and not team.peers_waiting:
             self._raise(team, pool.levels[rank])
-        self._enqueue(job, queue, lane, estimator)
+        self._enqueue(job, queue, lane, estimator, trial=trial)
         return None
 
+    def expect_run(self, job: Job) -> float:
+        """Returns the expected run time of `job` in seconds."""
+        return self._estimator(job).expect(job.estimate)
+
     def pick(
         self,
         now: float,
@@ -750,10 +781,17 @@
         return lane
 
     def _enqueue(
-        self, job: Job, queue: _Queue, lane: _Lane, estimator: RunEstimate
+        self,
+        job: Job,
+        queue: _Queue,
+        lane: _Lane,
+        estimator: RunEstimate,
+        *,
+        trial: bool = False,
     ) -> None:
         pool = queue.pool
         item = _Item(job, lane.team, pool, lane, estimator)
+        item.trial = trial
         order = next(self._order)
         lane.push(order, item)
         pool.ready[job.priority.rank][job.team] = lane
@@ -834,9 +872,9 @@
     def _find_startable(self, lane: _Lane, now: float) -> _Item | None:
         while lane.live:
             item = lane.head()
-            needed = item.estimator.expect(item.job.estimate)
-            if lane.live > 1:
-                needed += SAFETY * item.estimator.deviation
+            needed = 0.0
+            if not item.trial:
+                needed = item.estimator.need(SAFETY if lane.live > 1 else 0.0)
             if now + needed <= item.job.deadline:
                 return item
             self._refuse_late(item)
