--- a/clementinewood/framing.py
+++ b/clementinewood/framing.py
@@ -118,7 +118,10 @@
         name = _lower_names.get(raw) or _lower_name(raw)
         if not colon:
             raise FramingError("header line without a colon")
-        headers.append((name, value.strip(b" \t")))
+        value = value.strip(b" \t")
+        if name == b"transfer-encoding":
+            value = value.lower()
+        headers.append((name, value))
     return headers
 
 
@@ -181,7 +184,7 @@
                 raise FramingError("repeated Content-Length")
             length = _read_length(value)
         elif name == b"transfer-encoding":
-            if chunked or value.lower() != b"chunked" or minor == b"0":
+            if chunked or value != b"chunked" or minor == b"0":
                 raise FramingError("transfer coding other than chunked")
             chunked = True
         elif name == b"connection":
@@ -230,7 +233,7 @@
                 raise FramingError("repeated Content-Length")
             length = _read_length(value)
         elif name == b"transfer-encoding":
-            if chunked or value.lower() != b"chunked" or minor == b"0":
+            if chunked or value != b"chunked" or minor == b"0":
                 raise FramingError("transfer coding other than chunked")
             chunked = True
         elif name == b"connection" and b"close" in list_tokens(value):
--- a/clementinewood/transport.py
+++ b/clementinewood/transport.py
@@ -594,6 +594,16 @@
                 ACCEPT_RETRY_SECONDS, lambda: self._resume_listener(listener)
             )
 
+    def poll(self, timeout: float | None) -> None:
+        """Waits up to `timeout` seconds and handles what is ready."""
+        self._polling = True
+        try:
+            ready = self._epoll.poll(timeout, _POLL_BATCH)
+        finally:
+            self._polling = False
+        if ready:
+            self._handle_batch(ready)
+
     def resume(self) -> None:
         """Wakes the poll up; circuits calls it when an event is fired."""
         if self._polling:
@@ -639,15 +649,9 @@
     @circuits.handler("generate_events", priority=-9)
     def _on_generate_events(self, event: circuits.Event) -> None:
         event.stop()
-        self._polling = True
         left = event.time_left
-        try:
-            ready = self._epoll.poll(None if left < 0 else left, _POLL_BATCH)
-        finally:
-            self._polling = False
+        self.poll(None if left < 0 else left)
         event.reduce_time_left(0)
-        if ready:
-            self._handle_batch(ready)
 
     def _handle_batch(self, ready: list[tuple[int, int]]) -> None:
         self._in_batch = True
--- /dev/null
+++ b/features/steps/edge_steps.py
@@ -0,0 +1,411 @@
+"""Steps for the strict HTTP edge."""
+
+import socket
+import threading
+import time
+
+import behave
+
+from features import network
+
+
+def start_edge(context, *, answer_at_once=True, **limits):
+    context.network = network.Network()
+    context.handler = network.RecordingHandler(answer_at_once=answer_at_once)
+    context.edge, context.address = network.create_edge(
+        context.network, context.handler, **limits
+    )
+    context.add_cleanup(context.network.sockets.close_all)
+    context.drains = 0
+    context.methods = ("GET",)
+
+
+def decode(text):
+    return text.encode("latin-1").decode("unicode_escape").encode("latin-1")
+
+
+def connect(context, **options):
+    return network.Caller(context.network, context.address, **options)
+
+
+@behave.given("an edge that answers each request at once")
+def start_echo_edge(context):
+    start_edge(context)
+
+
+@behave.given("an edge whose handler answers later")
+def start_late_edge(context):
+    start_edge(context, answer_at_once=False)
+
+
+@behave.given("an edge for {total:d} connections, {each:d} of one address")
+def start_limited_edge(context, total, each):
+    start_edge(context, connections=total, connections_per_address=each)
+
+
+@behave.given("an edge that holds at most {count:d} bytes")
+def start_held_edge(context, count):
+    start_edge(context, held_bytes=count)
+
+
+@behave.given("an edge whose answers have {size:d} bytes")
+def start_large_edge(context, size, **limits):
+    start_edge(context, **limits)
+    body = bytes(size)
+    answer = context.handler.answer
+    context.handler.answer = lambda exchange: answer(exchange, body)
+    context.answer_bytes = size
+
+
+@behave.given("an edge whose answers have {size:d} bytes and may use {all:d}")
+def start_bounded_edge(context, size, **options):
+    start_large_edge(context, size, buffered_bytes=options["all"])
+
+
+@behave.when('a caller sends the request "{text}"')
+def send_request(context, text):
+    context.caller = connect(context)
+    context.caller.send(decode(text))
+    context.network.settle()
+
+
+@behave.when('a caller sends the request "{text}" with {count:d} filler bytes')
+def send_filled_request(context, text, count):
+    context.caller = connect(context)
+    context.caller.send(decode(text) + b"x" * count)
+
+
+@behave.when('the caller goes on with "{text}"')
+def send_more(context, text):
+    context.caller.send(decode(text))
+
+
+@behave.when(
+    "a caller sends {count:d} pipelined requests with chunked and plain bodies"
+)
+def send_pipeline(context, count):
+    data = b""
+    for index in range(count):
+        head = f"POST /{index} HTTP/1.1\r\nHost: a\r\n".encode()
+        body = b"body-%d" % index
+        if index % 2:
+            data += head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+        else:
+            data += head + b"Transfer-Encoding: chunked\r\n\r\n"
+            data += b"%x;a=b\r\n%s\r\n0\r\nT: u\r\n\r\n" % (len(body), body)
+    context.caller = connect(context)
+    context.caller.send(data)
+
+
+@behave.when("the handler answers each request that it has, until none is left")
+def answer_all(context):
+    answered = 0
+    context.network.settle()
+    while answered < len(context.handler.exchanges):
+        context.handler.answer(context.handler.exchanges[answered])
+        answered += 1
+        context.network.settle()
+
+
+@behave.when("{count:d} callers connect to the edge")
+def connect_callers(context, count):
+    context.callers = [connect(context) for _ in range(count)]
+    context.network.settle()
+
+
+@behave.when(
+    "a caller sends one byte of a request every second, {count:d} times"
+)
+def send_slowly(context, count):
+    context.caller = connect(context)
+    for byte in b"GET / HTTP/1.1\r\nHost: a"[:count]:
+        context.caller.send(bytes([byte]))
+        context.network.advance(1.0)
+
+
+@behave.when("{seconds:d} seconds pass at the edge")
+def pass_time(context, seconds):
+    for _ in range(seconds):
+        context.network.advance(1.0)
+
+
+@behave.when(
+    "a caller sends a request and then as many bytes as the edge takes"
+)
+def flood(context):
+    context.caller = connect(context)
+    context.caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    context.network.settle()
+    idle = 0
+    while idle < 20:
+        try:
+            context.caller.socket.send(
+                b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 999
+            )
+            idle = 0
+        except BlockingIOError:
+            idle += 1
+        context.network.turn(0.001)
+
+
+@behave.when("{count:d} callers each send {size:d} bytes of a longer body")
+def send_bodies(context, count, size):
+    context.callers = [connect(context) for _ in range(count)]
+    for caller in context.callers:
+        caller.send(
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n"
+            + b"x" * size
+        )
+        context.network.settle()
+
+
+@behave.when("a caller that does not read sends {count:d} requests")
+def send_unread(context, count):
+    context.caller = connect(context, receive_buffer=65536)
+    context.caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * count)
+    context.network.settle()
+
+
+@behave.when("{count:d} callers that do not read send a request each")
+def send_all_unread(context, count):
+    context.callers = []
+    for _ in range(count):
+        send_unread(context, 1)
+        context.callers.append(context.caller)
+
+
+@behave.when("the caller reads")
+def read_everything(context):
+    context.caller.receive()
+
+
+@behave.when("the caller disconnects")
+def disconnect(context):
+    context.caller.socket.close()
+    context.network.settle()
+
+
+@behave.when("a second caller sends half a request")
+def send_half(context):
+    context.second = connect(context)
+    context.second.send(b"GET /second HTTP/1.1\r\nHo")
+    context.network.settle()
+
+
+@behave.when("a third caller is idle after an answer")
+def send_idle(context):
+    context.third = connect(context)
+    context.third.send(b"GET /third HTTP/1.1\r\nHost: a\r\n\r\n")
+    context.network.settle()
+    context.handler.answer(context.handler.exchanges[-1])
+    context.third.read_answers(1)
+
+
+@behave.when("a fourth caller is in the kernel's queue when the edge drains")
+def queue_caller(context):
+    context.fourth = connect(context)
+    context.fourth.socket.send(b"GET /fourth HTTP/1.1\r\nHost: a\r\n\r\n")
+    drain(context)
+
+
+@behave.when("the edge drains")
+def drain(context):
+    def count():
+        context.drains += 1
+
+    context.edge.start_drain(count)
+    context.network.settle()
+
+
+@behave.when("the third and second caller complete a request during the drain")
+def complete_requests(context):
+    context.third.send(b"GET /last HTTP/1.1\r\nHost: a\r\n\r\n")
+    context.network.settle()
+    context.network.advance(1.5)
+    context.second.send(b"st: a\r\n\r\n")
+
+
+@behave.when("a caller process sends {count:d} requests to a running loop")
+def run_loop(context, count):
+    # The loop needs real time and the test a second thread: the loop blocks.
+    context.network.timers.clock = context.edge.clock = time.monotonic
+    context.bodies = []
+
+    def call():
+        with socket.create_connection(context.address, 5.0) as client:
+            reader = client.makefile("rb")
+            for index in range(count):
+                client.sendall(b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n" % index)
+                length = 0
+                while (line := reader.readline()) != b"\r\n":
+                    if line.startswith(b"content-length:"):
+                        length = int(line.split(b":")[1])
+                context.bodies.append(reader.read(length))
+        context.network.timers.stop()
+
+    thread = threading.Thread(target=call)
+    thread.start()
+    context.network.timers.run()
+    thread.join()
+
+
+@behave.then("the caller gets the status {status:d} and the connection ends")
+def check_refused(context, status):
+    context.caller.read_end()
+    answers = context.caller.parse()
+    assert [answer[0] for answer in answers] == [status], answers
+    assert answers[0][1][b"connection"] == b"close"
+    assert answers[0][1][b"x-execution"] == b"not-run"
+
+
+@behave.then("the caller got {count:d} answers and the connection ends")
+def check_ended(context, count):
+    context.caller.read_end()
+    statuses = [answer[0] for answer in context.caller.parse()]
+    assert statuses == [200] * count, statuses
+
+
+@behave.then("the handler saw {count:d} requests")
+def check_seen(context, count):
+    assert len(context.handler.exchanges) == count, context.handler.exchanges
+    assert context.network.sockets.failures == 0
+
+
+@behave.then("the handler saw fewer than {count:d} requests")
+def check_seen_fewer(context, count):
+    assert 0 < len(context.handler.exchanges) < count
+
+
+@behave.then("the caller gets {count:d} answers in the order of its requests")
+def check_order(context, count):
+    answers = context.caller.read_answers(count)
+    bodies = [answer[2] for answer in answers]
+    expected = [b"POST /%d body-%d" % (i, i) for i in range(count)]
+    assert bodies == expected, bodies
+
+
+@behave.then("the caller gets {count:d} whole answers")
+def check_whole(context, count):
+    caller, size = context.caller, context.answer_bytes
+    caller.read_until(
+        lambda: caller.ended or len(caller.data) > count * size,
+        "answers in all their length",
+    )
+    answers = caller.read_answers(count)
+    sizes = {len(answer[2]) for answer in answers}
+    assert len(answers) == count and sizes == {size}
+
+
+@behave.then('{count:d} of the callers get the status {status:d} with "{word}"')
+def check_callers(context, count, status, word):
+    context.network.settle()
+    found = 0
+    for caller in context.callers:
+        caller.receive()
+        for answer in caller.parse():
+            assert answer[0] == status
+            assert answer[1][b"x-execution"].decode() == word
+            caller.read_end()
+            found += 1
+    assert found == count, found
+
+
+@behave.then("the edge has {count:d} connections")
+def check_connections(context, count):
+    context.network.settle()
+    assert context.edge.connections == count, context.edge.connections
+
+
+@behave.then("the edge holds at most {count:d} bytes")
+def check_held(context, count):
+    assert 0 < context.edge.held_bytes <= count, context.edge.held_bytes
+
+
+@behave.then("no answer bytes are buffered")
+def check_unbuffered(context):
+    assert context.network.sockets.buffered_bytes == 0
+
+
+@behave.then("at most {count:d} answer bytes are buffered")
+def check_buffered(context, count):
+    assert 0 < context.network.sockets.buffered_bytes <= count
+
+
+@behave.then('the caller has received exactly "{text}"')
+def check_received(context, text):
+    context.caller.read_until(lambda: context.caller.data, "interim answer")
+    assert context.caller.data == decode(text), context.caller.data
+
+
+@behave.then('the caller has received no "{text}"')
+def check_not_received(context, text):
+    assert decode(text) not in context.caller.data
+
+
+@behave.then('the answer is "{text}"')
+def check_answer(context, text):
+    answers = context.caller.read_answers(1)
+    assert [answer[2] for answer in answers] == [text.encode()], answers
+
+
+@behave.then('the answers to HEAD and GET are "" and "{text}"')
+def check_head(context, text):
+    answers = context.caller.read_answers(2, ("HEAD", "GET"))
+    assert [answer[2] for answer in answers] == [b"", text.encode()], answers
+    assert answers[0][1][b"content-length"] == b"8"
+
+
+@behave.then("{count:d} requests were cancelled")
+def check_cancelled(context, count):
+    assert len(context.handler.cancelled) == count
+
+
+@behave.then('the caller gets a 500 with "{word}" and no traceback')
+def check_failed(context, word):
+    (answer,) = context.caller.read_answers(1)
+    assert answer[0] == 500 and answer[1][b"x-execution"].decode() == word
+    assert b"x-c" not in answer[1]
+    assert b"fault" not in context.caller.data
+    assert b"Traceback" not in context.caller.data
+
+
+@behave.then("the edge counts {count:d} failures")
+def check_failures_counted(context, count):
+    assert context.edge.failures == count, context.edge.failures
+
+
+@behave.then('each of the four callers has its last answer with "close"')
+def check_drained(context):
+    expected = {
+        "caller": b"GET /a ",
+        "second": b"GET /second ",
+        "third": b"GET /last ",
+        "fourth": b"GET /fourth ",
+    }
+    for name, body in expected.items():
+        caller = getattr(context, name)
+        caller.read_end()
+        answer = caller.parse()[-1]
+        assert answer[2] == body, (name, answer)
+        assert answer[1][b"connection"] == b"close", name
+        caller.socket.close()
+    context.network.settle()
+
+
+@behave.then("a new caller is refused by the kernel")
+def check_refused_by_kernel(context):
+    with socket.socket() as client:
+        assert client.connect_ex(context.address) != 0
+
+
+@behave.then("the drain is reported once")
+def check_drain_reported(context):
+    context.caller.socket.close()
+    context.network.settle()
+    assert context.drains == 1, context.drains
+
+
+@behave.then("each of the {count:d} requests has its own answer")
+def check_loop(context, count):
+    expected = [b"GET /%d " % index for index in range(count)]
+    assert context.bodies == expected, context.bodies
