--- a/clementinewood/minion.py
+++ b/clementinewood/minion.py
@@ -82,6 +82,7 @@
     def on_open(self, connection: transport.Connection) -> None:
         self._real = connection
         self._minion.open_connections.add(self)
+        self._minion.accepted += 1
         self._receiver.on_open(self._as_connection())
 
     def on_data(self, connection: transport.Connection, data: bytes) -> None:
@@ -184,6 +185,7 @@
         )
         self.running = 0
         self.refused = 0
+        self.accepted = 0
         self.peak_running = 0
         self.is_test_answer = False
         self.open_connections: set[_FaultyConnection] = set()
--- a/clementinewood/transport.py
+++ b/clementinewood/transport.py
@@ -594,8 +594,12 @@
                 ACCEPT_RETRY_SECONDS, lambda: self._resume_listener(listener)
             )
 
-    def poll(self, timeout: float | None) -> None:
-        """Waits up to `timeout` seconds and handles what is ready."""
+    def poll(self, timeout: float | None) -> int:
+        """Waits up to `timeout` seconds and handles what is ready.
+
+        Returns:
+            The number of sockets that were ready.
+        """
         self._polling = True
         try:
             ready = self._epoll.poll(timeout, _POLL_BATCH)
@@ -603,6 +607,7 @@
             self._polling = False
         if ready:
             self._handle_batch(ready)
+        return len(ready)
 
     def resume(self) -> None:
         """Wakes the poll up; circuits calls it when an event is fired."""
--- a/clementinewood/web.py
+++ b/clementinewood/web.py
@@ -84,29 +84,41 @@
     return required <= count and (method.varargs or count <= len(method.args))
 
 
+def _list_candidates(
+    method: str, parts: list[str]
+) -> list[tuple[str, list[str]]]:
+    """Returns method names to try, each with the segments left for it."""
+    found = [(method, parts)]
+    if method == "HEAD":
+        found.append(("GET", parts))
+    # A segment in capitals would choose the method of another verb.
+    if parts and not parts[0].isupper():
+        found.append((parts[0], parts[1:]))
+    found.append(("index", parts))
+    return found
+
+
 class Dispatcher(dispatcher.Dispatcher):
     """Finds the controller method for a path.
 
     The base class passes query and form fields as keyword arguments, so any
-    caller could make a page raise TypeError with an unknown field; it also
-    finds handlers that were never exposed.
+    caller could make a page raise TypeError with an unknown field; it finds
+    handlers that were never exposed and hides named pages behind `GET`.
     """
 
     @circuits.handler("request", priority=0.1, override=True)
     def _on_request(
         self, event: circuits.Event, req: Request, res: wrappers.Response
     ) -> circuits.core.Value | None:
-        method = req.method
-        found = dispatcher.find_handlers(req, self.paths)
-        if found[1] is None and method == "HEAD":
-            req.method = "GET"
-            found = dispatcher.find_handlers(req, self.paths)
-            req.method = method
-        handlers, name, channel, parts = found
-        if name is None or not all(_accepts(h, len(parts)) for h in handlers):
-            return None
-        page = circuits.Event.create(name, req, res, *parts)
-        return self.fire(page, channel)
+        segments = [part for part in req.path.strip("/").split("/") if part]
+        for channel, parts in dispatcher.resolve_path(self.paths, segments):
+            handlers = self.paths[channel]._handlers
+            for name, rest in _list_candidates(req.method, parts):
+                methods = handlers.get(name)
+                if methods and all(_accepts(m, len(rest)) for m in methods):
+                    page = circuits.Event.create(name, req, res, *rest)
+                    return self.fire(page, channel)
+        return None
 
 
 class Web(http.HTTP):
--- a/features/network.py
+++ b/features/network.py
@@ -21,8 +21,10 @@
 
     def turn(self, wait=0.0):
         self.timers.run_due()
+        for task in self.timers._tasks.copy():
+            self.timers.processTask(*task)
         self.timers.flush()
-        self.sockets.poll(wait)
+        return self.sockets.poll(wait)
 
     def turn_until(self, condition, what):
         for _ in range(MAX_TURNS):
@@ -32,9 +34,10 @@
         raise AssertionError(f"never happened: {what}")
 
     def settle(self):
-        """Lets loopback traffic arrive."""
-        for _ in range(8):
-            self.turn(0.001)
+        """Turns the loop until loopback traffic has arrived."""
+        quiet = 0
+        while quiet < 2:
+            quiet = 0 if self.turn(0.001) else quiet + 1
 
     def advance(self, seconds):
         self.clock.now += seconds
--- /dev/null
+++ b/features/upstream.feature
@@ -0,0 +1,129 @@
+Feature: Requests to a minion
+  A wrong verdict on an attempt duplicates or loses work: "not run" must be
+  true, and an answer must be whole and belong to its request.
+
+  Background:
+    Given a minion with 8 slots and an upstream to it
+
+  Scenario: An answer comes back whole and without control headers
+    When the upstream sends POST "/work" with the body "hello"
+    Then the upstream outcome is Answered with the body "hello"
+    And the answer has "minion" but none of "x-request-id, x-execution, connection"
+
+  Scenario: Control and hop-by-hop headers of a caller do not reach the minion
+    Given a recording server in place of the minion
+    When the upstream sends a request with forged and hop-by-hop headers
+    Then the recording server saw only the upstream's own control headers
+    And the recording server saw "accept, idempotency-key, x-forwarded-for"
+
+  Scenario Outline: A fault of the minion gets its true verdict: <fault>
+    Given the minion has the fault "<fault>"
+    When the upstream sends POST "/work" with the body "hello"
+    And 4 seconds pass at the upstream
+    Then the upstream outcome is <outcome> and says <execution>
+    And the minion started <starts> requests
+
+    Examples:
+      | fault | outcome | execution | starts |
+      | wrong_id | Invalid | may-have-run | 1 |
+      | short | Invalid | may-have-run | 1 |
+      | garbage | Invalid | may-have-run | 1 |
+      | close_after_start | Lost | may-have-run | 1 |
+      | late_seconds | TimedOut | may-have-run | 1 |
+      | fail | Answered | ran | 1 |
+      | refuse | Refused | not-run | 0 |
+
+  Scenario: A minion over its slots refuses and the verdict is not run
+    When the upstream sends 9 requests that run 1000 ms each
+    And 2 seconds pass at the upstream
+    Then 8 upstream outcomes are Answered
+    And 1 upstream outcomes are Refused
+    And the minion started 8 requests
+
+  Scenario: A start after its time is refused
+    When the upstream sends a request that must start before now
+    Then the upstream outcome is Refused and says not-run
+    And the minion started 0 requests
+
+  Scenario: A run that passes its limit may have run
+    When the upstream sends a request of 5000 ms with a run limit of 1000 ms
+    And 2 seconds pass at the upstream
+    Then the upstream outcome is Answered and says may-have-run
+
+  Scenario: Nothing listens
+    Given the minion has stopped listening
+    When the upstream sends POST "/work" with the body "hello"
+    Then the upstream outcome is NotSent and says not-run
+
+  Scenario: A header that can't be sent is reported, not raised
+    When the upstream sends a request with a line break in a header
+    Then the upstream outcome is NotSent and says not-run
+
+  Scenario: A late answer never reaches a later request
+    Given the minion has the fault "late_seconds"
+    When the upstream sends POST "/first" with the body "one"
+    And 4 seconds pass at the upstream
+    And the minion has no fault any more
+    And the upstream sends POST "/second" with the body "two"
+    And 6 seconds pass at the upstream
+    Then the upstream outcome is Answered with the body "two"
+
+  Scenario: Silent connections cost one request its time limit, not more
+    When the upstream sends 5 requests that run 100 ms each
+    And 1 seconds pass at the upstream
+    Then the upstream has 5 idle connections
+    When the minion's open connections go silent
+    And the upstream sends POST "/lost" with the body "one"
+    And 4 seconds pass at the upstream
+    Then the upstream outcome is TimedOut and says may-have-run
+    And the upstream has 0 idle connections
+    When the upstream sends 5 requests that run 100 ms each
+    And 1 seconds pass at the upstream
+    Then 10 upstream outcomes are Answered
+
+  Scenario: A connection that the minion closed is not used for another request
+    When the upstream sends POST "/first" with the body "one"
+    And the minion closes its connections without the upstream's loop turning
+    And the upstream sends POST "/second" with the body "two"
+    Then the upstream outcome is Answered with the body "two"
+    And the minion started 2 requests
+
+  Scenario: A connection idle for long carries no non-idempotent request
+    When the upstream sends POST "/first" with the body "one"
+    And 10 seconds pass at the upstream
+    And the upstream sends POST "/second" with the body "two"
+    Then the minion saw 2 connections
+    When the upstream sends an idempotent request after 10 more seconds
+    Then the minion saw 2 connections
+
+  Scenario: A leaving minion's connections are not used again
+    Given the minion has the fault "leaving"
+    When the upstream sends POST "/first" with the body "one"
+    And the upstream sends POST "/second" with the body "two"
+    Then 2 upstream outcomes are Answered
+    And the minion saw 2 connections
+
+  Scenario: Connections stay under their cap
+    Given an upstream with at most 3 connections
+    When the upstream sends 7 requests that run 100 ms each
+    Then the minion has 3 connections
+    When 2 seconds pass at the upstream
+    Then 7 upstream outcomes are Answered
+    And the minion saw 3 connections
+
+  Scenario: A cancelled request ends its run at the minion
+    When the upstream sends a request of 5000 ms and cancels it
+    Then the minion runs 0 requests
+    And no upstream outcome is reported
+
+  Scenario: A call that waits for a connection and times out was not sent
+    Given an upstream with at most 1 connections
+    When the upstream sends 2 requests that run 10000 ms each
+    And 4 seconds pass at the upstream
+    Then 1 upstream outcomes are TimedOut
+    And 1 upstream outcomes are NotSent
+    And the minion started 1 requests
+
+  Scenario: Random faults never lead to a false verdict or a crossed answer
+    When 60 random histories of faults and requests are played
+    Then every outcome agrees with what the minions ran
