--- a/clementinewood/buffer.py
+++ b/clementinewood/buffer.py
@@ -1,11 +1,12 @@
 """Spare capacity shared over random failures, a rack and a zone."""
 
+import collections
 import dataclasses
 import heapq
 import math
 from collections.abc import Iterable, Mapping
 
-from clementinewood import fleet, identifiers
+from clementinewood import capacity, fleet, identifiers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,7 +32,7 @@
 
     Attributes:
         workers: Hosts that serve or stand ready.
-        idle: Hosts beyond the need.
+        idle: Resources beyond the need.
         random: Hosts that random failures may take.
         rack: Hosts in the largest rack.
         zone: Hosts in the largest zone.
@@ -39,7 +40,7 @@
     """
 
     workers: frozenset[identifiers.WorkerId]
-    idle: int
+    idle: capacity.Resources
     random: int
     rack: int
     zone: int
@@ -81,81 +82,154 @@
     def __init__(self, settings: BufferSettings | None = None) -> None:
         self.settings = settings or BufferSettings()
 
-    def plan(self, need: int, workers: Iterable[fleet.Worker]) -> BufferPlan:
-        """Returns the hosts to keep in service for `need` hosts of work."""
-        queue = _SpreadQueue(workers)
-        settings = self.settings
-        random = 0
-        while True:
-            count = len(queue.chosen)
-            random = count_random_failures(
-                count, settings.failure_probability, settings.confidence
-            )
-            rack = queue.largest_rack if settings.rack else 0
-            zone = queue.largest_zone if settings.zone else 0
-            satisfied = count - max(random, rack, zone) >= need
-            if satisfied or not queue.take():
-                return BufferPlan(
-                    frozenset(queue.chosen),
-                    max(0, count - need),
-                    random,
-                    rack,
-                    zone,
-                    satisfied,
-                )
+    def plan(
+        self,
+        need: capacity.Resources,
+        workers: Iterable[fleet.Worker],
+        planned: int = 0,
+    ) -> BufferPlan:
+        """Returns the hosts to keep in service.
+
+        Args:
+            need: Resources that the work needs.
+            workers: Hosts that can serve.
+            planned: Hosts that the availability budgets allow to be out of
+                service at once; planning yields to failures, so this is one
+                more loss and not an addition to the others.
+        """
+        accelerated: list[fleet.Worker] = []
+        plain: list[fleet.Worker] = []
+        for worker in workers:
+            special = worker.resources.accelerators > 0
+            (accelerated if special else plain).append(worker)
+        chosen = _Choice(self.settings, planned)
+        if need.accelerators > 0:
+            part = capacity.Resources(accelerators=need.accelerators)
+            chosen.extend(part, accelerated)
+        # Hosts with accelerators serve other work only when none else is left.
+        chosen.extend(need, plain)
+        chosen.extend(need, accelerated)
+        return chosen.result(need)
 
     def require_spare(
         self,
-        needs: Mapping[identifiers.PoolId, int],
+        needs: Mapping[identifiers.PoolId, capacity.Resources],
         workers: Iterable[fleet.Worker],
+        planned: int = 0,
     ) -> BufferPlan:
         """Returns the plan for all pools together, which may borrow."""
-        return self.plan(sum(needs.values()), workers)
-
-
-class _SpreadQueue:
-    """Takes hosts one by one from the least used zone, then rack."""
-
-    def __init__(self, workers: Iterable[fleet.Worker]) -> None:
-        racks: dict[
-            tuple[identifiers.ZoneId, identifiers.RackId],
-            list[identifiers.WorkerId],
+        total = capacity.NONE
+        for need in needs.values():
+            total += need
+        return self.plan(total, workers, planned)
+
+
+class _Choice:
+    """Hosts chosen so far and the losses among them."""
+
+    def __init__(self, settings: BufferSettings, planned: int) -> None:
+        self._settings = settings
+        self._planned = planned
+        self.chosen: set[identifiers.WorkerId] = set()
+        self.total = capacity.NONE
+        self.largest_host = capacity.NONE
+        self.racks: dict[
+            tuple[identifiers.ZoneId, identifiers.RackId], capacity.Resources
         ] = {}
-        for worker in sorted(workers, key=lambda w: w.id, reverse=True):
-            place = (worker.zone, worker.rack)
-            racks.setdefault(place, []).append(worker.id)
-        self._racks = racks
-        by_zone: dict[
-            identifiers.ZoneId, list[tuple[int, identifiers.RackId]]
+        self.rack_hosts: collections.Counter[
+            tuple[identifiers.ZoneId, identifiers.RackId]
+        ] = collections.Counter()
+        self.zones: dict[identifiers.ZoneId, capacity.Resources] = {}
+        self.zone_hosts: collections.Counter[identifiers.ZoneId] = (
+            collections.Counter()
+        )
+        self.largest_rack = capacity.NONE
+
+    def extend(
+        self, need: capacity.Resources, workers: list[fleet.Worker]
+    ) -> None:
+        """Adds hosts until `need` survives each loss, or none is left."""
+        places: dict[
+            identifiers.ZoneId, dict[identifiers.RackId, list[fleet.Worker]]
         ] = {}
-        for zone, rack in racks:
-            by_zone.setdefault(zone, []).append((0, rack))
-        for queue in by_zone.values():
+        for worker in sorted(workers, key=lambda w: w.id, reverse=True):
+            if worker.id not in self.chosen:
+                racks = places.setdefault(worker.zone, {})
+                racks.setdefault(worker.rack, []).append(worker)
+        queues = {
+            zone: [(self.rack_hosts[zone, rack], rack) for rack in racks]
+            for zone, racks in places.items()
+        }
+        for queue in queues.values():
             heapq.heapify(queue)
-        self._by_zone = by_zone
-        self._zones = [(0, zone) for zone in by_zone]
-        heapq.heapify(self._zones)
-        self.chosen: list[identifiers.WorkerId] = []
-        self.largest_rack = 0
-        self.largest_zone = 0
-
-    def take(self) -> bool:
-        """Chooses one more host; returns False when none is left."""
-        while self._zones:
-            used, zone = heapq.heappop(self._zones)
-            queue = self._by_zone[zone]
-            if not queue:
-                continue
-            rack_used, rack = heapq.heappop(queue)
-            hosts = self._racks[zone, rack]
-            self.chosen.append(hosts.pop())
-            self.largest_rack = max(self.largest_rack, rack_used + 1)
-            self.largest_zone = max(self.largest_zone, used + 1)
+        order = [(self.zone_hosts[zone], zone) for zone in queues]
+        heapq.heapify(order)
+        while order and not self.survives(need):
+            used, zone = heapq.heappop(order)
+            rack_used, rack = heapq.heappop(queues[zone])
+            hosts = places[zone][rack]
+            self._add(hosts.pop())
             if hosts:
-                heapq.heappush(queue, (rack_used + 1, rack))
-            heapq.heappush(self._zones, (used + 1, zone))
-            return True
-        return False
+                heapq.heappush(queues[zone], (rack_used + 1, rack))
+            if queues[zone]:
+                heapq.heappush(order, (used + 1, zone))
+
+    def _add(self, worker: fleet.Worker) -> None:
+        size = worker.resources
+        place = (worker.zone, worker.rack)
+        self.chosen.add(worker.id)
+        self.total += size
+        self.largest_host = _maximum(self.largest_host, size)
+        self.racks[place] = self.racks.get(place, capacity.NONE) + size
+        self.rack_hosts[place] += 1
+        self.largest_rack = _maximum(self.largest_rack, self.racks[place])
+        zone = worker.zone
+        self.zones[zone] = self.zones.get(zone, capacity.NONE) + size
+        self.zone_hosts[zone] += 1
+
+    @property
+    def random(self) -> int:
+        """Hosts that random failures may take."""
+        return count_random_failures(
+            len(self.chosen),
+            self._settings.failure_probability,
+            self._settings.confidence,
+        )
+
+    def survives(self, need: capacity.Resources) -> bool:
+        """Whether the chosen hosts cover `need` after each loss alone."""
+        if not self.total.covers(need):
+            return False
+        if self._settings.zone and not all(
+            (self.total - zone).covers(need) for zone in self.zones.values()
+        ):
+            return False
+        rack = self.largest_rack if self._settings.rack else capacity.NONE
+        if not (self.total - rack).covers(need):
+            return False
+        hosts = max(self.random, min(self._planned, len(self.chosen)))
+        return (self.total - self.largest_host.scale(hosts)).covers(need)
+
+    def result(self, need: capacity.Resources) -> BufferPlan:
+        """Returns the plan."""
+        return BufferPlan(
+            frozenset(self.chosen),
+            self.total - need,
+            self.random,
+            max(self.rack_hosts.values(), default=0),
+            max(self.zone_hosts.values(), default=0),
+            self.survives(need),
+        )
+
+
+def _maximum(
+    left: capacity.Resources, right: capacity.Resources
+) -> capacity.Resources:
+    return capacity.Resources(
+        max(left.processors, right.processors),
+        max(left.memory, right.memory),
+        max(left.accelerators, right.accelerators),
+    )
 
 
 if __name__ == "__main__":
@@ -167,4 +241,4 @@
         )
         for i in range(30)
     ]
-    print(Buffer().plan(12, SAMPLE))
+    print(Buffer().plan(capacity.DEFAULT.scale(12), SAMPLE))
--- a/clementinewood/demand.py
+++ b/clementinewood/demand.py
@@ -9,7 +9,7 @@
 import math
 import statistics
 
-from clementinewood import fleet, identifiers
+from clementinewood import capacity, identifiers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +30,9 @@
     queued: float = 0.0
     completed: float = 0.0
     busy: float = 0.0
-    used: fleet.Resources = dataclasses.field(default_factory=fleet.Resources)
+    used: capacity.Resources = dataclasses.field(
+        default_factory=capacity.Resources
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,7 +46,7 @@
     """
 
     slots: float
-    resources: fleet.Resources
+    resources: capacity.Resources
     trusted: bool
 
 
@@ -111,7 +113,7 @@
             if sample.time >= now - settings.window
         ]
         if not samples:
-            return Estimate(0.0, fleet.Resources(), False)
+            return Estimate(0.0, capacity.Resources(), False)
         recent = samples[-settings.minimum :]
         running = statistics.median(sample.running for sample in recent)
         queued = self._project_queue(recent, now)
@@ -146,16 +148,41 @@
 
     def _scale_usage(
         self, recent: list[UsageSample], slots: float
-    ) -> fleet.Resources:
+    ) -> capacity.Resources:
         per_slot = [
             sample.used.scale(1 / sample.running)
             for sample in recent
             if sample.running > 0
         ]
         if not per_slot:
-            return fleet.Resources()
-        return fleet.Resources(
+            return capacity.Resources()
+        return capacity.Resources(
             statistics.median(use.processors for use in per_slot),
             statistics.median(use.memory for use in per_slot),
             statistics.median(use.accelerators for use in per_slot),
         ).scale(slots)
+
+
+def size_need(
+    estimate: Estimate, slots_per_host: float, host: capacity.Resources
+) -> capacity.Resources:
+    """Returns the resources that a pool needs for an estimate.
+
+    Slots bound the tasks of a host even when they use little of it, so the
+    need is the larger of measured usage and the slots' part of a host.
+    """
+    slots = host.scale(estimate.slots / slots_per_host)
+    used = estimate.resources
+    return capacity.Resources(
+        max(slots.processors, used.processors),
+        max(slots.memory, used.memory),
+        max(slots.accelerators, used.accelerators),
+    )
+
+
+if __name__ == "__main__":
+    ESTIMATOR = DemandEstimator()
+    POOL = identifiers.PoolId("quotes")
+    for second in range(5):
+        ESTIMATOR.report(POOL, UsageSample(second, 8.0, queued=30.0))
+    print(ESTIMATOR.estimate(POOL, 6.0))
--- a/clementinewood/fleet.py
+++ b/clementinewood/fleet.py
@@ -4,69 +4,11 @@
 import enum
 from collections.abc import Iterable
 
-from clementinewood import fleet_fold, fleet_record, identifiers
+from clementinewood import capacity, fleet_fold, fleet_record, identifiers
 
 Step = fleet_record.Step
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Resources:
-    """An amount of processors, memory and accelerators."""
-
-    processors: float = 0.0
-    memory: float = 0.0
-    accelerators: float = 0.0
-
-    def __add__(self, other: "Resources") -> "Resources":
-        return Resources(
-            self.processors + other.processors,
-            self.memory + other.memory,
-            self.accelerators + other.accelerators,
-        )
-
-    def __sub__(self, other: "Resources") -> "Resources":
-        return Resources(
-            self.processors - other.processors,
-            self.memory - other.memory,
-            self.accelerators - other.accelerators,
-        )
-
-    def scale(self, factor: float) -> "Resources":
-        """Returns the amount times `factor`."""
-        return Resources(
-            self.processors * factor,
-            self.memory * factor,
-            self.accelerators * factor,
-        )
-
-    def covers(self, other: "Resources") -> bool:
-        """Whether every component is at least that of `other`."""
-        return (
-            self.processors >= other.processors
-            and self.memory >= other.memory
-            and self.accelerators >= other.accelerators
-        )
-
-    def share_of(self, whole: "Resources") -> float:
-        """Returns the largest component as a fraction of `whole`.
-
-        A component that `whole` lacks but this amount needs gives infinity.
-        """
-        largest = 0.0
-        for part, total in (
-            (self.processors, whole.processors),
-            (self.memory, whole.memory),
-            (self.accelerators, whole.accelerators),
-        ):
-            if part > 0:
-                largest = max(largest, part / total if total else float("inf"))
-        return largest
-
-
-DEFAULT_RESOURCES = Resources(32, 64, 0)
-"""Size of a worker at today's sites."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Worker:
     """A host and where it stands."""
@@ -74,7 +16,7 @@
     id: identifiers.WorkerId
     zone: identifiers.ZoneId
     rack: identifiers.RackId
-    resources: Resources = DEFAULT_RESOURCES
+    resources: capacity.Resources = capacity.DEFAULT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,10 +86,12 @@
         arriving: Hosts that were assigned and do not serve yet. They are no
             unavailability: the pool has not had them before.
         incoming: Hosts of other pools that drain for a move to this pool.
+        absent: Hosts out of service by failures or zones out.
+        worked_on: Resources of hosts that maintenance and rolls return soon.
         planned: Guarded hosts out of service by our decision, by zone.
         unplanned: Guarded hosts out of service otherwise, by zone.
-        capacity: Resources of the serving hosts.
-        pending: Resources of the arriving and incoming hosts.
+        capacity: capacity.Resources of the serving hosts.
+        pending: capacity.Resources of the arriving and incoming hosts.
     """
 
     def __init__(self, pool: identifiers.PoolId) -> None:
@@ -156,10 +100,12 @@
         self.serving: dict[identifiers.ZoneId, set[identifiers.WorkerId]] = {}
         self.arriving: set[identifiers.WorkerId] = set()
         self.incoming: set[identifiers.WorkerId] = set()
+        self.absent: set[identifiers.WorkerId] = set()
+        self.worked_on = capacity.Resources()
         self.planned: dict[identifiers.ZoneId, int] = {}
         self.unplanned: dict[identifiers.ZoneId, int] = {}
-        self.capacity = Resources()
-        self.pending = Resources()
+        self.capacity = capacity.Resources()
+        self.pending = capacity.Resources()
 
     @property
     def serving_count(self) -> int:
@@ -185,7 +131,7 @@
     zone: identifiers.ZoneId
     availability: Availability
     guarded: bool
-    resources: Resources
+    resources: capacity.Resources
     target: identifiers.PoolId | None
 
 
@@ -202,6 +148,10 @@
         self.pools: dict[identifiers.PoolId, Pool] = {}
         self.in_progress: set[identifiers.WorkerId] = set()
         self.unavailable: set[identifiers.WorkerId] = set()
+        self.unassigned: set[identifiers.WorkerId] = set()
+        self.outdated: dict[identifiers.ZoneId, set[identifiers.WorkerId]] = {}
+        self.evidence_time = float("-inf")
+        self.zone_sizes: dict[identifiers.ZoneId, int] = {}
         self._counted: dict[identifiers.WorkerId, _Contribution] = {}
         state.subscribe(self._on_change)
         self._rebuild()
@@ -212,7 +162,22 @@
         if old is not None and report.time < old.time:
             return
         self.reports[report.worker.id] = report
-        self._refresh(report.worker.id)
+        self.evidence_time = max(self.evidence_time, report.time)
+        if old is None or old.worker.zone != report.worker.zone:
+            self._count_zone(old, -1)
+            self._count_zone(report, 1)
+        if (
+            old is None
+            or old.listing is not report.listing
+            or old.healthy is not report.healthy
+            or old.worker is not report.worker
+        ):
+            self._refresh(report.worker.id)
+
+    def _count_zone(self, report: HostReport | None, sign: int) -> None:
+        if report is not None:
+            zone = report.worker.zone
+            self.zone_sizes[zone] = self.zone_sizes.get(zone, 0) + sign
 
     def observe_list(self, reports: Iterable[HostReport], now: float) -> None:
         """Takes a whole host list; hosts missing from it are absent.
@@ -289,13 +254,16 @@
         self._counted.clear()
         self.in_progress.clear()
         self.unavailable.clear()
+        self.outdated.clear()
         for worker in self.state.hosts:
             self._refresh(worker)
 
     def _refresh(self, worker: identifiers.WorkerId) -> None:
         host = self.state.hosts.get(worker)
         if host is None:
+            self.unassigned.add(worker)
             return
+        self.unassigned.discard(worker)
         report = self.reports.get(worker)
         place = report.worker if report else None
         availability = self.classify(worker)
@@ -308,30 +276,35 @@
             place.zone if place else identifiers.ZoneId(""),
             availability,
             guarded,
-            place.resources if place else Resources(),
+            place.resources if place else capacity.Resources(),
             host.target,
         )
         old = self._counted.get(worker)
         if old == new:
-            self._track(worker, host, availability)
+            self._track(worker, host, new)
             return
         if old is not None:
             self._count(worker, old, -1)
         self._counted[worker] = new
         self._count(worker, new, 1)
-        self._track(worker, host, availability)
+        self._track(worker, host, new)
 
     def _track(
         self,
         worker: identifiers.WorkerId,
         host: fleet_fold.HostState,
-        availability: Availability,
+        counted: _Contribution,
     ) -> None:
+        spec = self.state.declaration.pools.get(host.pool)
+        if spec is not None and host.revision < spec.revision:
+            self.outdated.setdefault(counted.zone, set()).add(worker)
+        elif counted.zone in self.outdated:
+            self.outdated[counted.zone].discard(worker)
         if host.step is Step.IN_SERVICE:
             self.in_progress.discard(worker)
         else:
             self.in_progress.add(worker)
-        if availability is Availability.UNPLANNED:
+        if counted.availability is Availability.UNPLANNED:
             self.unavailable.add(worker)
         else:
             self.unavailable.discard(worker)
@@ -352,20 +325,24 @@
             case Availability.ARRIVING:
                 _toggle(pool.arriving, worker, sign)
                 pool.pending += amount
-            case Availability.PLANNED if counted.guarded:
-                pool.planned[counted.zone] = (
-                    pool.planned.get(counted.zone, 0) + sign
-                )
-            case Availability.UNPLANNED if counted.guarded:
-                pool.unplanned[counted.zone] = (
-                    pool.unplanned.get(counted.zone, 0) + sign
-                )
-        target = self.pools.get(counted.target) if counted.target else None
-        if target is not None and counted.availability is (
-            Availability.PLANNED
-        ):
-            _toggle(target.incoming, worker, sign)
-            target.pending += amount
+            case Availability.PLANNED:
+                _add(pool.planned, counted, sign)
+                target = self.pools.get(counted.target or pool.id, pool)
+                if target is pool:
+                    pool.worked_on += amount
+                else:
+                    _toggle(target.incoming, worker, sign)
+                    target.pending += amount
+            case Availability.UNPLANNED:
+                _add(pool.unplanned, counted, sign)
+                _toggle(pool.absent, worker, sign)
+
+
+def _add(
+    counts: dict[identifiers.ZoneId, int], counted: _Contribution, sign: int
+) -> None:
+    if counted.guarded:
+        counts[counted.zone] = counts.get(counted.zone, 0) + sign
 
 
 def _toggle(
@@ -386,4 +363,4 @@
 
 
 if __name__ == "__main__":
-    print(Resources(8, 16).share_of(DEFAULT_RESOURCES))
+    print(Fleet(fleet_fold.FleetState()).list_zones())
--- a/clementinewood/fleet_fold.py
+++ b/clementinewood/fleet_fold.py
@@ -155,6 +155,26 @@
         """Whether the host counts against its pool's budget."""
         return worker in self.home
 
+    def _is_current(self, host: HostState, expected: int) -> bool:
+        return host.version == expected
+
+    def _is_current_pool(self, pool: identifiers.PoolId, expected: int) -> bool:
+        return self.pool_versions.get(pool, 0) == expected
+
+    def _is_expired(self, valid_until: float, time: float) -> bool:
+        return time > valid_until
+
+    def _is_next_bundle(self, payload: fleet_record.BundleAccepted) -> bool:
+        return payload.expected == self.bundle_version
+
+    def _may_assign(self, host: HostState, pool: identifiers.PoolId) -> bool:
+        drained = (
+            host.step in DRAINING
+            and host.purpose is Purpose.MOVE
+            and host.target == pool
+        )
+        return pool != host.pool and (drained or host.step is Step.IN_SERVICE)
+
     def _notify(self, worker: identifiers.WorkerId | None) -> None:
         for listener in self._listeners:
             listener(worker)
@@ -190,20 +210,13 @@
                 ),
             )
             return Outcome.APPLIED
-        if payload.expected != host.version:
+        if not self._is_current(host, payload.expected):
             return Outcome.STALE
-        if payload.pool_version != self.pool_versions.get(host.pool, 0):
+        if not self._is_current_pool(host.pool, payload.pool_version):
             return Outcome.STALE
-        if time > payload.valid_until:
+        if self._is_expired(payload.valid_until, time):
             return Outcome.EXPIRED
-        drained = (
-            host.step in DRAINING
-            and host.purpose is Purpose.MOVE
-            and host.target == payload.pool
-        )
-        if not drained and host.step is not Step.IN_SERVICE:
-            return Outcome.REFUSED
-        if payload.pool == host.pool:
+        if not self._may_assign(host, payload.pool):
             return Outcome.REFUSED
         self._raise_pool_version(host.pool)
         self._store(
@@ -229,9 +242,9 @@
         self, payload: fleet_record.MaintenanceStep, time: float
     ) -> Outcome:
         host = self.hosts.get(payload.worker)
-        if host is None or payload.expected != host.version:
+        if host is None or not self._is_current(host, payload.expected):
             return Outcome.STALE
-        if time > payload.valid_until:
+        if self._is_expired(payload.valid_until, time):
             return Outcome.EXPIRED
         if payload.step not in TRANSITIONS[host.step]:
             return Outcome.REFUSED
@@ -242,7 +255,7 @@
         )
         match payload.step:
             case Step.CORDONED:
-                if payload.pool_version != self.pool_versions.get(host.pool, 0):
+                if not self._is_current_pool(host.pool, payload.pool_version):
                     return Outcome.STALE
                 pool = self.declaration.pools.get(host.pool)
                 limit = pool.max_unavailable if pool else 0
@@ -289,7 +302,7 @@
             or payload.bundle != self.bundle_version
         ):
             return Outcome.STALE
-        if time > payload.valid_until:
+        if self._is_expired(payload.valid_until, time):
             return Outcome.EXPIRED
         change = self.roll.follow(payload, time)
         if change is None:
@@ -312,7 +325,7 @@
     ) -> Outcome:
         if payload.expected != self.pause.version:
             return Outcome.STALE
-        if time > payload.valid_until:
+        if self._is_expired(payload.valid_until, time):
             return Outcome.EXPIRED
         self.pause = PauseState(payload.paused, time, self.pause.version + 1)
         return Outcome.APPLIED
@@ -320,11 +333,17 @@
     def _apply_bundle(
         self, payload: fleet_record.BundleAccepted, time: float
     ) -> Outcome:
-        if payload.expected != self.bundle_version:
+        if not self._is_next_bundle(payload):
             return Outcome.STALE
         self.bundle_version += 1
         self.winners[self.bundle_version] = payload
-        self.declaration = payload.declaration
+        old, self.declaration = self.declaration, payload.declaration
+        self.roll = self.roll.supersede(payload.declaration.zones, time)
+        if (old.pools, old.zones_out) == (
+            payload.declaration.pools,
+            payload.declaration.zones_out,
+        ):
+            return Outcome.APPLIED
         self.home = {
             worker: pool
             for pool, spec in payload.declaration.pools.items()
@@ -341,9 +360,10 @@
                     revision=payload.declaration.pools[pool].revision,
                 )
         self.planned = {}
-        for worker, host in self.hosts.items():
+        for worker, host in list(self.hosts.items()):
+            if worker not in self.home and host.step is Step.LOST:
+                del self.hosts[worker]
             if worker in self.home and host.is_planned:
                 self.planned[host.pool] = self.planned.get(host.pool, 0) + 1
-        self.roll = self.roll.supersede(payload.declaration.zones, time)
         self._notify(None)
         return Outcome.APPLIED
--- a/clementinewood/maintenance.py
+++ b/clementinewood/maintenance.py
@@ -1,11 +1,12 @@
 """Maintenance of every host once in a period, one failure domain at a time."""
 
 import dataclasses
+import heapq
+from collections.abc import Callable
 
 from clementinewood import (
     budget,
     fleet,
-    fleet_fold,
     fleet_record,
     identifiers,
     wave,
@@ -25,6 +26,8 @@
         period: Every host is maintained once in this time, in seconds.
         lead: Fraction of the period after which a host is due. The rest is
             reserve for pauses and for hosts whose pool has no budget left.
+        urgent: Fraction of the period after which a host no longer waits
+            until its pool can do without it.
         pause_hosts: Recent unplanned losses that make a correlated wave.
         pause_fraction: The same as a fraction of the fleet; the larger
             number applies, since a large fleet always has some hosts down.
@@ -33,6 +36,7 @@
 
     period: float = 6 * WEEK
     lead: float = 0.75
+    urgent: float = 0.9
     pause_hosts: int = 3
     pause_fraction: float = 0.01
     quiet: float = 900.0
@@ -56,6 +60,21 @@
         self._fleet = fleet_view
         self._wave = engine
         self.settings = settings
+        self._queue: list[tuple[float, identifiers.WorkerId]] = []
+        self._due: dict[identifiers.WorkerId, float] = {}
+        self._queued: dict[identifiers.WorkerId, float] = {}
+        fleet_view.state.subscribe(self._on_change)
+        self._on_change(None)
+
+    def _on_change(self, worker: identifiers.WorkerId | None) -> None:
+        """Queues hosts whose last maintenance is new to this planner."""
+        hosts = self._fleet.state.hosts
+        for changed in hosts if worker is None else (worker,):
+            maintained = hosts[changed].maintained
+            if self._queued.get(changed) != maintained:
+                self._queued[changed] = maintained
+                self._due.pop(changed, None)
+                heapq.heappush(self._queue, (maintained, changed))
 
     def count_recent_losses(self, now: float) -> int:
         """Returns unplanned losses that may belong to one correlated wave.
@@ -124,10 +143,13 @@
                     return report.worker.zone
         return None
 
-    def is_due(self, host: fleet_fold.HostState, now: float) -> bool:
-        """Whether the host should be maintained now."""
-        due = host.maintained + self.settings.lead * self.settings.period
-        return now >= due
+    def is_due(self, maintained: float, now: float) -> bool:
+        """Whether a host last maintained then should be maintained now."""
+        return now >= maintained + self.settings.lead * self.settings.period
+
+    def is_urgent(self, maintained: float, now: float) -> bool:
+        """Whether the host must not wait for a quiet time of its pool."""
+        return now >= maintained + self.settings.urgent * self.settings.period
 
     def start(
         self,
@@ -136,6 +158,7 @@
         *,
         limit: int,
         zone: identifiers.ZoneId | None = None,
+        can_spare: Callable[[identifiers.WorkerId], bool] | None = None,
     ) -> list[fleet_record.Payload]:
         """Cordons due hosts in one zone as far as the budgets allow.
 
@@ -144,6 +167,8 @@
             now: Log time.
             limit: Largest number of records.
             zone: The only zone allowed, for example that of a roll.
+            can_spare: Whether the work of the host's pool can do without it
+                now; not asked for urgent hosts.
 
         Returns:
             The records, oldest maintenance first.
@@ -151,12 +176,14 @@
         if self.is_paused(now):
             return []
         zone = zone or self.active_zone()
-        due = self._list_due(now)
-        zones = [zone] if zone else list(dict.fromkeys(z for _, _, z in due))
-        for candidate in zones:
+        for candidates in self._list_due(zone, now):
             records: list[fleet_record.Payload] = []
-            for _, worker, place in due:
-                if place != candidate or len(records) >= limit:
+            for maintained, worker in candidates:
+                if len(records) >= limit:
+                    break
+                if not self.is_urgent(maintained, now) and not (
+                    can_spare is None or can_spare(worker)
+                ):
                     continue
                 record = self._wave.start(
                     worker, Purpose.MAINTENANCE, reservation, now
@@ -168,11 +195,21 @@
         return []
 
     def _list_due(
-        self, now: float
-    ) -> list[tuple[float, identifiers.WorkerId, identifiers.ZoneId]]:
-        due = []
-        for worker, host in self._fleet.state.hosts.items():
-            if self.is_due(host, now) and self._fleet.can_start(worker):
-                zone = self._fleet.reports[worker].worker.zone
-                due.append((host.maintained, worker, zone))
-        return sorted(due)
+        self, zone: identifiers.ZoneId | None, now: float
+    ) -> list[list[tuple[float, identifiers.WorkerId]]]:
+        """Returns due hosts by zone, the zone with the oldest one first."""
+        hosts = self._fleet.state.hosts
+        while self._queue and self.is_due(self._queue[0][0], now):
+            maintained, worker = heapq.heappop(self._queue)
+            if worker in hosts and hosts[worker].maintained == maintained:
+                self._due[worker] = maintained
+        zones: dict[
+            identifiers.ZoneId, list[tuple[float, identifiers.WorkerId]]
+        ] = {}
+        for worker, maintained in self._due.items():
+            if not self._fleet.can_start(worker):
+                continue
+            place = self._fleet.reports[worker].worker.zone
+            if zone is None or place == zone:
+                zones.setdefault(place, []).append((maintained, worker))
+        return sorted(sorted(due) for due in zones.values())
--- a/clementinewood/move.py
+++ b/clementinewood/move.py
@@ -1,12 +1,19 @@
 """Moves of hosts between pools: borrow, drain, return."""
 
 import dataclasses
-import math
 from collections.abc import Mapping
 
-from clementinewood import budget, fleet, fleet_record, identifiers, wave
+from clementinewood import (
+    budget,
+    capacity,
+    fleet,
+    fleet_record,
+    identifiers,
+    wave,
+)
 
 Purpose = fleet_record.Purpose
+Needs = Mapping[identifiers.PoolId, capacity.Resources]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -14,8 +21,10 @@
     """When hosts move.
 
     Attributes:
-        margin: Hosts that a lending pool keeps above its need.
+        margin: Fraction of its need that a lending pool keeps on top.
         floor: Serving hosts that a pool with a queue always keeps.
+        grace: Seconds for which an absent host still counts as supply, since
+            most hosts that restart are back before a move would pay.
         return_after: Seconds for which a borrowed host must be surplus
             before it goes home; it moves sooner only when another pool
             needs it. Queues peak in turn, so an early return costs a move
@@ -23,23 +32,38 @@
         returns: Hosts that may go home in one round.
     """
 
-    margin: int = 1
+    margin: float = 0.1
     floor: int = 1
-    return_after: float = 4 * 3600.0
+    grace: float = 30.0
+    return_after: float = 24 * 3600.0
     returns: int = 1
 
 
 @dataclasses.dataclass(slots=True)
 class _Balance:
-    """Hosts of one pool while a round is being planned."""
+    """Resources of one pool while a round is being planned.
 
-    need: int
-    supply: int
-    serving: int
+    Attributes:
+        need: What its work needs.
+        supply: What serves, arrives or comes back soon.
+        serving: What serves.
+        hosts: Number of serving hosts.
+        spare: Whether it is the pool that lends first.
+    """
+
+    need: capacity.Resources
+    supply: capacity.Resources
+    serving: capacity.Resources
+    hosts: int
     spare: bool
 
-    def deficit(self) -> int:
-        return self.need - self.supply
+    def is_short(self) -> bool:
+        return not self.supply.covers(self.need)
+
+    def give(self, host: capacity.Resources) -> None:
+        self.supply -= host
+        self.serving -= host
+        self.hosts -= 1
 
 
 class Mover:
@@ -65,110 +89,140 @@
         self._wave = engine
         self.settings = settings
         self._surplus_since: dict[identifiers.PoolId, float] = {}
+        self._balances: dict[identifiers.PoolId, _Balance] = {}
+        self._taken: set[identifiers.WorkerId] = set()
 
     def plan(
         self,
-        needs: Mapping[identifiers.PoolId, float],
+        needs: Needs,
         reservation: budget.Reservation,
         now: float,
         *,
         limit: int,
     ) -> list[fleet_record.Payload]:
         """Returns moves toward pools whose need exceeds their supply."""
-        balances = self._balance(needs)
-        records: list[fleet_record.Payload] = []
-        taken: set[identifiers.WorkerId] = set()
+        self._balances = self._balance(needs, now)
+        self._taken = set()
+        records = self._plan_new(now, limit)
         blocked: set[identifiers.PoolId] = set()
         while len(records) < limit:
-            target = self._neediest(balances, blocked)
+            target = self._neediest(blocked)
             if target is None:
                 break
-            record = self._borrow(target, balances, reservation, taken, now)
+            record = self._borrow(target, reservation, now)
             if record is None:
                 blocked.add(target)
                 continue
             records.append(record)
-        records.extend(
-            self._plan_returns(
-                balances, reservation, taken, now, limit - len(records)
-            )
-        )
+        left = min(limit - len(records), self.settings.returns)
+        records.extend(self._plan_returns(reservation, now, left))
         return records
 
+    def can_spare(self, worker: identifiers.WorkerId) -> bool:
+        """Whether the host's pool serves its need without the host."""
+        pool = self._fleet.state.hosts[worker].pool
+        balance = self._balances.get(pool)
+        if balance is None:
+            return True
+        rest = balance.serving - self._size(worker)
+        return rest.covers(balance.need)
+
+    def _size(self, worker: identifiers.WorkerId) -> capacity.Resources:
+        return self._fleet.reports[worker].worker.resources
+
     def _balance(
-        self, needs: Mapping[identifiers.PoolId, float]
+        self, needs: Needs, now: float
     ) -> dict[identifiers.PoolId, _Balance]:
         balances = {}
         for pool, spec in self._fleet.state.declaration.pools.items():
             counts = self._fleet.pools[pool]
-            serving = counts.serving_count
+            supply = counts.capacity + counts.pending + counts.worked_on
+            for worker in counts.absent:
+                waited = self._wave.absent_for(worker, now)
+                if worker in self._fleet.reports and (
+                    self._wave.is_absent(worker)
+                    and waited < self.settings.grace
+                ):
+                    supply += self._size(worker)
             balances[pool] = _Balance(
-                math.ceil(needs.get(pool, 0.0) - 1e-9),
-                serving + len(counts.arriving) + len(counts.incoming),
-                serving,
+                needs.get(pool, capacity.NONE),
+                supply,
+                counts.capacity,
+                counts.serving_count,
                 spec.spare,
             )
         return balances
 
     def _neediest(
-        self,
-        balances: Mapping[identifiers.PoolId, _Balance],
-        blocked: set[identifiers.PoolId],
+        self, blocked: set[identifiers.PoolId]
     ) -> identifiers.PoolId | None:
-        """Returns the pool with the lowest supply for its need."""
+        """Returns the pool with the highest need for its supply."""
         needy = [
-            (balance.supply / balance.need, pool)
-            for pool, balance in balances.items()
-            if balance.deficit() > 0 and pool not in blocked
+            (-balance.need.share_of(balance.supply), pool)
+            for pool, balance in self._balances.items()
+            if balance.is_short() and pool not in blocked
         ]
         return min(needy)[1] if needy else None
 
-    def _can_lend(self, balance: _Balance) -> int:
-        """Returns the hosts that the pool can lend."""
+    def _can_lend(self, balance: _Balance, host: capacity.Resources) -> bool:
+        """Whether the pool can do without one more host of that size."""
         if balance.spare:
-            return balance.serving - balance.need
-        keep = max(balance.need + self.settings.margin, self.settings.floor)
-        return min(balance.serving, balance.supply) - keep
+            return (balance.serving - host).covers(balance.need)
+        if balance.hosts <= self.settings.floor:
+            return False
+        keep = balance.need.scale(1 + self.settings.margin)
+        return (balance.serving - host).covers(keep)
+
+    def _surplus(self, balance: _Balance) -> float:
+        """Returns the part of the pool's serving capacity not needed."""
+        return balance.hosts * (1 - balance.need.share_of(balance.serving))
 
     def _borrow(
         self,
         target: identifiers.PoolId,
-        balances: dict[identifiers.PoolId, _Balance],
         reservation: budget.Reservation,
-        taken: set[identifiers.WorkerId],
         now: float,
     ) -> fleet_record.Payload | None:
-        lenders = [
-            (not balance.spare, -self._can_lend(balance), pool)
-            for pool, balance in balances.items()
-            if pool != target and self._can_lend(balance) > 0
-        ]
-        for _, _, lender in sorted(lenders):
-            record = self._move_one(
-                lender, target, balances, reservation, taken, now
-            )
-            if record is not None:
-                return record
+        """Takes one host, from the spare pool or the most idle one.
+
+        The most idle pool is usually the one that peaked last. Taking from
+        it leaves the others what they will need at their next peak.
+        """
+        lenders = sorted(
+            (not balance.spare, -self._surplus(balance), pool)
+            for pool, balance in self._balances.items()
+            if pool != target and balance.hosts > 0
+        )
+        for _, _, lender in lenders:
+            for worker in self._rank_hosts(lender, target):
+                record = self._lend(worker, target, reservation, now)
+                if record is not None:
+                    return record
         return None
 
-    def _move_one(
+    def _lend(
         self,
-        lender: identifiers.PoolId,
+        worker: identifiers.WorkerId,
         target: identifiers.PoolId,
-        balances: dict[identifiers.PoolId, _Balance],
         reservation: budget.Reservation,
-        taken: set[identifiers.WorkerId],
         now: float,
     ) -> fleet_record.Payload | None:
-        for worker in self._rank_hosts(lender, target, taken):
-            record = self.create_move(worker, target, reservation, now)
-            if record is not None:
-                taken.add(worker)
-                balances[lender].supply -= 1
-                balances[lender].serving -= 1
-                balances[target].supply += 1
-                return record
-        return None
+        lender = self._balances[self._fleet.state.hosts[worker].pool]
+        taker = self._balances[target]
+        size = self._size(worker)
+        if not self._can_lend(lender, size):
+            return None
+        before = taker.need.share_of(taker.supply)
+        after = taker.need.share_of(taker.supply + size)
+        if after >= before and taker.is_short() and before != float("inf"):
+            # The host lacks the resource that the pool is short of.
+            return None
+        record = self.create_move(worker, target, reservation, now)
+        if record is not None:
+            self._taken.add(worker)
+            lender.give(size)
+            taker.supply += size
+        return record
 
     def create_move(
         self,
@@ -194,67 +248,69 @@
         )
 
     def _rank_hosts(
-        self,
-        lender: identifiers.PoolId,
-        target: identifiers.PoolId,
-        taken: set[identifiers.WorkerId],
+        self, lender: identifiers.PoolId, target: identifiers.PoolId
     ) -> list[identifiers.WorkerId]:
-        """Orders hosts: going home first, then idle, then spreading."""
-        source = self._fleet.pools[lender].serving
+        """Orders hosts: idle ones first, then going home, then spreading."""
         present = self._fleet.pools[target].serving
-        ranked = []
-        for zone, workers in source.items():
-            for worker in workers:
-                if worker in taken:
-                    continue
-                ranked.append(
-                    (
-                        self._fleet.state.home.get(worker) != target,
-                        self._fleet.reports[worker].running,
-                        len(present.get(zone, ())) - len(workers),
-                        worker,
-                    )
-                )
+        ranked = [
+            (
+                self._fleet.reports[worker].running,
+                self._fleet.state.home.get(worker) != target,
+                len(present.get(zone, ())) - len(workers),
+                worker,
+            )
+            for zone, workers in self._fleet.pools[lender].serving.items()
+            for worker in workers
+            if worker not in self._taken
+        ]
         return [worker for _, _, _, worker in sorted(ranked)]
 
+    def _plan_new(self, now: float, limit: int) -> list[fleet_record.Payload]:
+        """Puts hosts that no pool has into the spare pool."""
+        spare = [pool for pool, b in self._balances.items() if b.spare]
+        if not spare:
+            return []
+        return [
+            fleet_record.WorkerAssigned(
+                worker,
+                spare[0],
+                0,
+                0,
+                now + self._wave.settings.validity,
+            )
+            for worker in sorted(self._fleet.unassigned)[:limit]
+            if self._fleet.reports[worker].listing is fleet.Listing.LIVE
+        ]
+
     def _plan_returns(
-        self,
-        balances: dict[identifiers.PoolId, _Balance],
-        reservation: budget.Reservation,
-        taken: set[identifiers.WorkerId],
-        now: float,
-        limit: int,
+        self, reservation: budget.Reservation, now: float, limit: int
     ) -> list[fleet_record.Payload]:
         """Sends hosts home that their pool has not needed for long."""
         state = self._fleet.state
         surplus = {
             pool: self._surplus_since.get(pool, now)
-            for pool, balance in balances.items()
-            if self._can_lend(balance) > 0
+            for pool, balance in self._balances.items()
+            if balance.hosts and self._surplus(balance) > 1
         }
         self._surplus_since = surplus
         records: list[fleet_record.Payload] = []
-        limit = min(limit, self.settings.returns)
         for pool, since in sorted(surplus.items()):
             if now - since < self.settings.return_after:
                 continue
             for worker in sorted(self._fleet.pools[pool].members):
-                if len(records) >= limit or self._can_lend(balances[pool]) <= 0:
-                    break
+                if len(records) >= limit:
+                    return records
                 home = state.home.get(worker)
                 if (
-                    home is None
-                    or home == pool
-                    or home not in balances
-                    or worker in taken
-                    or state.hosts[worker].assigned
-                    > now - self.settings.return_after
+                    home in (None, pool)
+                    or home not in self._balances
+                    or worker in self._taken
+                    or worker not in self._fleet.reports
+                    or now - state.hosts[worker].assigned
+                    < self.settings.return_after
                 ):
                     continue
-                record = self.create_move(worker, home, reservation, now)
+                record = self._lend(worker, home, reservation, now)
                 if record is not None:
-                    taken.add(worker)
-                    balances[pool].serving -= 1
-                    balances[pool].supply -= 1
                     records.append(record)
         return records
--- a/clementinewood/planner.py
+++ b/clementinewood/planner.py
@@ -1,11 +1,11 @@
 """Assignment of hosts to pools, planned from the folded log alone."""
 
 import dataclasses
-import math
 from collections.abc import Mapping
 
 from clementinewood import (
     budget,
+    buffer,
     fleet,
     fleet_record,
     identifiers,
@@ -24,14 +24,19 @@
 
     Attributes:
         lease: Seconds of log time for which a planner is alone.
+        evidence: Age of the host list in seconds above which nothing is
+            planned. A planner that resumes after a pause still holds the
+            list from before it.
         limit: Largest number of records of one round.
         moves: Settings of the moves.
         steps: Times of the steps.
+        spare: Losses that the spare capacity covers.
         waves: When hosts are due and when waves pause.
         rolls: When a zone counts as good and when a roll halts.
     """
 
     lease: float = 10.0
+    evidence: float = 30.0
     limit: int = 50
     moves: move.MoveSettings = dataclasses.field(
         default_factory=move.MoveSettings
@@ -39,6 +44,9 @@
     steps: wave.WaveSettings = dataclasses.field(
         default_factory=wave.WaveSettings
     )
+    spare: buffer.BufferSettings = dataclasses.field(
+        default_factory=buffer.BufferSettings
+    )
     waves: maintenance.MaintenanceSettings = dataclasses.field(
         default_factory=maintenance.MaintenanceSettings
     )
@@ -79,6 +87,7 @@
             self.settings.rolls,
             validity=self.settings.steps.validity,
         )
+        self.buffer = buffer.Buffer(self.settings.spare)
         self.mover = move.Mover(fleet_view, self.wave, self.settings.moves)
 
     def holds_lease(self, now: float) -> bool:
@@ -100,7 +109,7 @@
 
     def plan(
         self,
-        needs: Mapping[identifiers.PoolId, float],
+        needs: move.Needs,
         now: float,
         *,
         fresh: bool = True,
@@ -109,7 +118,7 @@
         """Returns the records of one round, in the order to append them.
 
         Args:
-            needs: Hosts that each pool's work needs.
+            needs: Resources that each pool's work needs.
             now: Log time.
             fresh: Whether the folded log is known to be current. When it is
                 not, nothing new is planned.
@@ -118,7 +127,8 @@
         Returns:
             Steps in progress first, then the roll, moves and maintenance.
         """
-        if not fresh:
+        age = now - self.fleet.evidence_time
+        if not fresh or age > self.settings.evidence:
             return []
         reservation = budget.create_reservation(self.fleet, self.budget)
         records = self.wave.advance(reservation, now)
@@ -138,6 +148,25 @@
             )
         return records[: self.settings.limit]
 
+    def plan_buffer(self, needs: move.Needs) -> buffer.BufferPlan:
+        """Returns the hosts to keep in service for `needs`.
+
+        Hosts outside the plan may be released; a plan that is not satisfied
+        says that the fleet is too small for the losses it should survive.
+        """
+        return self.buffer.require_spare(
+            needs,
+            (
+                self.fleet.reports[worker].worker
+                for worker in self.fleet.state.hosts
+                if self.fleet.can_start(worker)
+            ),
+            sum(
+                pool.max_unavailable
+                for pool in self.fleet.state.declaration.pools.values()
+            ),
+        )
+
     def _left(self, records: list[fleet_record.Payload]) -> int:
         return max(0, self.settings.limit - len(records))
 
@@ -145,9 +174,12 @@
         self, reservation: budget.Reservation, now: float, limit: int
     ) -> list[fleet_record.Payload]:
         roll = self.fleet.state.roll
+        can_spare = self.mover.can_spare
         active = self.maintenance.active_zone()
         if roll.zone is None or roll.halted:
-            return self.maintenance.start(reservation, now, limit=limit)
+            return self.maintenance.start(
+                reservation, now, limit=limit, can_spare=can_spare
+            )
         if active is not None and active != roll.zone:
             return []
         records: list[fleet_record.Payload] = []
@@ -160,10 +192,9 @@
             if record is not None:
                 records.append(record)
         return records or self.maintenance.start(
-            reservation, now, limit=limit, zone=roll.zone
+            reservation,
+            now,
+            limit=limit,
+            zone=roll.zone,
+            can_spare=can_spare,
         )
-
-
-def count_hosts(slots: float, slots_per_host: float) -> int:
-    """Returns the whole hosts that `slots` need."""
-    return math.ceil(slots / slots_per_host - 1e-9)
--- a/clementinewood/rollout.py
+++ b/clementinewood/rollout.py
@@ -112,19 +112,7 @@
         self, zone: identifiers.ZoneId
     ) -> list[identifiers.WorkerId]:
         """Returns the hosts in `zone` that lack their pool's revision."""
-        state = self._fleet.state
-        outdated = []
-        for worker, host in state.hosts.items():
-            pool = state.declaration.pools.get(host.pool)
-            report = self._fleet.reports.get(worker)
-            if (
-                pool is not None
-                and report is not None
-                and report.worker.zone == zone
-                and host.revision < pool.revision
-            ):
-                outdated.append(worker)
-        return sorted(outdated)
+        return sorted(self._fleet.outdated.get(zone, ()))
 
     def plan(
         self,
--- a/clementinewood/wave.py
+++ b/clementinewood/wave.py
@@ -30,6 +30,8 @@
         check: Time after which a host that fails its checks is broken.
         arrive: Time after which a host that does not arrive is lost.
         lost: Unplanned absence after which a host is recorded as lost.
+        zone_loss: Absent fraction of a zone above which the zone is lost and
+            its hosts are not recorded one by one.
     """
 
     validity: float = 10.0
@@ -40,6 +42,7 @@
     check: float = 900.0
     arrive: float = 900.0
     lost: float = 900.0
+    zone_loss: float = 0.5
 
 
 class Wave:
@@ -137,7 +140,7 @@
                     return self._step(worker, Step.LOST, now)
             case Step.CHECKING:
                 if _is_live(report) and report.time > host.since:
-                    if report.healthy:
+                    if report.healthy and report.pool in (None, host.pool):
                         return self._step(worker, Step.IN_SERVICE, now)
                     if waited > self.settings.check:
                         return self._step(worker, Step.BROKEN, now)
@@ -151,7 +154,8 @@
                     and report.time > host.since
                 ):
                     return self._step(worker, Step.IN_SERVICE, now)
-                if waited > self.settings.arrive:
+                working = _is_live(report) and report.running > 0
+                if waited > self.settings.arrive and not working:
                     return self._step(worker, Step.LOST, now)
             case Step.BROKEN | Step.LOST:
                 if (
@@ -227,20 +231,49 @@
             now + self.settings.validity,
         )
 
+    def is_absent(self, worker: identifiers.WorkerId) -> bool:
+        """Whether the host is missing, rather than in a zone out."""
+        report = self._fleet.reports.get(worker)
+        zones_out = self._fleet.state.declaration.zones_out
+        return (
+            report is not None
+            and not _is_live(report)
+            and report.worker.zone not in zones_out
+        )
+
+    def absent_for(self, worker: identifiers.WorkerId, now: float) -> float:
+        """Returns for how long this planner has seen the host absent."""
+        return now - self._absent_since.get(worker, now)
+
     def _record_losses(self, now: float) -> Iterable[fleet_record.Payload]:
-        """Records serving hosts that stay absent, so that all agree on it."""
+        """Records serving hosts that stay absent, so that all agree on it.
+
+        Hosts of a zone that is out or mostly absent are left alone: their
+        records would flood the log at the loss and again at the return.
+        """
+        state = self._fleet.state
         absent: dict[identifiers.WorkerId, float] = {}
+        by_zone: dict[identifiers.ZoneId, list[identifiers.WorkerId]] = {}
         for worker in sorted(self._fleet.unavailable):
-            if self._fleet.state.hosts[worker].step is not Step.IN_SERVICE:
+            if state.hosts[worker].step is not Step.IN_SERVICE:
                 continue
             report = self._fleet.reports.get(worker)
             if _is_live(report) and report.healthy:
                 continue
-            since = self._absent_since.get(worker, now)
-            absent[worker] = since
-            if now - since > self.settings.lost:
-                yield self._step(worker, Step.LOST, now)
+            absent[worker] = self._absent_since.get(worker, now)
+            zone = report.worker.zone if report else identifiers.ZoneId("")
+            by_zone.setdefault(zone, []).append(worker)
         self._absent_since = absent
+        for zone, workers in by_zone.items():
+            size = self._fleet.zone_sizes.get(zone, 0)
+            if (
+                zone in state.declaration.zones_out
+                or len(workers) > max(1, size) * self.settings.zone_loss
+            ):
+                continue
+            for worker in workers:
+                if now - absent[worker] > self.settings.lost:
+                    yield self._step(worker, Step.LOST, now)
 
     def _step(
         self,
--- a/features/fleet_world.py
+++ b/features/fleet_world.py
@@ -13,6 +13,7 @@
 ZONES = ("z1", "z2", "z3")
 POOLS = ("east", "west", "reserve")
 SETTINGS = planner.PlannerSettings(
+    evidence=8.0,
     moves=MoveSettings(return_after=300.0),
     steps=WaveSettings(
         drain=60, give_up=600, reboot=60, check=60, arrive=60, lost=60
@@ -55,13 +56,16 @@
         self.fleet = parts.fleet(self.state)
         self.planner = parts.planner(name, self.fleet, SETTINGS)
         self.offset = 0
+        self.read_at = world.now
         self.paused = False
+        self.needs = None
         self.outbox = []
 
     def read(self):
         for offset, payload, time in self.world.log[self.offset :]:
             self.state.apply(payload, offset, time)
         self.offset = len(self.world.log)
+        self.read_at = self.world.now
 
     def plan(self, *, lease=True):
         world = self.world
@@ -72,11 +76,12 @@
                 self.read()
             if not self.planner.holds_lease(world.now):
                 return
+        fresh = world.log_up and world.now - self.read_at <= SUBSTEP
         self.outbox.extend(
             self.planner.plan(
-                world.needs,
+                self.needs or world.needs,
                 world.now,
-                fresh=world.log_up,
+                fresh=fresh,
                 signals=world.signals,
             )
         )
@@ -91,13 +96,13 @@
     planner: type = planner.Planner
 
 
-def declare(*, out=(), revision=0, hosts=4, budget=1):
+def declare(*, out=(), revision=0):
     pools = {
         pool: fleet_record.PoolDeclaration(
-            tuple(f"{pool}-{i}" for i in range(hosts)),
+            tuple(f"{pool}-{i}" for i in range(4)),
             spare=pool == "reserve",
-            max_unavailable=budget,
-            max_unavailable_zone=budget,
+            max_unavailable=2,
+            max_unavailable_zone=1,
             revision=revision,
         )
         for pool in POOLS
@@ -126,8 +131,10 @@
                 self.hosts[worker.id] = Host(worker, pool)
         self.nodes = [Node(f"n{i}/1", self, self.parts) for i in range(nodes)]
         self.router = Node("router/1", self, self.parts)
+        self.late_reports = []
         self.publish(declare())
         self.deliver()
+        self.deliver()
 
     def publish(self, declaration, *, expected=None, operator="ana"):
         self.published += 1
@@ -152,15 +159,18 @@
         return outcome
 
     def deliver(self):
-        """Brings logs and host lists to every part that is not paused."""
-        reports = [host.report(self.now) for host in self.hosts.values()]
-        for report in reports:
+        """Brings the log and late host reports to parts not paused."""
+        reports = self.late_reports
+        self.late_reports = [
+            host.report(self.now) for host in self.hosts.values()
+        ]
+        for report in self.late_reports:
             self.view.observe(report)
         for node in (*self.nodes, self.router):
             if node.paused:
                 continue
-            if self.log_up:
-                node.read()
+            # Entries relay to each other what was accepted before an outage.
+            node.read()
             for report in reports:
                 node.fleet.observe(report)
 
@@ -174,13 +184,15 @@
         host.tasks.append(self.now + seconds)
         return True
 
-    def advance(self, seconds):
+    def advance(self, seconds, *, substep=SUBSTEP):
         end = self.now + seconds
         while self.now < end:
-            self.now = min(end, self.now + SUBSTEP)
+            self.now = min(end, self.now + substep)
             for host in self.hosts.values():
                 self._advance_host(host)
             self.deliver()
+            for observer in self.observers:
+                observer.on_tick()
             for node in self.nodes:
                 if not node.paused:
                     node.plan()
@@ -208,7 +220,7 @@
                 host.boots += 1
                 host.up = False
                 host.back_at = self.now + 10 if host.returns else None
-            case Step.ARRIVING if not host.tasks:
+            case Step.ARRIVING | Step.CHECKING | Step.LOST if not host.tasks:
                 host.pool = state.pool
 
     def fail(self, worker, *, seconds=None):
--- a/features/steps/fleet_plain_steps.py
+++ b/features/steps/fleet_plain_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from clementinewood import fleet_fold, fleet_record
+from clementinewood import capacity, fleet_fold, fleet_record
 from features import fleet_world
 
 
@@ -12,6 +12,9 @@
     def __init__(self):
         self.assigned = 0
 
+    def on_tick(self):
+        pass
+
     def before(self, payload):
         pass
 
@@ -42,7 +45,7 @@
 
 @behave.when('pool "{pool}" needs {hosts:d} hosts for {seconds:g} seconds')
 def set_need(context, pool, hosts, seconds):
-    context.world.needs = {pool: hosts}
+    context.world.needs = {pool: capacity.DEFAULT.scale(hosts)}
     context.world.advance(seconds)
 
 
--- /dev/null
+++ b/features/steps/fleet_schedule_steps.py
@@ -0,0 +1,43 @@
+"""Steps for fleet planning under faults."""
+
+import behave
+
+from features import fleet_broken, fleet_schedule, fleet_world
+
+
+@behave.when("random fleet schedules run")
+def run_random(context):
+    context.steps = fleet_schedule.explore(fleet_world.Parts())
+
+
+@behave.then("at least {count:d} fleet schedule steps kept every property")
+def check_steps(context, count):
+    assert context.steps >= count, context.steps
+
+
+def run_directed(context, parts, mechanism):
+    context.violation = None
+    try:
+        fleet_schedule.execute(parts, fleet_broken.SCHEDULES[mechanism])
+    except fleet_schedule.ViolationError as violation:
+        context.violation = violation.args[0]
+
+
+@behave.when('the fleet schedule for "{mechanism}" runs on the whole mechanism')
+def run_whole(context, mechanism):
+    run_directed(context, fleet_world.Parts(), mechanism)
+
+
+@behave.when('the fleet schedule for "{mechanism}" runs without it')
+def run_broken(context, mechanism):
+    run_directed(context, fleet_broken.PARTS[mechanism], mechanism)
+
+
+@behave.then("that fleet schedule keeps every property")
+def check_kept(context):
+    assert context.violation is None, context.violation
+
+
+@behave.then('the fleet check reports "{violation}"')
+def check_violation(context, violation):
+    assert context.violation == violation, context.violation
