--- a/clementinewood/command_demo.py
+++ b/clementinewood/command_demo.py
@@ -21,7 +21,7 @@
     def __init__(self, site: dev.DevSite) -> None:
         self.failed = 0
         self._site = site
-        self._key = site.list_secrets()[0]
+        self._key = dev.find_secrets(site.text)[0]
         self._queue = "quotes"
         self._text = site.text
         self._clients = [
--- a/clementinewood/command_dev.py
+++ b/clementinewood/command_dev.py
@@ -48,11 +48,11 @@
     for config in site.settings:
         host, port = config.callers
         print(f"{config.entry} in {config.zone}: http://{host}:{port}")
-    for secret in site.list_secrets():
+    for secret in dev.find_secrets(site.text):
         print(f"key {secret}")
     queue = next(iter(site.declared.queues))
     host, port = site.settings[0].callers
-    secret = site.list_secrets()[0]
+    secret = dev.find_secrets(site.text)[0]
     print(
         f"try: curl -i -H 'Authorization: Bearer {secret}' -d 'two sails'"
         f" http://{host}:{port}/q/{queue}/"
--- a/clementinewood/dev.py
+++ b/clementinewood/dev.py
@@ -54,7 +54,7 @@
         page.register_pages(self.pages)
         self.log = logservice.LogService(self.sockets, self.timers)
         self.log_address = self.log.listen((HOST, _next_port(base_port, 0)))
-        self.declared = _parse(text)
+        self.declared = parse_text(text)
         self.minions: dict[identifiers.WorkerId, minion.Minion] = {}
         self._private_key, public = signature.generate_key()
         self.operator = signature.OperatorKey(
@@ -93,10 +93,6 @@
         self.entries[0].handle_exchange(exchange)
         return exchange
 
-    def list_secrets(self) -> list[str]:
-        """Returns the example keys named in the bundle's comments."""
-        return re.findall(r"^# +([a-z0-9-]+\.[0-9a-f]{16,})$", self.text, re.M)
-
     def _start_minions(self, base_port: int, run_seconds: float) -> None:
         zones = list(self.declared.zones)
         hosts = []
@@ -139,8 +135,8 @@
             callers.append((HOST, _next_port(base_port, 1 + index)))
             peers.append((HOST, _next_port(base_port, 51 + index)))
         if not base_port:
-            callers = [(HOST, port) for port in _find_ports(entries)]
-            peers = [(HOST, port) for port in _find_ports(entries)]
+            callers = [(HOST, port) for port in find_ports(entries)]
+            peers = [(HOST, port) for port in find_ports(entries)]
         return [
             settings.Settings(
                 entry=name,
@@ -169,7 +165,7 @@
     return base + index if base else 0
 
 
-def _find_ports(count: int) -> Sequence[int]:
+def find_ports(count: int) -> Sequence[int]:
     """Returns ports that are free now."""
     sockets = [socket.socket() for _ in range(count)]
     try:
@@ -181,7 +177,12 @@
             item.close()
 
 
-def _parse(text: str) -> bundle.Bundle:
+def parse_text(text: str) -> bundle.Bundle:
+    """Returns the bundle in `text`.
+
+    Raises:
+        ValueError: The text holds errors, which are named.
+    """
     parsed = bundle.parse_bundle(text, "bundle")
     match parsed:
         case result.Success(value):
@@ -191,6 +192,11 @@
             raise ValueError(faults)
 
 
+def find_secrets(text: str) -> list[str]:
+    """Returns the example keys named in the comments of a bundle."""
+    return re.findall(r"^# +([a-z0-9-]+\.[0-9a-f]{16,})$", text, re.M)
+
+
 def read_example(site: str) -> str:
     """Returns the text of an example bundle, `guild` or `sanctum`."""
     path = pathlib.Path(__file__).parent.parent / "examples" / f"{site}.ini"
--- a/features/simulation.py
+++ b/features/simulation.py
@@ -382,7 +382,9 @@
             if work.request_id in self.not_run:
                 raise HistoryError(f"not-run: {work.request_id} runs")
             if work.key in self.executions:
-                raise HistoryError(f"once: {work.key} runs again at {self.time}")
+                raise HistoryError(
+                    f"once: {work.key} runs again at {self.time}"
+                )
             self.executions[work.key] = work.request_id
         work.until = self.time + self.rng.uniform(0.5, TIMING.run_limit)
         self.work.append(work)
