Measure again with members that fold suspicions

Cause: the control state now ignores authors that are not members, so the benches must let them join first.

Change: the benches join their authors.

--- a/bench/declarations.py
+++ b/bench/declarations.py
@@ -185,6 +185,8 @@
         self.sockets = transport.Transport(self.timers).register(self.timers)
         self.service = logservice.LogService(self.sockets, self.timers)
         self.service.switches.delay = delay
+        # The author of the bundles is a member, or they would have no effect.
+        self.append(sites.create_joined(1))
         address = self.service.listen(("127.0.0.1", 0))
         self.states = [state.ControlState() for _ in range(clients)]
         self.seen = []
@@ -202,6 +204,12 @@
         for client in self.clients:
             client.start()
 
+    def append(self, payload):
+        """Puts a record into the log without a client."""
+        entry = record.create_record(sites.name_entry(1), payload)
+        data = record.encode_record(entry, sites.CLUSTER_KEY)
+        self.service.append("control", data)
+
     def fold(self, number, found):
         for item in found:
             self.states[number].apply(item.record, item.offset, item.time)
@@ -229,24 +237,12 @@
                 nonlocal text
                 made[0] += 1
                 text = sites.change_text(text, made[0], source)
-                payload = cluster.states[0].create_bundle_payload(
-                    sites.sign(text)
-                )
-                cluster.service.append(
-                    "control",
-                    record.encode_record(
-                        record.create_record(sites.name_entry(1), payload),
-                        sites.CLUSTER_KEY,
-                    ),
+                cluster.append(
+                    cluster.states[0].create_bundle_payload(sites.sign(text))
                 )
 
-            first = state.ControlState().create_bundle_payload(sites.sign(text))
-            cluster.service.append(
-                "control",
-                record.encode_record(
-                    record.create_record(sites.name_entry(1), first),
-                    sites.CLUSTER_KEY,
-                ),
+            cluster.append(
+                state.ControlState().create_bundle_payload(sites.sign(text))
             )
             marks = []
 
@@ -302,8 +298,8 @@
             last[offset] = max(last.get(offset, 0.0), at)
         delays = sorted(
             (last[offset] - begin) * 1e3
-            for offset, begin in enumerate(begun)
-            if offset
+            for offset, begin in enumerate(begun, start=1)
+            if offset > 1
         )
         assert all(one.version == len(begun) for one in cluster.states)
         report(
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -101,7 +101,7 @@
         self.state = state.ControlState()
         self.log: list[bytes] = []
         for number in range(1, entries + 1):
-            self.append(create_joined(number))
+            self.append(create_joined(number), author=number)
 
     def append(self, payload: record.Payload, *, author: int = 1) -> int:
         """Folds one payload; returns the bytes of its record."""
