--- a/features/command_bundle.feature
+++ b/features/command_bundle.feature
@@ -43,3 +43,9 @@
     Given an operator site whose entries follow after 1 polls
     When operators night and day roll different bundles of version 2
     Then the roll of day ends as lost and names operator night
+
+  Scenario: Status and history are asked of the entries in turn
+    Given three operator entries: one refuses with 503, one sends no JSON, one serves
+    Then bundle status prints "entry-1 version 4 fresh" and ends with code 0
+    And bundle history prints "version 4 by night" and ends with code 0
+    And without the serving entry bundle status ends with code 6 and names both
--- a/features/steps/command_bundle_steps.py
+++ b/features/steps/command_bundle_steps.py
@@ -2,12 +2,15 @@
 
 import argparse
 import contextlib
+import http.server
 import io
+import json
 import os
 import pathlib
 import shlex
 import stat
 import tempfile
+import threading
 
 import behave
 
@@ -196,3 +199,64 @@
     code, output = context.last
     assert code is Exit.LOST, output
     assert "operator 'night'" in output, output
+
+
+ANSWERS = {
+    "/v1/status": {
+        "entries": [{"entry": "entry-1", "version": 4, "fresh": True}]
+    },
+    "/v1/bundles": {
+        "bundles": [
+            {"version": 4, "operator": "night", "digest": "d", "time": 5.0}
+        ]
+    },
+}
+
+
+def serve(context, status, render):
+    """Serves on a thread, since the command under test blocks."""
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        def do_GET(self):  # noqa: N802
+            body = render(self.path)
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, *arguments):
+            pass
+
+    server = http.server.HTTPServer(("127.0.0.1", 0), Handler)
+    threading.Thread(target=server.serve_forever, args=(0.01,)).start()
+    context.add_cleanup(server.server_close)
+    context.add_cleanup(server.shutdown)
+    return f"--entry 127.0.0.1:{server.server_port}"
+
+
+@behave.given(
+    "three operator entries: one refuses with 503, one sends no JSON, one"
+    " serves"
+)
+def create_entries(context):
+    context.entries = [
+        serve(context, 503, lambda path: b'{"detail": "not fresh"}'),
+        serve(context, 200, lambda path: b"hello"),
+        serve(context, 200, lambda path: json.dumps(ANSWERS[path]).encode()),
+    ]
+
+
+@behave.then('bundle {command} prints "{text}" and ends with code {code:d}')
+def check_printed(context, command, text, code):
+    found = run_command(".", " ".join([command, *context.entries]))
+    assert found[0] == code and text in found[1], found
+
+
+@behave.then(
+    "without the serving entry bundle status ends with code {code:d} and names"
+    " both"
+)
+def check_refusals(context, code):
+    found = run_command(".", " ".join(["status", *context.entries[:2]]))
+    assert found[0] == code, found
+    assert "503 not fresh" in found[1] and len(found[1].split("\n")) == 3, found
