Keep the claims stream apart from what peers say

Change: the fold of the claims stream depends on the stream alone; a gate vouches only up to the last settled lowering.

--- a/clementinewood/claim.py
+++ b/clementinewood/claim.py
@@ -136,23 +136,28 @@
 
 
 class _State(enum.Enum):
+    """State of a claim that is not settled by the log.
+
+    WAITING, RUNNING and ABANDONED claims are this entry's own; RUNNING ones
+    run without the log. RECORDED ones are a peer's.
+    """
+
     WAITING = 1
     RUNNING = 2
-    DONE = 3
-    ABANDONED = 4
+    ABANDONED = 3
+    RECORDED = 4
 
 
 @dataclasses.dataclass(slots=True)
-class _Entry:
-    """A claim in the table.
+class _Local:
+    """A claim that is known here apart from the log.
 
     Attributes:
         claim: The claim.
         at: When it got here.
-        state: Its state as known here.
-        time: Time of its record in the log, once read.
+        state: Its state.
         appended: It was handed to the log, which may still take it.
-        asked: Members were asked to record it, or it was recorded when asked.
+        asked: Members were asked to record it.
         answers: Members that recorded it.
         covered: Highest `covered` among the answers.
     """
@@ -160,16 +165,36 @@
     claim: Claim
     at: float
     state: _State
-    time: float | None = None
     appended: bool = False
     asked: bool = False
     answers: set[Incarnation] = dataclasses.field(default_factory=set)
     covered: int = -1
 
 
+@dataclasses.dataclass(slots=True)
+class _Logged:
+    """The claims of a key that may have run, as the stream tells.
+
+    Attributes:
+        holders: The first claim, and claims of an outage.
+        time: Log time of the last one.
+        at: When it was read.
+        ran: One of them is known to have run.
+    """
+
+    holders: list[Claim]
+    time: float
+    at: float
+    ran: bool = False
+
+
 class ClaimTable:
     """Claims known to one entry.
 
+    What the stream says is kept apart from everything else, so that all
+    entries that have read the same records agree on who holds a key, whatever
+    else they were told.
+
     Args:
         me: Incarnation of this entry.
         window: Seconds for which a claim is kept.
@@ -208,14 +233,18 @@
         self.departed = -1
         self.covered = -1
         self._barriers: list[tuple[int, float]] = []
-        self._entries: collections.OrderedDict[ClaimKey, _Entry] = (
+        self._logged: collections.OrderedDict[ClaimKey, _Logged] = (
+            collections.OrderedDict()
+        )
+        self._local: collections.OrderedDict[ClaimKey, _Local] = (
             collections.OrderedDict()
         )
-        self._open: dict[ClaimKey, _Entry] = {}
-        self._unflushed: dict[ClaimKey, _Entry] = {}
         self._void: collections.OrderedDict[RequestId, float] = (
             collections.OrderedDict()
         )
+        self._released: collections.OrderedDict[RequestId, float] = (
+            collections.OrderedDict()
+        )
         self._answers: collections.OrderedDict[ClaimKey, tuple[object, int]] = (
             collections.OrderedDict()
         )
@@ -227,7 +256,7 @@
         self._log_time = float("-inf")
 
     def __len__(self) -> int:
-        return len(self._entries)
+        return len(self._logged) + len(self._local)
 
     def submit(self, claim: Claim, now: float, *, complete: bool) -> Decision:
         """Starts the claim of a keyed request.
@@ -243,14 +272,11 @@
             is known or that cannot be claimed now.
         """
         self._expire(now)
-        entry = self._entries.get(claim.key)
-        if entry is not None:
-            return self._refuse(claim, entry)
-        if not complete or len(self._entries) >= self.capacity:
+        if claim.key in self._local or claim.key in self._logged:
+            return self._refuse(claim)
+        if not complete or len(self) >= self.capacity:
             return Decision(claim.request_id, Ruling.UNAVAILABLE)
-        entry = _Entry(claim, now, _State.WAITING)
-        self._entries[claim.key] = entry
-        self._open[claim.key] = entry
+        self._local[claim.key] = _Local(claim, now, _State.WAITING)
         self._claims[claim.request_id] = claim
         return Decision(claim.request_id, Ruling.WAIT)
 
@@ -262,22 +288,15 @@
         """
         if now - self._appended_at < self.append_period:
             return None
-        for entry in self._unflushed.values():
-            # The claimant appends an outage claim first; the others do when
-            # it has had the time to decide and is perhaps gone.
-            late = now - entry.at > 2 * self.claim_timeout
-            if late and not entry.appended:
-                entry.appended = True
-                claim = dataclasses.replace(entry.claim, outage=True)
-                self._claims[claim.request_id] = claim
+        self._flush_recorded(now)
         if not self._claims and not self._outcomes:
             return None
         self._appended_at = now
         batch = Batch(tuple(self._claims.values()), tuple(self._outcomes))
         for claim in batch.claims:
-            held = self._entries.get(claim.key)
-            if held is not None and held.claim.request_id == claim.request_id:
-                held.appended = True
+            local = self._local.get(claim.key)
+            if local is not None and _is_same(local.claim, claim):
+                local.appended = True
         self._claims.clear()
         self._outcomes.clear()
         return batch
@@ -297,10 +316,11 @@
         self._expire(now)
         decisions = []
         for claim in batch.claims:
-            decision = self._on_claim(claim, now)
-            if decision is not None:
-                decisions.append(decision)
-        self._apply_outcomes(batch.outcomes, now)
+            if claim.request_id not in self._void:
+                self._hold(claim, now)
+                decisions.extend(self._decide(claim, now))
+        for outcome in batch.outcomes:
+            self._apply_outcome(outcome, now)
         return decisions
 
     def on_head_read(self, sent: float) -> None:
@@ -344,27 +364,21 @@
         peers = set(members) - {self.me}
         asks: list[tuple[Incarnation, ClaimAsk]] = []
         decisions: list[Decision] = []
-        for entry in list(self._open.values()):
-            if entry.state is not _State.WAITING:
+        for local in list(self._local.values()):
+            if local.state is not _State.WAITING:
                 continue
-            request_id = entry.claim.request_id
-            if now - entry.at > self.claim_timeout:
-                self._abandon(entry, now)
+            request_id = local.claim.request_id
+            if now - local.at > self.claim_timeout:
+                self._abandon(local)
                 decisions.append(Decision(request_id, Ruling.UNAVAILABLE))
-            elif outage and now - entry.at >= self.log_patience:
-                covered = max(entry.covered, self.covered)
-                if (
-                    complete
-                    and peers <= entry.answers
-                    and covered >= self.departed
-                ):
-                    self._run_in_outage(entry)
+            elif outage and now - local.at >= self.log_patience:
+                if complete and self._is_recorded(local, peers):
+                    self._run_in_outage(local)
                     decisions.append(Decision(request_id, Ruling.RUN))
                     continue
-                entry.asked = True
-                self._unflushed[entry.claim.key] = entry
-                ask = ClaimAsk(entry.claim, self.changed)
-                asks.extend((p, ask) for p in sorted(peers - entry.answers))
+                local.asked = True
+                ask = ClaimAsk(local.claim, self.changed)
+                asks.extend((p, ask) for p in sorted(peers - local.answers))
         return asks, decisions
 
     def on_ask(
@@ -377,41 +391,43 @@
         """
         self._expire(now)
         claim = ask.claim
-        entry = self._entries.get(claim.key)
         record = Record.RECORDED
+        known = [
+            held for held in self._known(claim.key) if not _is_same(held, claim)
+        ]
         if (
             ask.changed < self.changed
             or claim.claimant not in members
             or claim.request_id in self._void
+            or claim.request_id in self._released
         ):
             record = Record.REFUSED
-        elif entry is not None:
-            if entry.claim.request_id != claim.request_id:
-                record = Record.KNOWN
-        elif len(self._entries) >= self.capacity:
-            record = Record.REFUSED
-        else:
-            self._record(claim, now)
+        elif known:
+            record = Record.KNOWN
+        elif claim.key not in self._local:
+            if len(self) >= self.capacity:
+                record = Record.REFUSED
+            else:
+                self._local[claim.key] = _Local(claim, now, _State.RECORDED)
         return ClaimAnswer(claim.key, claim.request_id, record, self.covered)
 
     def on_answer(
-        self, member: Incarnation, answer: ClaimAnswer, now: float
+        self, member: Incarnation, answer: ClaimAnswer
     ) -> list[Decision]:
         """Notes a peer's answer; `advance` rules once all have recorded."""
-        entry = self._open.get(answer.key)
+        local = self._local.get(answer.key)
         if (
-            entry is None
-            or entry.state is not _State.WAITING
-            or entry.claim.request_id != answer.request_id
+            local is None
+            or local.state is not _State.WAITING
+            or local.claim.request_id != answer.request_id
+            or answer.record is Record.REFUSED
         ):
             return []
         if answer.record is Record.RECORDED:
-            entry.answers.add(member)
-            entry.covered = max(entry.covered, answer.covered)
-            return []
-        if answer.record is Record.REFUSED:
+            local.answers.add(member)
+            local.covered = max(local.covered, answer.covered)
             return []
-        self._abandon(entry, now)
+        self._abandon(local)
         return [Decision(answer.request_id, Ruling.RUNNING)]
 
     def take_releases(self) -> list[Outcome]:
@@ -420,18 +436,34 @@
         return releases
 
     def on_releases(self, outcomes: Iterable[Outcome], now: float) -> None:
-        """Applies a peer's outcomes that may not be in the log yet."""
-        self._apply_outcomes(outcomes, now, released=True)
+        """Forgets recorded claims that their claimant has given up.
+
+        What the stream says about a key is left alone: it must not depend on
+        which messages arrived.
+        """
+        for outcome in outcomes:
+            self._released[outcome.request_id] = now
+            local = self._local.get(outcome.key)
+            if local is not None and (
+                local.state is _State.RECORDED
+                and local.claim.request_id == outcome.request_id
+            ):
+                del self._local[outcome.key]
 
     def unflushed(self) -> list[Claim]:
         """Returns the outage claims that were not read from the log yet."""
-        return [entry.claim for entry in self._unflushed.values()]
+        return [
+            local.claim
+            for local in self._local.values()
+            if local.state is _State.RECORDED
+            or (local.asked and local.state is not _State.ABANDONED)
+        ]
 
     def on_unflushed(self, claims: Iterable[Claim], now: float) -> None:
         """Records the outage claims of an older member."""
         for claim in claims:
-            if claim.key not in self._entries:
-                self._record(claim, now)
+            if not self._known(claim.key):
+                self._local[claim.key] = _Local(claim, now, _State.RECORDED)
 
     def finish(
         self,
@@ -453,128 +485,150 @@
             answer: The answer for duplicates.
             size: Size of the answer in bytes.
         """
-        entry = self._entries.get(key)
-        if entry is None or entry.claim.request_id != request_id:
+        mine = [c for c in self._known(key) if c.request_id == request_id]
+        if not mine:
             return
         if execution is verdict.Execution.NOT_RUN:
-            self._abandon(entry, now)
+            local = self._local.get(key)
+            if local is None or not _is_same(local.claim, mine[0]):
+                local = _Local(mine[0], now, _State.RUNNING, appended=True)
+                self._local[key] = local
+            self._abandon(local)
             return
         if execution is verdict.Execution.RAN:
-            entry.state = _State.DONE
             self._outcomes.append(Outcome(key, request_id, execution))
         if answer is not None:
             self._keep(key, answer, size)
 
-    def _record(self, claim: Claim, now: float) -> None:
-        entry = _Entry(claim, now, _State.RUNNING, asked=True)
-        self._entries[claim.key] = entry
-        self._unflushed[claim.key] = entry
+    def _known(self, key: ClaimKey) -> list[Claim]:
+        """Returns all claims of a key that may run or have run."""
+        logged, local = self._logged.get(key), self._local.get(key)
+        known = list(logged.holders) if logged is not None else []
+        return known if local is None else [*known, local.claim]
 
-    def _run_in_outage(self, entry: _Entry) -> None:
-        entry.state = _State.RUNNING
-        self._open.pop(entry.claim.key)
-        claim = dataclasses.replace(entry.claim, outage=True)
-        entry.claim = claim
-        self._claims[claim.request_id] = claim
+    def _is_recorded(self, local: _Local, peers: set[Incarnation]) -> bool:
+        """Returns whether no claim can be missing among the answers.
 
-    def _on_claim(self, claim: Claim, now: float) -> Decision | None:
-        """Applies one claim of the stream."""
-        if claim.request_id in self._void:
-            return None
-        entry = self._entries.get(claim.key)
-        if entry is None:
-            self._entries[claim.key] = _Entry(
-                claim, now, _State.RUNNING, self._log_time
-            )
-            return None
-        if entry.claim.request_id == claim.request_id:
-            entry.time = self._log_time
-            self._unflushed.pop(claim.key, None)
-            if entry.state is not _State.WAITING:
-                return None
-            if now - entry.at > self.claim_timeout:
-                self._abandon(entry, now)
-                return Decision(claim.request_id, Ruling.UNAVAILABLE)
-            entry.state = _State.RUNNING
-            self._open.pop(claim.key)
-            return Decision(claim.request_id, Ruling.RUN)
-        if entry.state is _State.WAITING and entry.claim.claimant == self.me:
-            # Another claim of the key came first.
-            lost = entry.claim
-            self._abandon(entry, now)
-            self._replace(claim, now)
-            return self._refuse(lost, self._entries[claim.key])
-        given_up = entry.state is _State.ABANDONED and entry.time is None
-        if given_up or claim.outage:
-            self._replace(claim, now)
-        return None
-
-    def _replace(self, claim: Claim, now: float) -> None:
-        self._drop(claim.key)
-        self._entries[claim.key] = _Entry(
-            claim, now, _State.RUNNING, self._log_time
-        )
+        Claims in the log of departed members count only if some member has
+        read the stream after the departure.
+        """
+        covered = max(local.covered, self.covered)
+        return peers <= local.answers and covered >= self.departed
 
-    def _apply_outcomes(
-        self,
-        outcomes: Iterable[Outcome],
-        now: float,
-        *,
-        released: bool = False,
-    ) -> None:
-        for outcome in outcomes:
-            entry = self._entries.get(outcome.key)
-            same = (
-                entry is not None
-                and entry.claim.request_id == outcome.request_id
-            )
-            if outcome.execution is verdict.Execution.NOT_RUN:
-                self._void[outcome.request_id] = now
-                if same:
-                    self._drop(outcome.key)
-            elif same and entry is not None and not released:
-                entry.state = _State.DONE
-
-    def _abandon(self, entry: _Entry, now: float) -> None:
+    def _run_in_outage(self, local: _Local) -> None:
+        local.state = _State.RUNNING
+        local.claim = dataclasses.replace(local.claim, outage=True)
+        self._claims[local.claim.request_id] = local.claim
+
+    def _flush_recorded(self, now: float) -> None:
+        """Queues recorded claims that their claimant did not append.
+
+        The claimant appends an outage claim first. The others do so when it
+        has had the time to decide, since it may be gone.
+        """
+        for local in self._local.values():
+            late = now - local.at > 2 * self.claim_timeout
+            if local.state is _State.RECORDED and late and not local.appended:
+                local.appended = True
+                claim = dataclasses.replace(local.claim, outage=True)
+                self._claims[claim.request_id] = claim
+
+    def _hold(self, claim: Claim, now: float) -> None:
+        """Applies one claim of the stream, regardless of anything local."""
+        logged = self._logged.get(claim.key)
+        if logged is None:
+            self._logged[claim.key] = _Logged([claim], self._log_time, now)
+        elif claim.outage and not any(
+            _is_same(held, claim) for held in logged.holders
+        ):
+            logged.holders.append(claim)
+            logged.time, logged.at = self._log_time, now
+            self._logged.move_to_end(claim.key)
+
+    def _decide(self, claim: Claim, now: float) -> list[Decision]:
+        """Compares a claim that was just read with the local one."""
+        local = self._local.get(claim.key)
+        if local is None:
+            return []
+        holders = self._logged[claim.key].holders
+        request_id = local.claim.request_id
+        holds = any(_is_same(held, local.claim) for held in holders)
+        match local.state:
+            case _State.WAITING if not _is_same(holders[0], local.claim):
+                lost = local.claim
+                self._abandon(local)
+                self._local.pop(claim.key, None)
+                return [self._refuse(lost)]
+            case _State.WAITING if now - local.at > self.claim_timeout:
+                self._abandon(local)
+                return [Decision(request_id, Ruling.UNAVAILABLE)]
+            case _State.WAITING:
+                del self._local[claim.key]
+                return [Decision(request_id, Ruling.RUN)]
+            case _State.RUNNING | _State.RECORDED if holds:
+                del self._local[claim.key]
+        return []
+
+    def _apply_outcome(self, outcome: Outcome, now: float) -> None:
+        """Applies an outcome of the stream."""
+        key, request_id = outcome.key, outcome.request_id
+        logged = self._logged.get(key)
+        holds = logged is not None and any(
+            held.request_id == request_id for held in logged.holders
+        )
+        if outcome.execution is verdict.Execution.RAN:
+            if holds and logged is not None:
+                logged.ran = True
+            return
+        self._void[request_id] = now
+        local = self._local.get(key)
+        if local is not None and local.claim.request_id == request_id:
+            del self._local[key]
+        if holds and logged is not None:
+            logged.holders = [
+                held for held in logged.holders if held.request_id != request_id
+            ]
+            if not logged.holders:
+                self._forget(key)
+
+    def _abandon(self, local: _Local) -> None:
         """Gives up a claim of this entry for good.
 
-        Its key stays taken while the log may still take the claim: a reader
+        Its key stays taken while the log may still take the claim: readers
         would see it before a later claim of the same key. Reading the outcome
         from the stream frees the key.
         """
-        claim = entry.claim
-        self._open.pop(claim.key, None)
+        claim = local.claim
         self._claims.pop(claim.request_id, None)
-        entry.state = _State.ABANDONED
         outcome = Outcome(
             claim.key, claim.request_id, verdict.Execution.NOT_RUN
         )
-        if entry.asked:
+        if local.asked:
             self._releases.append(outcome)
-        if entry.asked or entry.appended:
+        if local.asked or local.appended:
             self._outcomes.append(outcome)
-        if not entry.appended:
-            self._void[claim.request_id] = now
-            self._drop(claim.key)
-
-    def _drop(self, key: ClaimKey) -> None:
-        self._entries.pop(key, None)
-        self._open.pop(key, None)
-        self._unflushed.pop(key, None)
-        if key in self._answers:
-            self._answers_size -= self._answers.pop(key)[1]
+        if local.appended:
+            local.state = _State.ABANDONED
+        else:
+            self._local.pop(claim.key, None)
 
-    def _refuse(self, claim: Claim, entry: _Entry) -> Decision:
-        if entry.claim.request != claim.request:
-            return Decision(claim.request_id, Ruling.REUSED)
-        if claim.key in self._answers:
+    def _refuse(self, claim: Claim) -> Decision:
+        local, logged = (
+            self._local.get(claim.key),
+            self._logged.get(claim.key),
+        )
+        first = self._known(claim.key)[0]
+        ruling = Ruling.RUNNING
+        if first.request != claim.request:
+            ruling = Ruling.REUSED
+        elif claim.key in self._answers:
             self._answers.move_to_end(claim.key)
             answer = self._answers[claim.key][0]
             return Decision(claim.request_id, Ruling.ANSWER, answer)
-        ruling = {
-            _State.DONE: Ruling.RAN,
-            _State.ABANDONED: Ruling.UNAVAILABLE,
-        }.get(entry.state, Ruling.RUNNING)
+        elif logged is not None and logged.ran:
+            ruling = Ruling.RAN
+        elif local is not None and local.state is _State.ABANDONED:
+            ruling = Ruling.UNAVAILABLE
         return Decision(claim.request_id, ruling)
 
     def _keep(self, key: ClaimKey, answer: object, size: int) -> None:
@@ -585,25 +639,40 @@
         while self._answers_size > self.answer_bytes:
             self._answers_size -= self._answers.popitem(last=False)[1][1]
 
+    def _forget(self, key: ClaimKey) -> None:
+        self._logged.pop(key, None)
+        if key in self._answers:
+            self._answers_size -= self._answers.pop(key)[1]
+
     def _expire(self, now: float) -> None:
         """Forgets claims older than the window.
 
-        The times of the log decide where they are known, so that all entries
-        that read the stream agree.
+        The time of the log decides, so that entries that read the stream
+        agree; the local time only covers a stream without new records.
         """
-        while self._entries:
-            key, entry = next(iter(self._entries.items()))
-            logged = entry.time is not None and (
-                self._log_time - entry.time > self.window
-            )
-            if not logged and now - entry.at <= self.lapse:
+        while self._logged:
+            key, logged = next(iter(self._logged.items()))
+            if (
+                self._log_time - logged.time <= self.window
+                and now - logged.at <= self.lapse
+            ):
                 break
-            self._drop(key)
-        while self._void:
-            request_id, at = next(iter(self._void.items()))
-            if now - at <= self.lapse:
+            self._forget(key)
+        while self._local:
+            key, local = next(iter(self._local.items()))
+            if now - local.at <= self.lapse:
                 break
-            del self._void[request_id]
+            del self._local[key]
+        for table in (self._void, self._released):
+            while table:
+                request_id, at = next(iter(table.items()))
+                if now - at <= 2 * self.lapse:
+                    break
+                del table[request_id]
+
+
+def _is_same(one: Claim, other: Claim) -> bool:
+    return one.request_id == other.request_id
 
 
 def create_claims(
--- a/clementinewood/coordination.py
+++ b/clementinewood/coordination.py
@@ -247,9 +247,7 @@
                 answer = self.claims.on_ask(message, now, self.roster.members)
                 self._send(sender, answer)
             case claim.ClaimAnswer():
-                self._decisions.extend(
-                    self.claims.on_answer(sender, message, now)
-                )
+                self._decisions.extend(self.claims.on_answer(sender, message))
             case Releases(outcomes):
                 self.claims.on_releases(outcomes, now)
             case Relay(after, records):
--- a/clementinewood/ledger.py
+++ b/clementinewood/ledger.py
@@ -301,12 +301,10 @@
     """A lowered limit that is not known to be settled everywhere.
 
     Attributes:
-        first: Offset of the first lowering that is not settled.
         latest: Offset of the last one.
         settled: Peers that have folded `latest` and are not in debt.
     """
 
-    first: int
     latest: int
     settled: set[Incarnation]
 
@@ -490,8 +488,11 @@
             for resource in self._gates
             if self.running(resource) > self._held.get(resource, 0)
         )
+        # Several lowerings may have been folded at once, so a gate vouches
+        # for nothing after the last lowering that was settled.
         opened = min(
-            (gate.first - 1 for gate in self._gates.values()), default=offset
+            (self._cleared.get(resource, -1) for resource in self._gates),
+            default=offset,
         )
         return Report(offset, debts, opened)
 
@@ -567,7 +568,7 @@
                 continue
             gate = self._gates.get(resource)
             if gate is None:
-                self._gates[resource] = _Gate(offset, offset, set())
+                self._gates[resource] = _Gate(offset, set())
             elif gate.latest < offset:
                 gate.latest = offset
                 gate.settled.clear()
--- a/features/simulation.py
+++ b/features/simulation.py
@@ -236,6 +236,7 @@
         self.create = create if create is not None else create_coordination
         self.time = 0.0
         self.control, self.claims, self.ids = [], [], {}
+        self.roster, self.limits = membership.Roster(), []
         self.log_up, self.slowness = True, 0.0
         self.lost_answers = 0.0
         self.loss = self.repeats = self.stall = 0.0
@@ -350,7 +351,10 @@
         if identity not in self.ids:
             if stream == "control":
                 self.control.append((identity, node.me, payload))
-                self.ids[identity] = len(self.control) - 1
+                offset = self.ids[identity] = len(self.control) - 1
+                counted = self.roster.apply(node.me, payload, offset)
+                if counted and isinstance(payload, membership.Limits):
+                    self.limits.append((offset, payload.limits))
             else:
                 self.claims.append((identity, self.time, payload))
                 self.ids[identity] = -1
@@ -382,16 +386,18 @@
             if work.request_id in self.not_run:
                 raise HistoryError(f"not-run: {work.request_id} runs")
             if work.key in self.executions:
-                raise HistoryError(f"once: {work.key} runs again at {self.time}")
+                raise HistoryError(
+                    f"once: {work.key} runs again at {self.time}"
+                )
             self.executions[work.key] = work.request_id
         work.until = self.time + self.rng.uniform(0.5, TIMING.run_limit)
         self.work.append(work)
 
     def _check_fresh(self, work):
         late = work.decided - TIMING.fresh * 1.05
-        for index in range(work.offset + 1, self.accepted_to + 1):
-            limits = isinstance(self.control[index][2], membership.Limits)
-            if limits and self.accepted[index] < late:
+        for index, _ in self.limits:
+            accepted = self.accepted.get(index, self.time)
+            if index > work.offset and accepted < late:
                 raise HistoryError(
                     f"fresh: {work.node.me} acts at {work.decided} without"
                     f" record {index} accepted at {self.accepted[index]}"
@@ -399,13 +405,11 @@
 
     def _limit(self, team, offset):
         """Highest limit in force at `offset` or later."""
-        resource, limits = team_resource(team), []
-        for index, (_, _, payload) in enumerate(self.control):
-            if isinstance(payload, membership.Limits):
-                if index <= offset:
-                    limits.clear()
-                limits.append(payload.limits.get(resource, 0))
-        return max(limits)
+        resource, highest = team_resource(team), 0
+        for index, limits in self.limits:
+            limit = limits.get(resource, 0)
+            highest = limit if index <= offset else max(highest, limit)
+        return highest
 
     def _end_work(self):
         for work in [w for w in self.work if w.until <= self.time]:
