--- a/clementinewood/claim.py
+++ b/clementinewood/claim.py
@@ -462,7 +462,10 @@
     def on_unflushed(self, claims: Iterable[Claim], now: float) -> None:
         """Records the outage claims of an older member."""
         for claim in claims:
-            if not self._known(claim.key):
+            given_up = claim.request_id in self._void or (
+                claim.request_id in self._released
+            )
+            if not given_up and not self._known(claim.key):
                 self._local[claim.key] = _Local(claim, now, _State.RECORDED)
 
     def finish(
--- a/clementinewood/coordination.py
+++ b/clementinewood/coordination.py
@@ -281,7 +281,7 @@
             return
         asks, decisions = self.claims.advance(
             now,
-            outage=now - self.freshness.read_at > self.timing.fresh / 2,
+            outage=now - self.freshness.own_read_at > self.timing.fresh / 2,
             complete=self.membership.is_complete(now),
             members=self.roster.members,
         )
--- a/clementinewood/freshness.py
+++ b/clementinewood/freshness.py
@@ -49,7 +49,7 @@
         self.offset = -1
         self.known_offset = -1
         self.read_at = float("-inf")
-        self._own_read = float("-inf")
+        self.own_read_at = float("-inf")
         self._stated = float("-inf")
         self._relays: list[tuple[int, float]] = []
         self._members: frozenset[Incarnation] = frozenset()
@@ -83,7 +83,7 @@
 
     def on_head_read(self, now: float) -> None:
         """Notes that a read sent at `now` reached the head and is folded."""
-        self._own_read = max(self._own_read, now)
+        self.own_read_at = max(self.own_read_at, now)
         self.read_at = max(self.read_at, now)
 
     def on_relay(self, age: float, now: float, *, head: int) -> None:
@@ -132,7 +132,7 @@
         old, and nobody stops in between. A log that answers more slowly than
         that counts as unreachable.
         """
-        reachable = now - max(self._own_read, self.read_at) <= self.fresh / 2
+        reachable = now - max(self.own_read_at, self.read_at) <= self.fresh / 2
         if not reachable:
             self._stated = now
         return reachable
--- a/features/simulation.py
+++ b/features/simulation.py
@@ -21,11 +21,11 @@
 TIMING = membership.Timing(
     fresh=2.0,
     start_window=0.5,
-    run_limit=2.0,
+    run_limit=3.0,
     margin=0.5,
     drift=0.05,
-    suspect_after=2.0,
-    remove_after=2.0,
+    suspect_after=1.5,
+    remove_after=1.0,
     suspect_again=10.0,
 )
 WINDOW = 40.0
@@ -65,7 +65,7 @@
         self.co = world.create(self.me)
         self.alive = True
         self.refuses = False
-        self.access = True
+        self.access = self.reads_claims = True
         self.paused_until = 0.0
         self.control_next = self.claims_next = 0
         self.read = None
@@ -87,7 +87,7 @@
         return self.alive and self.world.time >= self.paused_until
 
     def step(self):
-        now = self.now
+        now = self.co.now = self.now
         self._read_log(now)
         for sender, message in self.inbox:
             self.co.on_message(sender, message, now)
@@ -146,12 +146,14 @@
                     self.co.on_control(author, payload, index, now)
                 self.control_next = control
                 self.co.on_control_head(sent)
+                claims = claims if self.reads_claims else self.claims_next
                 for index in range(self.claims_next, claims):
                     identity, time, batch = world.claims[index]
                     self._seen(identity)
                     self.co.on_claims(batch, time, now)
                 self.claims_next = claims
-                self.co.on_claims_head(sent)
+                if self.reads_claims:
+                    self.co.on_claims_head(sent)
                 self.read_at = max(self.read_at, sent)
         if self.read is None and self.access and world.log_up:
             delay = world.rng.choice((0, 0, 0, 1)) * STEP + world.slowness
@@ -240,7 +242,8 @@
         self.log_up, self.slowness = True, 0.0
         self.lost_answers = 0.0
         self.loss = self.repeats = self.stall = 0.0
-        self.cuts = set()
+        self.cuts, self.latency = set(), {}
+        self.work_time = None
         self.flying, self.landing = [], []
         self.nodes = {}
         self.by_name = {}
@@ -288,15 +291,29 @@
 
     def heal(self):
         self.cuts.clear()
+        self.latency.clear()
         self.log_up, self.slowness, self.lost_answers = True, 0.0, 0.0
         self.loss = self.repeats = self.stall = 0.0
         for node in self.nodes.values():
-            node.access = True
+            node.access = node.reads_claims = True
             node.paused_until = min(node.paused_until, self.time)
             if not node.alive:
                 # The platform reports a host that is gone for good.
                 node.refuses = True
 
+    def move(self, team, giver, receiver, amount):
+        """Transfers rights and waits until they have arrived."""
+        giver, receiver = self.node(giver), self.node(receiver)
+        gift = giver.co.ledger.give(team_resource(team), receiver.me, amount)
+        assert gift is not None
+        self.send(giver.me, receiver.me, gift)
+        self.step()
+
+    def set_access(self, access, *names):
+        """Connects entries to the log or cuts them off."""
+        for name in names:
+            self.node(name).access = access
+
     def publish(self, name, team, limit):
         """Lets an entry append limits, as an operator asks it to."""
         node = self.node(name)
@@ -336,7 +353,8 @@
             return
         for _ in range(2 if self.rng.random() < self.repeats else 1):
             delay = self.rng.choice((0, 0, 1, 2)) if self.loss else 0
-            due = self.time + delay * STEP + STEP / 2
+            delay = delay * STEP + self.latency.get((sender, receiver), 0.0)
+            due = self.time + delay + STEP / 2
             self.flying.append((due, sender, receiver, message))
 
     def append(self, node, identity, stream, payload):
@@ -390,7 +408,8 @@
                     f"once: {work.key} runs again at {self.time}"
                 )
             self.executions[work.key] = work.request_id
-        work.until = self.time + self.rng.uniform(0.5, TIMING.run_limit)
+        work_time = self.rng.uniform(0.5, TIMING.run_limit)
+        work.until = self.time + (self.work_time or work_time)
         self.work.append(work)
 
     def _check_fresh(self, work):
@@ -428,6 +447,20 @@
         if decision.ruling in ran and key not in self.executions:
             raise HistoryError(f"ran: {key} has not run")
 
+    def check_serving(self):
+        """All live entries may act."""
+        for node in self.live():
+            if not node.co.may_act(node.now):
+                reason = node.co.freshness.explain(node.now)
+                raise HistoryError(
+                    f"serving: {node.me} at {self.time}: {reason}"
+                )
+
+    def check_ran(self, key):
+        """The key was run by someone."""
+        if key not in self.executions:
+            raise HistoryError(f"claimed: nobody ran {key}")
+
     def check_reclaimed(self):
         """After faults stop, all rights are usable and keys can be claimed."""
         self.heal()
