Make every scripted schedule fail without its mechanism

Cause: four schedules missed the moment that their mechanism guards. Change: timing of these schedules.

--- a/features/scripts.py
+++ b/features/scripts.py
@@ -10,10 +10,10 @@
     """All rights run at an entry that crashes; the others want them."""
     world = simulation.World(3, 1, create)
     world.work_time = simulation.TIMING.run_limit
+    world.move(QUOTES, "n1", "n0", 2)
+    world.move(QUOTES, "n2", "n0", 2)
     world.node("n0").request(QUOTES, 6)
-    world.run(2.0)
-    world.node("n0").request(QUOTES, 6)
-    world.run(1.25)
+    world.step()
     world.crash("n0")
     world.node("n1").request(QUOTES, 6)
     world.run(10.0)
@@ -36,13 +36,19 @@
 
 
 def lower_while_running(create):
-    """A limit is lowered while one entry runs most of it."""
+    """A limit is lowered while one entry runs more than its new part."""
     world = simulation.World(3, 3, create)
     world.work_time = simulation.TIMING.run_limit
+    world.publish("n0", QUOTES, 9)
+    world.run(2.0)
     world.move(QUOTES, "n0", "n1", 2)
-    world.node("n1").request(QUOTES, 4)
-    world.step()
-    world.publish("n0", QUOTES, 4)
+    world.node("n1").request(QUOTES, 5)
+    world.cut("n1", "n2")
+    world.publish("n0", QUOTES, 6)
+    while world.node("n2").co.offset < len(world.control) - 1 or (
+        len(world.limits) < 4
+    ):
+        world.step()
     for _ in range(20):
         world.node("n2").request(QUOTES, 2)
         world.step()
@@ -206,8 +212,10 @@
     world.set_access(False, "n0")
     world.run(2.0)
     world.cut("n0", "n2")
-    world.slowness = 1.0
-    world.run(0.5)
+    world.slowness = 0.25
+    world.run(1.0)
+    world.node("n0").co.claims.log_patience = 0.0
+    world.node("n2").co.claims.log_patience = 60.0
     world.node("n2").request_keyed("k")
     world.node("n0").request_keyed("k")
     world.run(6.0)
@@ -234,6 +242,7 @@
     """A claim is given up by message before the stream shows it."""
     world = simulation.World(3, 14, create)
     world.node("n1").co.claims.log_patience = 60.0
+    world.cut("n0", "n2")
     world.log_up = False
     world.run(1.0)
     world.node("n0").request_keyed("k")
--- a/features/simulation.py
+++ b/features/simulation.py
@@ -21,11 +21,11 @@
 TIMING = membership.Timing(
     fresh=2.0,
     start_window=0.5,
-    run_limit=3.0,
+    run_limit=4.0,
     margin=0.5,
     drift=0.05,
     suspect_after=1.5,
-    remove_after=1.0,
+    remove_after=0.5,
     suspect_again=10.0,
 )
 WINDOW = 40.0
