Check that capacity can be used after faults stop

Cause: rights could add up and still not reach the entry that needs them. Change: schedules end with one entry taking the whole limit and a new key; a graceful leave waits only for removed members whose work may still run.

--- a/clementinewood/ledger.py
+++ b/clementinewood/ledger.py
@@ -182,7 +182,10 @@
         self.version += 1
         # The work of a removed member that this one has not closed may still
         # run, so whoever closes this one must wait for it.
-        unclosed = any(member in r.closers for r in self.removals.values())
+        unclosed = any(
+            member in removal.closers and removal.wait
+            for removal in self.removals.values()
+        )
         self.removals[member] = _Removal(
             joined, set(self.members), wait=not graceful or unclosed
         )
@@ -354,9 +357,9 @@
         """Returns the acquired and not yet released rights."""
         return self._running.get(resource, 0)
 
-    def resources(self) -> Iterable[ResourceId]:
-        """Returns the resources with a limit or a running request."""
-        return self.mints.limits.keys() | self._running.keys()
+    def resources(self) -> list[ResourceId]:
+        """Returns the resources with a limit or a running request, sorted."""
+        return sorted(self.mints.limits.keys() | self._running.keys())
 
     def free(self, resource: ResourceId) -> int:
         """Returns the rights held and not running, also while gated."""
@@ -759,14 +762,12 @@
         self._since[resource] = now
 
     def _wanted(self) -> list[ResourceId]:
-        gated = [r for r in self.ledger.resources() if self.ledger.held(r) < 0]
-        running = self.ledger.resources() - self._waiting.keys()
-        debts = [
-            r
-            for r in running
-            if self.ledger.running(r) > max(0, self.ledger.held(r))
+        indebted = [
+            resource
+            for resource in self.ledger.resources()
+            if self.ledger.running(resource) > self.ledger.held(resource)
         ]
-        return sorted({*gated, *debts, *self._waiting})
+        return sorted({*indebted, *self._waiting})
 
     def _need(self, resource: ResourceId) -> int:
         waiting = self._waiting.get(resource, 0)
--- a/features/schedules.py
+++ b/features/schedules.py
@@ -16,6 +16,8 @@
         OPERATIONS[operation % len(OPERATIONS)](world, argument)
         world.step()
     world.check_reclaimed()
+    if world.live():
+        world.check_capacity()
     return world
 
 
--- a/features/simulation.py
+++ b/features/simulation.py
@@ -120,7 +120,11 @@
             self.world.accept(self.co.offset)
 
     def request(self, team, count):
-        self.waiting[team] = min(LIMIT, self.waiting[team] + count)
+        self.waiting[team] = min(2 * LIMIT, self.waiting[team] + count)
+
+    def keyed_last(self):
+        known = [key for key, _ in (*self.queue, *self.keyed.values())]
+        return "last" in known
 
     def request_keyed(self, key, body=b""):
         self.waiting[KEYED_TEAM] += 1
@@ -462,27 +466,49 @@
             raise HistoryError(f"claimed: nobody ran {key}")
 
     def check_reclaimed(self):
-        """After faults stop, all rights are usable and keys can be claimed."""
+        """After faults stop, all rights are usable by the live entries."""
         self.heal()
         for node in self.live():
             node.waiting = dict.fromkeys(TEAMS, 0)
             node.queue.clear()
-        self.run(TIMING.suspect_after + TIMING.remove_after)
-        self.run(2 * TIMING.close_wait + 6)
+        give_up = self.time + 4 * TIMING.close_wait
+        while reason := self._find_unclaimed():
+            if self.time > give_up:
+                raise HistoryError(f"reclaim: {reason}")
+            self.step()
+
+    def check_capacity(self):
+        """One entry can run as much as the limit, and a new key."""
+        node = next(n for n in self.live() if not n.co.leaving)
+        limit = self._limit(TEAMS[0], len(self.control))
+        self.work_time = TIMING.run_limit
+        complete = node.co.membership.is_complete(node.now)
+        if complete and self._limit(KEYED_TEAM, len(self.control)):
+            node.request_keyed("last")
+        for _ in range(80):
+            node.request(TEAMS[0], limit)
+            self.step()
+            running = sum(work.team == TEAMS[0] for work in self.work)
+            claimed = "last" in self.executions or not node.keyed_last()
+            if running >= limit and claimed:
+                return
+        raise HistoryError(f"capacity: {running} of {limit} run, or no claim")
+
+    def _find_unclaimed(self):
         live = self.live()
         for team in TEAMS if live else ():
             resource = team_resource(team)
             held = [n.co.ledger.held(resource) for n in live]
             limit = self._limit(team, len(self.control))
             if sum(held) != limit or min(held) < 0:
-                raise HistoryError(f"reclaim: {held} of {limit} {team}")
+                return f"{held} of {limit} {team}"
             if any(n.co.ledger.is_gated(resource) for n in live):
-                raise HistoryError(f"reclaim: {team} is gated")
-            if any(not n.co.may_act(n.now) for n in live):
-                raise HistoryError("reclaim: an entry is stale")
-        for node in live:
-            if node.co.roster.mints.removals:
-                raise HistoryError("reclaim: a removed member is not closed")
+                return f"{team} is gated"
+        if any(not n.co.may_act(n.now) for n in live):
+            return "an entry is stale"
+        if any(n.co.roster.mints.removals for n in live):
+            return "a removed member is not closed"
+        return ""
 
 
 def create_coordination(me):
