--- /dev/null
+++ b/features/ledger.feature
@@ -0,0 +1,67 @@
+Feature: Escrow of limits
+  Rights that appear twice would let a team exceed its limit; rights that
+  vanish would waste capacity.
+
+  Scenario: A limit is split evenly in join order
+    Given a ledger of entries a, b, c with 7 rights
+    Then the entries hold 3, 2, 2 rights
+
+  Scenario: A lost transfer is sent again and counts once
+    Given a ledger of entries a, b with 6 rights
+    When a gives 2 rights to b and the transfer is lost
+    Then the entries hold 1, 3 rights
+    When a sends its pending transfers to b 3 times
+    Then the entries hold 1, 5 rights
+    And a has 0 pending transfers to b
+
+  Scenario: An old total that arrives late changes nothing
+    Given a ledger of entries a, b with 6 rights
+    When a gives 1 rights to b twice and the transfers arrive in reverse
+    Then the entries hold 1, 5 rights
+    And a has 0 pending transfers to b
+
+  Scenario: An entry cannot give what it runs
+    Given a ledger of entries a, b with 6 rights
+    When a acquires 2 rights
+    Then a cannot give 2 rights to b
+    And a cannot acquire 2 more rights
+
+  Scenario: Rights taken before a lowering are checked again
+    Given a ledger of entries a, b with 6 rights
+    When a acquires 3 rights
+    And the limit changes to 2
+    Then a may not use the rights it has taken
+
+  Scenario: A removed member is not paid and pays nobody
+    Given a ledger of entries a, b with 6 rights
+    When a gives 1 rights to b and the transfer is lost
+    And b is removed
+    Then a cannot give 1 rights to b
+    And a drops a transfer from b
+    When a closes b
+    Then the entries hold 6, 0 rights
+
+  Scenario: A snapshot keeps accounts, removals and lowerings
+    Given a ledger of entries a, b with 6 rights
+    When the limit changes to 4
+    And b is removed
+    Then the fold of the snapshot equals the fold
+    When a closes b
+    Then the entries hold 4, 0 rights
+
+  Scenario: An entry without demand gives what another one needs
+    Given a ledger of entries a, b, c with 12 rights
+    When b waits for 10 rights and the entries exchange reports and requests
+    Then b holds at least 11 rights and all hold 12
+
+  Scenario: Two saturated entries share in proportion to demand
+    Given a ledger of entries a, b with 12 rights
+    When a waits for 30 rights and the entries exchange reports and requests
+    And b waits for 30 rights and the entries exchange reports and requests
+    Then b holds at least 5 rights and all hold 12
+
+  Scenario: A single right takes turns between saturated entries
+    Given a ledger of entries a, b with 1 rights
+    When a waits for 5 rights and the entries exchange reports and requests
+    And b waits for 5 rights and the entries exchange reports and requests
+    Then both entries have run work in turn
