Measure limits and claims; report only what peers use

Cause: reports carried needs that no peer used, four times a second. Change: reports carry surplus changes twice a second; bench/limits.py.

--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,209 @@
+"""Measures the cost of limits and claims; prints one JSON object per line.
+
+python -m bench.limits [--seconds 10] [--entries 3,7,15,30]
+"""
+
+import argparse
+import json
+import random
+import time
+
+from clementinewood import (
+    claim,
+    coordination,
+    identifiers,
+    ledger,
+    membership,
+    verdict,
+)
+
+STEP = 0.25
+SLOTS = 30
+"""Minions; each has a slot and a connection resource."""
+
+FRAME = 4 + 8
+"""Length prefix, and message kind with struct framing."""
+
+
+def measure_acquire(count):
+    """Times one acquire and release of three resources and of one."""
+    mints = ledger.Mints()
+    one = ledger.Ledger(identifiers.Incarnation("one/1"), mints)
+    mints.join(one.me, 0)
+    resources = [ledger.ResourceId(f"team:t{i}") for i in range(170)]
+    for resource in resources:
+        mints.set_limit(resource, 100, 1)
+    started = time.perf_counter()
+    for index in range(count):
+        resource = resources[index % 170]
+        one.acquire(resource)
+        one.release(resource)
+    spent = time.perf_counter() - started
+    return {"case": "acquire+release", "us": round(spent / count * 1e6, 3)}
+
+
+def measure_claims(count, group):
+    """Times claims through the stream at the claimant, in groups."""
+    me = identifiers.Incarnation("one/1")
+    table = claim.ClaimTable(me, capacity=2 * count)
+    team = identifiers.TeamId("t")
+    claims = [
+        claim.Claim(
+            claim.ClaimKey.create(team, str(index)),
+            identifiers.RequestId(f"{index:032x}"),
+            me,
+            b"0" * 32,
+        )
+        for index in range(count)
+    ]
+    started = time.perf_counter()
+    for first in range(0, count, group):
+        now = first / group * 0.1
+        for one in claims[first : first + group]:
+            table.submit(one, now, complete=True)
+        batch = table.take_batch(now)
+        assert batch is not None
+        for decision in table.on_batch(batch, now, now):
+            assert decision.ruling is claim.Ruling.RUN
+        for one in claims[first : first + group]:
+            table.finish(one.key, one.request_id, verdict.Execution.RAN, now)
+    spent = time.perf_counter() - started
+    return {
+        "case": "claim through the log",
+        "group": group,
+        "us": round(spent / count * 1e6, 3),
+    }
+
+
+def size_of(message):
+    """Estimates bytes in thrift's compact encoding, with short names.
+
+    Resources are sent as a 2-byte number of a table that all entries share
+    (the sorted resources of the bundle); incarnations are known from the link.
+    """
+    match message:
+        case coordination.Status():
+            report = message.report
+            fixed = 3 + 3 + 2 + 6 + 9 + 6 + 6 + 4
+            hints = 3 * len(report.surplus) + 2 * len(report.debts)
+            return FRAME + fixed + hints
+        case ledger.Transfer() | coordination.TransferAck():
+            return FRAME + 3 + 4
+        case ledger.RightsRequest():
+            return FRAME + 3 + 4 * 3
+    return FRAME + 100
+
+
+class Entry:
+    """A coordination with synthetic demand."""
+
+    def __init__(self, number):
+        self.co = coordination.Coordination(
+            identifiers.Incarnation(f"e{number}/1")
+        )
+        self.running = {}
+        self.spent = 0.0
+
+
+def create_entries(count, teams, limit):
+    """Joins `count` entries over a common control stream."""
+    entries = [Entry(number) for number in range(count)]
+    records = [(e.co.me, membership.Joined()) for e in entries]
+    limits = {ledger.ResourceId(f"team:t{i}"): limit for i in range(teams)}
+    for index in range(SLOTS):
+        limits[ledger.ResourceId(f"slot:m{index}")] = 8
+        limits[ledger.ResourceId(f"connection:m{index}")] = 64
+    records.append((entries[0].co.me, membership.Limits(limits)))
+    for entry in entries:
+        for offset, (author, payload) in enumerate(records):
+            entry.co.on_control(author, payload, offset, 0.0)
+    return entries
+
+
+def drive(entry, demand, rng, now):
+    """Runs work of one second for the demand, as far as rights allow."""
+    one, balancer = entry.co.ledger, entry.co.balancer
+    for resource, ends in list(entry.running.items()):
+        kept = [end for end in ends if end > now]
+        for _ in range(len(ends) - len(kept)):
+            one.release(resource)
+        entry.running[resource] = kept
+    for resource, wanted in demand.items():
+        ends = entry.running.setdefault(resource, [])
+        lacking = wanted - len(ends)
+        while lacking > 0 and one.acquire(resource):
+            ends.append(now + rng.uniform(0.5, 1.5))
+            lacking -= 1
+        balancer.set_waiting(resource, max(0, lacking))
+
+
+def measure_links(count, teams, load, seconds):
+    """Measures messages and bytes that one entry sends per second.
+
+    Loads: idle; busy, where demand of each team moves between entries and
+    takes half of its limit; full, where all entries want more than the limit
+    of every team.
+    """
+    rng = random.Random(1)
+    limit = 4 * count
+    entries = create_entries(count, teams, limit)
+    by_name = {entry.co.me: entry for entry in entries}
+    sent = size = 0
+    now, inbox, spent = 0.0, [], 0.0
+    demand = {entry.co.me: {} for entry in entries}
+    warm = 3.0
+    while now < warm + seconds:
+        now += STEP
+        for entry in entries:
+            if load != "idle" and rng.random() < STEP / 2:
+                demand[entry.co.me] = {
+                    ledger.ResourceId(f"team:t{team}"): (
+                        rng.choice((0, 0, 0, 8)) if load == "busy" else limit
+                    )
+                    for team in range(teams)
+                }
+        started = time.perf_counter()
+        messages, inbox = inbox, []
+        for sender, receiver, message in messages:
+            by_name[receiver].co.on_message(sender, message, now)
+        for entry in entries:
+            entry.co.on_control_head(now - 0.1)
+            drive(entry, demand[entry.co.me], rng, now)
+            entry.co.advance(now, log_usable=True)
+            out = entry.co.take_messages()
+            inbox.extend((entry.co.me, peer, m) for peer, m in out)
+            if now > warm:
+                sent += len(out)
+                size += sum(size_of(m) for _, m in out)
+        if now > warm:
+            spent += time.perf_counter() - started
+    return {
+        "case": "links",
+        "entries": count,
+        "teams": teams,
+        "load": load,
+        "messages_per_entry_s": round(sent / count / seconds, 1),
+        "bytes_per_entry_s": round(size / count / seconds),
+        "core_percent": round(100 * spent / count / seconds, 2),
+    }
+
+
+def main():
+    """Prints all measurements."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--entries", default="3,7,15,30")
+    parser.add_argument("--teams", default="6,40,170")
+    options = parser.parse_args()
+    print(json.dumps(measure_acquire(300_000)))
+    for group in (1, 20):
+        print(json.dumps(measure_claims(20_000, group)))
+    for count in map(int, options.entries.split(",")):
+        for teams in map(int, options.teams.split(",")):
+            for load in ("idle", "busy", "full"):
+                figures = measure_links(count, teams, load, options.seconds)
+                print(json.dumps(figures), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/clementinewood/ledger.py
+++ b/clementinewood/ledger.py
@@ -68,15 +68,13 @@
         opened: Every lowering of a limit up to this offset is settled at all
             members, as far as the reporter knows.
         surplus: Changes of the rights it can give, per resource.
-        need: Changes of the rights it lacks for queued requests.
-        whole: `surplus` and `need` are the whole tables, not changes.
+        whole: `surplus` is the whole table, not only the changes.
     """
 
     offset: int
     debts: frozenset[ResourceId] = frozenset()
     opened: int = -1
     surplus: Mapping[ResourceId, int] = dataclasses.field(default_factory=dict)
-    need: Mapping[ResourceId, int] = dataclasses.field(default_factory=dict)
     whole: bool = True
 
 
@@ -604,6 +602,7 @@
         turn: Seconds that a saturated entry keeps a right which the
             proportional share would not give up, so that one right is shared
             in time.
+        hint_period: Seconds between changes of the surplus in reports.
         whole_period: Seconds between whole tables in reports, which repair
             lost changes.
     """
@@ -615,12 +614,14 @@
         ask_period: float = 0.25,
         beg_period: float = 2.0,
         turn: float = 1.0,
+        hint_period: float = 0.5,
         whole_period: float = 10.0,
     ) -> None:
         self.ledger = ledger
         self.ask_period = ask_period
         self.beg_period = beg_period
         self.turn = turn
+        self.hint_period = hint_period
         self.whole_period = whole_period
         self._waiting: dict[ResourceId, int] = {}
         self._peak: dict[ResourceId, float] = {}
@@ -629,10 +630,8 @@
         self._turns: dict[ResourceId, int] = {}
         self._owed: dict[ResourceId, dict[Incarnation, _Debt]] = {}
         self._since: dict[ResourceId, float] = {}
-        self._told: tuple[dict[ResourceId, int], dict[ResourceId, int]] = (
-            {},
-            {},
-        )
+        self._told: dict[ResourceId, int] = {}
+        self._told_at = float("-inf")
         self._told_whole = float("-inf")
         self._told_peers: set[Incarnation] = set()
         self._decayed = float("-inf")
@@ -651,33 +650,26 @@
         often; they are hints and bound nothing.
         """
         report = self.ledger.report(offset)
-        self._decay(now)
-        surplus: dict[ResourceId, int] = {}
-        need: dict[ResourceId, int] = {}
-        for resource in self.ledger.resources():
-            lack = self._need(resource)
-            if lack > 0:
-                need[resource] = _round_down(lack)
-            else:
-                spare = self._spare(resource)
-                if spare > 0:
-                    surplus[resource] = _round_down(spare)
         peers = set(self.ledger.mints.members)
         whole = (
             now - self._told_whole >= self.whole_period
             or not peers <= self._told_peers
         )
-        told, self._told = self._told, (surplus, need)
-        self._told_peers = peers
+        if not whole and now - self._told_at < self.hint_period:
+            return dataclasses.replace(report, whole=False)
+        self._decay(now)
+        surplus = {}
+        for resource in self.ledger.resources():
+            spare = self._spare(resource)
+            if spare > 0:
+                surplus[resource] = _round_down(spare)
+        told, self._told = self._told, surplus
+        self._told_at, self._told_peers = now, peers
         if whole:
             self._told_whole = now
-            return dataclasses.replace(report, surplus=surplus, need=need)
-        return dataclasses.replace(
-            report,
-            surplus=_changes(told[0], surplus),
-            need=_changes(told[1], need),
-            whole=False,
-        )
+            return dataclasses.replace(report, surplus=surplus)
+        changes = _changes(told, surplus)
+        return dataclasses.replace(report, surplus=changes, whole=False)
 
     def on_report(self, member: Incarnation, report: Report) -> None:
         """Notes a peer's debts and surplus."""
