Apply pending account changes before reports and releases

Change: on_report and release apply the accounts first; schedules also delay links and stop claims readers.

--- a/clementinewood/ledger.py
+++ b/clementinewood/ledger.py
@@ -382,6 +382,7 @@
 
     def release(self, resource: ResourceId) -> None:
         """Gives back one right taken by `acquire`."""
+        self._synchronize()
         running = self._running.get(resource, 0)
         if running <= 0:
             raise ValueError(f"{resource} is not acquired")
@@ -499,6 +500,7 @@
 
     def on_report(self, member: Incarnation, report: Report) -> None:
         """Notes a peer's debts; a settled lowering stays settled."""
+        self._synchronize()
         last = self._reports.get(member)
         if last is None or report.offset >= last.offset:
             self._reports[member] = report
--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -65,3 +65,23 @@
     When a waits for 5 rights and the entries exchange reports and requests
     And b waits for 5 rights and the entries exchange reports and requests
     Then both entries have run work in turn
+
+  Scenario: A report never meets accounts that are only half applied
+    Given a ledger of entries a, b, c with 6 rights
+    When c gives 2 rights to a and the transfer is lost
+    And c sends its pending transfers to a 1 times
+    And the limit changes to 2
+    Then the entries hold 2, 1, -1 rights
+    When c is removed
+    And a closes c
+    And b closes c
+    And a hears that b has settled the lowering at offset 11
+    Then a vouches for no lowering
+
+  Scenario: Two lowerings folded at once are not vouched for
+    Given a ledger of entries a, b with 6 rights
+    When the limit changes to 4
+    And the limit changes to 2
+    Then a vouches for no lowering
+    When a hears that b has settled the lowering at offset 12
+    Then a vouches for all lowerings
--- a/features/schedules.py
+++ b/features/schedules.py
@@ -101,6 +101,16 @@
     world.publish(pick(world, argument // 2).name, team, argument // 8 % 10)
 
 
+def delay_link(world, argument):
+    one, two = pick(world, argument), pick(world, argument // 4)
+    world.latency[(one.me, two.me)] = (0.5, 2.0, 6.0, 0.0)[argument // 16 % 4]
+
+
+def stop_claims_reader(world, argument):
+    node = pick(world, argument)
+    node.reads_claims = not node.reads_claims
+
+
 def heal(world, argument):
     world.heal()
 
@@ -127,5 +137,7 @@
     leave,
     change_limit,
     change_limit,
+    delay_link,
+    stop_claims_reader,
     heal,
 )
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -160,3 +160,18 @@
 @behave.then("both entries have run work in turn")
 def check_turns(context):
     assert min(context.runs.values()) >= 3, context.runs
+
+
+@behave.when("{a} hears that {b} has settled the lowering at offset {offset:d}")
+def hear_settled(context, a, b, offset):
+    context.ledgers[a].on_report(b, ledger.Report(offset))
+
+
+@behave.then("{a} vouches for no lowering")
+def check_no_vouch(context, a):
+    assert context.ledgers[a].report(context.offset).opened < 11
+
+
+@behave.then("{a} vouches for all lowerings")
+def check_vouch(context, a):
+    assert context.ledgers[a].report(context.offset).opened == context.offset
