Share raises of returning teams between entries

Cause: entries raised a returning team apart, disagreed on its place for tens of seconds, and one gave it a fifth of what others gave (0.4 of 2 slots). Change: each entry reports its own raises, and all use the largest. Conclusion: kept; the report carries one more number per team.

--- a/clementinewood/scheduler.py
+++ b/clementinewood/scheduler.py
@@ -131,12 +131,16 @@
         slot_seconds: Slot-seconds charged since the entry started: finished
             runs as measured, present runs as estimated.
         urgent_seconds: The part of them that urgent work took.
+        raised: Slot-seconds by which the entry has raised the team, faded to
+            the time of the report. Entries that raise a team apart would
+            otherwise disagree on its place for tens of seconds.
     """
 
     queued: int = 0
     running: int = 0
     slot_seconds: float = 0.0
     urgent_seconds: float = 0.0
+    raised: float = 0.0
 
 
 class RunEstimate:
@@ -335,6 +339,11 @@
         return ahead * max(self.interval, now - self.last_start)
 
 
+def _drop_small(raised: float) -> float:
+    """Returns 0 for a raise that no longer matters, so that reports end."""
+    return raised if raised > 0.001 else 0.0
+
+
 def _bucket(item: _Item) -> int:
     return int(min(item.job.deadline, 1e15) // DEADLINE_BUCKET)
 
@@ -424,9 +433,9 @@
     """Usage of one team; `own`, `remote` and `urgent` are scaled.
 
     The estimate of the fleet's usage is
-    `own * (1 + peers_waiting) + remote`: a peer on which the team waits too is
-    assumed to start as much of it as this entry until its next report. Without
-    that, all entries make up for the same deficit at once.
+    `own * (1 + peers_waiting) + remote + raised`: a peer on which the team
+    waits too is assumed to start as much of it as this entry until its next
+    report. Without that, all entries make up for the same deficit at once.
     """
 
     __slots__ = (
@@ -436,6 +445,8 @@
         "own",
         "peers_waiting",
         "queued",
+        "raised",
+        "raised_here",
         "remote",
         "running",
         "slot_seconds",
@@ -454,6 +465,8 @@
         self.own = 0.0
         self.remote = 0.0
         self.urgent = 0.0
+        self.raised = 0.0
+        self.raised_here = 0.0
         self.cost = 0.0
         self.peers_waiting = 0
         self.lanes: dict[tuple[identifiers.PoolId, int], _Lane] = {}
@@ -462,16 +475,19 @@
         self.own *= factor
         self.remote *= factor
         self.urgent *= factor
+        self.raised *= factor
+        self.raised_here *= factor
 
 
 class _Peer:
     """Last report of one other entry."""
 
-    __slots__ = ("own_then", "usage", "waiting")
+    __slots__ = ("own_then", "raised", "usage", "waiting")
 
     def __init__(self) -> None:
         self.usage: dict[identifiers.TeamId, Usage] = {}
         self.own_then: dict[identifiers.TeamId, float] = {}
+        self.raised: dict[identifiers.TeamId, float] = {}
         self.waiting: set[identifiers.TeamId] = set()
 
 
@@ -502,6 +518,7 @@
     ) -> None:
         self._decay = decay
         self._epoch = 0.0
+        self._latest = 0.0
         self._entries = entries
         self._order = itertools.count()
         self._teams: dict[identifiers.TeamId, _Team] = {}
@@ -552,9 +569,10 @@
                 # Usage follows the share, so that a raised share does not
                 # earn credit for the time before.
                 factor = share / known.weight
-                known.remote = (
-                    known.own * (1 + known.peers_waiting) + known.remote
-                ) * factor - known.own * (1 + known.peers_waiting)
+                used = known.own * (1 + known.peers_waiting)
+                known.remote = (used + known.remote) * factor - used
+                known.raised *= factor
+                known.raised_here *= factor
                 known.weight = share
                 self._scores[name] = self._score(known, 0.0)
         for pool in self._pools.values():
@@ -701,6 +719,7 @@
         To be called after each `submit`, and every 250 ms: it also charges
         runs that outlast their estimate and promotes overnight work.
         """
+        self._latest = now
         expiry = self._expiry
         while expiry and (not expiry[0][2].live or expiry[0][0] <= now):
             item = heapq.heappop(expiry)[2]
@@ -734,7 +753,6 @@
                 continue
             before = peer.usage.get(name, _NO_USAGE)
             report = usage.get(name, before)
-            was_idle = not team.queued and not team.peers_waiting
             if name in peer.waiting:
                 team.peers_waiting -= 1
                 team.remote += peer.own_then[name]
@@ -750,12 +768,10 @@
                 peer.own_then[name] = team.own
                 peer.waiting.add(name)
             peer.usage[name] = report
+            if report.raised or before.raised:
+                peer.raised[name] = report.raised * scale
+                self._agree_raise(team)
             self._scores[name] = self._score(team, scale)
-            if was_idle and report.queued:
-                levels = [
-                    self._pools[pool].levels[rank] for pool, rank in team.lanes
-                ]
-                self._raise(team, min(levels, default=0.0))
 
     def forget_member(self, member: identifiers.Incarnation) -> None:
         """Drops an entry that left; what it used fades with time."""
@@ -765,15 +781,21 @@
             team.peers_waiting -= 1
             team.remote += peer.own_then[name]
             self._scores[name] = self._score(team, 0.0)
+        for name, raised in peer.raised.items():
+            if name in self._teams:
+                team = self._teams[name]
+                team.raised_here = max(team.raised_here, raised)
 
     def usage(self) -> Mapping[identifiers.TeamId, Usage]:
-        """Returns this entry's usage of every team."""
+        """Returns this entry's usage of every team, as of the last call."""
+        scale = self._scale(self._latest)
         return {
             name: Usage(
                 team.queued,
                 team.running,
                 team.slot_seconds,
                 team.urgent_seconds,
+                _drop_small(team.raised_here / scale),
             )
             for name, team in self._teams.items()
         }
@@ -1102,6 +1124,7 @@
         Instead of fading all sums, later usage counts for more; the order of
         teams is the same and no sum has to be touched as time passes.
         """
+        self._latest = now
         exponent = (now - self._epoch) / self._decay
         if exponent > _MAX_EXPONENT:
             factor = math.exp(-exponent)
@@ -1113,6 +1136,8 @@
             for peer in self._peers.values():
                 for name in peer.own_then:
                     peer.own_then[name] *= factor
+                for name in peer.raised:
+                    peer.raised[name] *= factor
             self._epoch = now
             return 1.0
         return math.exp(exponent)
@@ -1133,16 +1158,27 @@
     def _raise(self, team: _Team, level: float) -> None:
         missing = level - self._scores[team.name]
         if missing > 0.0:
-            team.remote += missing * team.weight
+            team.raised += missing * team.weight
+            team.raised_here = team.raised
             self._scores[team.name] = level
 
+    def _agree_raise(self, team: _Team) -> None:
+        """Takes the largest raise of all entries.
+
+        Each reports only its own, so that none is passed on and kept alive.
+        """
+        team.raised = max(
+            team.raised_here,
+            *(peer.raised.get(team.name, 0.0) for peer in self._peers.values()),
+        )
+
     def _score(self, team: _Team, scale: float) -> float:
         """Returns usage per share after half of the next run.
 
         Comparing midpoints is unbiased between teams with long and short
         runs; comparing usage before the run favours those with long ones.
         """
-        usage = team.own * (1 + team.peers_waiting) + team.remote
+        usage = team.own * (1 + team.peers_waiting) + team.remote + team.raised
         runs = 1.0 + MIRRORED_HALF * team.peers_waiting
         return (usage + 0.5 * team.cost * scale * runs) / team.weight
 
--- a/features/scheduler.feature
+++ b/features/scheduler.feature
@@ -76,11 +76,16 @@
   Scenario: A returning team is not owed for the time it was away
     Given the scheduler as it is
     Then a team that was away for 60 seconds gets half of the next 40 starts
+    And it gets half of the next 40 starts of another entry as well
 
   Scenario: The return check notices a stored claim
     Given a scheduler that does not raise returning teams
     Then a team that was away gets more than half of the next 40 starts
 
+  Scenario: The agreement check notices raises that are not shared
+    Given a scheduler that keeps raises to itself
+    Then a team that returns gets more than half of the next 40 starts elsewhere
+
   Scenario: Wrong declared run times are corrected by observed runs
     Given the scheduler as it is
     Then runs declared 100 times too long are admitted against their deadline
--- a/features/steps/scheduler_steps.py
+++ b/features/steps/scheduler_steps.py
@@ -45,7 +45,7 @@
         return lane.head() if lane.live else None
 
     def expire(self, now):
-        return super().expire(-math.inf)
+        return super().expire(0.0)
 
 
 class LeavesIdle(scheduler.Scheduler):
@@ -108,6 +108,11 @@
         pass
 
 
+class KeepsRaises(scheduler.Scheduler):
+    def _agree_raise(self, team):
+        pass
+
+
 FAULTS = {
     "drops refused jobs": DropsRefused,
     "starts a job twice": StartsTwice,
@@ -124,6 +129,7 @@
     "keeps no slot": KeepsNoSlot,
     "always starts urgent work first": UrgentFirst,
     "does not raise returning teams": StoresClaims,
+    "keeps raises to itself": KeepsRaises,
 }
 
 
@@ -482,6 +488,44 @@
     assert measure_return(context.kind) > 24
 
 
+def measure_return_elsewhere(kind):
+    """Returns starts, of 40, at an entry that has seen a return by report.
+
+    Team `a` keeps both entries busy for 60 s; `b` returns at the first, and a
+    second later at the other.
+    """
+    entries = [create(kind), create(kind)]
+    for number in range(400):
+        for subject in entries:
+            add(subject, f"a{number}")
+    starts = 0
+    for step in range(110):
+        now = float(step)
+        if step in (60, 61):
+            for late in range(60):
+                add(entries[step - 60], f"b{late}", now=now, team="b")
+        for index, subject in enumerate(entries):
+            job = start(subject, now)
+            subject.finish(job.request_id, now + 1.0)
+            starts += job.team == "b" and index == 1 and 61 <= step <= 100
+        for subject, other in (entries, entries[::-1]):
+            other.report_usage(str(id(subject)), subject.usage(), now + 1.0)
+    return starts
+
+
+@behave.then("it gets half of the next 40 starts of another entry as well")
+def check_return_elsewhere(context):
+    starts = measure_return_elsewhere(context.kind)
+    assert 17 <= starts <= 23, starts
+
+
+@behave.then(
+    "a team that returns gets more than half of the next 40 starts elsewhere"
+)
+def check_return_elsewhere_fail(context):
+    assert measure_return_elsewhere(context.kind) > 26
+
+
 def run_one(subject, name, now, seconds, **options):
     """Submits and runs one job; returns the refusal, if any."""
     refusal = add(subject, name, now=now, **options)
