Round slow-start slots up

Cause: with one or two slots per entry and minion, rounding down held back the second slot for the whole 5 s of a slow start. Change: slots are rounded up.

--- a/clementinewood/router.py
+++ b/clementinewood/router.py
@@ -156,7 +156,7 @@
             filled = int(self.load(now) + 0.5)
         return min(
             self.target.slots - self.in_flight,
-            int(self.capacity(now) + 1e-9) - filled,
+            math.ceil(self.capacity(now) - 1e-9) - filled,
         )
 
     def score(self, now: float) -> float:
