Measure light teams and the cost of routing

Cause: no figure showed that teams below their shares are left alone, and a choice among 72 nearly full minions cost 34 us. Change: benchmarks for both; full minions are skipped before their room is computed; figures that are infinite are null.

--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -29,10 +29,12 @@
 
 
 def report(bench, policy, **figures):
-    rounded = {
-        name: round(value, 5) if isinstance(value, float) else value
-        for name, value in figures.items()
-    }
+    rounded = {}
+    for name, value in figures.items():
+        if isinstance(value, float):
+            # JSON has no infinity; null means that it never happened.
+            value = round(value, 5) if math.isfinite(value) else None
+        rounded[name] = value
     print(json.dumps({"bench": bench, "policy": policy, **rounded}), flush=True)
 
 
@@ -451,6 +453,60 @@
                 )
 
 
+def bench_light(seeds=(1, 2)):
+    """Teams that ask for half of their shares, beside a flooding one.
+
+    Max-min fairness starts all their requests; the flooding team gets the
+    rest, so that a bound of its part is what the others leave.
+    """
+    queues = {POOL: simulation.Queue(POOL, 600)}
+    light = {name: team for name, team in TEAMS.items() if name != "large"}
+    asked = (
+        0.5
+        * sum(team.share for team in light.values())
+        / sum(team.share for team in TEAMS.values())
+    )
+    for seed in seeds:
+        arrivals = [
+            *draw_arrivals(light, seed=seed, load=asked, slots=48, until=30.0),
+            *draw_arrivals(
+                {"large": TEAMS["large"]},
+                seed=seed + 50,
+                load=3.0,
+                slots=48,
+                until=30.0,
+                first="flood",
+            ),
+        ]
+        arrivals.sort(key=lambda request: request.time)
+        for name, make_scheduler in SCHEDULERS.items():
+            run = simulation.Simulation(
+                build_parts(queues, make_scheduler=make_scheduler),
+                build_minions(),
+                queues,
+                seed=seed,
+            )
+            run.run(arrivals, 30.0)
+            delays = [
+                run.delays.get(request.name, math.inf)
+                for request in arrivals
+                if request.team != "large" and 5.0 < request.time < 25.0
+            ]
+            used = run.busy(5.0, 25.0)
+            report(
+                "light-teams",
+                name,
+                seed=seed,
+                count=len(delays),
+                started=sum(delay < math.inf for delay in delays) / len(delays),
+                p50=pick_quantile(delays, 0.5),
+                p99=pick_quantile(delays, 0.99),
+                flooding_part=used["large"] / 960.0,
+                bound_flooding_part=1.0 - asked,
+                busy=sum(used.values()) / 960.0,
+            )
+
+
 def bench_overnight(seeds=(1, 2)):
     """An overnight batch beside interactive work at 1.5x load.
 
@@ -605,6 +661,61 @@
     )
 
 
+def bench_routing_cpu(rounds=20_000):
+    """CPU time of one choose, start and finish, and of one retry decision."""
+    for count in (6, 72):
+        for name, make_router in {
+            "clementinewood": router.Router,
+            "least-loaded": baselines.LeastLoaded,
+            "round-robin": baselines.TurnTaking,
+        }.items():
+            subject = make_router("hobart", random.Random(1))
+            subject.update(
+                [
+                    router.Target(
+                        minion.name, POOL, minion.zone, ("127.0.0.1", 1), 2
+                    )
+                    for minion in build_minions(count=count)
+                ],
+                0.0,
+            )
+            running = []
+            while (target := subject.choose(POOL, 0.0)) is not None:
+                subject.start(target.minion, 0.0)
+                running.append(target.minion)
+            begin = time.process_time()
+            for index in range(rounds):
+                now = 0.001 * index
+                subject.finish(
+                    running[index % len(running)],
+                    retry.Outcome.ANSWERED,
+                    0.1,
+                    now,
+                )
+                target = subject.choose(POOL, now)
+                subject.start(target.minion, now)
+                running[index % len(running)] = target.minion
+            report(
+                "routing-cpu",
+                name,
+                minions=count,
+                microseconds=(time.process_time() - begin) / rounds * 1e6,
+            )
+    policy = retry.RetryPolicy(random.Random(1))
+    attempt = retry.Attempt(
+        "r", "large", 1, retry.Outcome.LOST, True, 1e9, 0.1, "m", kind="k"
+    )
+    begin = time.process_time()
+    for index in range(rounds):
+        policy.record_request("large")
+        policy.decide(attempt, 0.001 * index)
+    report(
+        "retry-cpu",
+        "clementinewood",
+        microseconds=(time.process_time() - begin) / rounds * 1e6,
+    )
+
+
 BENCHES = {
     "share": bench_share,
     "goodput": bench_goodput,
@@ -612,9 +723,11 @@
     "ejection": bench_ejection,
     "zone": bench_zone,
     "urgent": bench_urgent,
+    "light": bench_light,
     "overnight": bench_overnight,
     "cancel": bench_cancel,
     "cpu": bench_cpu,
+    "routing-cpu": bench_routing_cpu,
 }
 
 
--- a/clementinewood/router.py
+++ b/clementinewood/router.py
@@ -300,7 +300,9 @@
         roomy = [
             minion
             for minion in minions
-            if minion.room(now) > 0 and minion.target.minion not in exclude
+            if minion.in_flight < minion.target.slots
+            and minion.room(now) > 0
+            and minion.target.minion not in exclude
         ]
         if not roomy:
             return None
--- a/clementinewood/scheduler.py
+++ b/clementinewood/scheduler.py
@@ -660,7 +660,9 @@
         Args:
             now: Monotonic time.
             can_start: Whether there is capacity for a job. The answer may
-                depend on its queue, pool and team, not on the job itself.
+                depend on its queue, pool and team, not on the job itself. It
+                is asked for each waiting team until one may start, so that a
+                caller whose pool has no free slot should not call at all.
             pool: Only pool to look at; all when absent.
         """
         pools = self._pools.values() if pool is None else [self._pools[pool]]
