Keep refusals true when a retry is refused in the queue

Cause: a retry refused by the scheduler was reported not-run although an earlier attempt may have run. Change: combine_refusal joins the refusal with what earlier attempts say.

--- a/clementinewood/retry.py
+++ b/clementinewood/retry.py
@@ -50,6 +50,19 @@
     return max(first, second, key=_CERTAINTY.__getitem__)
 
 
+def combine_refusal(
+    refusal: verdict.Refusal, earlier: verdict.Execution
+) -> verdict.Refusal:
+    """Returns `refusal` made true over earlier attempts of its request.
+
+    A retry that is refused while it waits was not run, but its request may
+    have been.
+    """
+    return dataclasses.replace(
+        refusal, execution=combine_executions(earlier, refusal.execution)
+    )
+
+
 _MAY_REPEAT: dict[tuple[verdict.Execution, bool], bool] = {
     (verdict.Execution.NOT_RUN, False): True,
     (verdict.Execution.NOT_RUN, True): True,
--- a/features/retry.feature
+++ b/features/retry.feature
@@ -33,6 +33,15 @@
       | idempotent     | lost      | a retry                              |
       | idempotent     | failed    | a retry                              |
 
+  Scenario Outline: A retry refused in the queue still tells of its past
+    Then a queue-full refusal after an attempt that ended <outcome> says <what>
+
+    Examples:
+      | outcome  | what         |
+      | not-sent | not-run      |
+      | lost     | may-have-run |
+      | failed   | ran          |
+
   Scenario: Delays have full jitter below a doubling limit
     Given the retry policy as it is
     Then 200 first delays spread from 0 to 0.05 seconds
--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -115,6 +115,17 @@
     assert found == result, found
 
 
+@behave.then(
+    "a queue-full refusal after an attempt that ended {outcome} says {what}"
+)
+def check_combined(context, outcome, what):
+    refusal = verdict.Refusal(verdict.Reason.QUEUE_FULL)
+    attempt = describe(retry.Outcome(outcome))
+    found = retry.combine_refusal(refusal, attempt.execution)
+    assert found.reason is verdict.Reason.QUEUE_FULL
+    assert found.execution.value == what
+
+
 @behave.then("200 {which} delays spread from 0 to {limit:g} seconds")
 def check_jitter(context, which, limit):
     policy = create(context.retry_kind)
