Keep the length that an answer to HEAD states

Cause: an answer to HEAD through the entry said Content-Length: 0, whatever the minion had stated for the body of a GET. Change: an answer without a body (HEAD, 304) keeps the stated length; the upstream leaves Content-Length in the answer, and the edge replaces it on all other answers.

--- a/clementinewood/framing.py
+++ b/clementinewood/framing.py
@@ -440,13 +440,21 @@
 ) -> bytes:
     """Renders an answer; framing fields among `headers` are replaced.
 
+    An answer without a body (to HEAD, or 304) keeps the Content-Length it was
+    given, since that states the length the body of a GET would have.
+
     Raises:
         FramingError: The status is no final one, or a header is malformed.
     """
     if not 200 <= status <= 599:
         raise FramingError(f"{status} is no final status")
     fields = [field for field in headers if field[0].lower() not in _FRAMED]
-    if status not in _BODILESS:
+    if (head_only or status == 304) and not body:
+        stated = [v for n, v in headers if n.lower() == b"content-length"]
+        if stated:
+            _read_length(stated[0])
+            fields.append((b"content-length", stated[0]))
+    elif status not in _BODILESS:
         fields.append((b"content-length", b"%d" % len(body)))
     if close:
         fields.append((b"connection", b"close"))
--- a/clementinewood/upstream.py
+++ b/clementinewood/upstream.py
@@ -36,7 +36,7 @@
 )
 """`Authorization` holds the caller's key to the entry, so it stays here."""
 
-_NOT_RETURNED = framing.HOP_BY_HOP | CONTROL_HEADERS | {b"content-length"}
+_NOT_RETURNED = framing.HOP_BY_HOP | CONTROL_HEADERS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/features/edge.feature
+++ b/features/edge.feature
@@ -159,6 +159,10 @@
     When a caller sends the request "HEAD /h HTTP/1.1\r\nHost: a\r\n\r\nGET /g HTTP/1.1\r\nHost: a\r\n\r\n"
     Then the answers to HEAD and GET are "" and "GET /g "
 
+  Scenario: HEAD passes on a length that the handler states
+    When a caller sends the request "HEAD /length HTTP/1.1\r\nHost: a\r\n\r\n"
+    Then the answer to HEAD states the length 4321
+
   Scenario Outline: The connection ends after an answer: <case>
     When a caller sends the request "<request>"
     Then the caller got 1 answers and the connection ends
--- a/features/network.py
+++ b/features/network.py
@@ -157,13 +157,16 @@
             raise RuntimeError("handler fault set by the test")
         if exchange.request.target == "/split":
             exchange.respond(200, [(b"x-a", b"b\r\nx-c: d")], b"")
+        elif exchange.request.target == "/length":
+            exchange.respond(200, [(b"content-length", b"4321")], b"")
         elif self.answer_at_once:
             self.answer(exchange)
 
     def answer(self, exchange, body=None):
         request = exchange.request
         echo = f"{request.method} {request.target} ".encode() + request.body
-        exchange.respond(200, [], echo if body is None else body)
+        fields = [h for h in request.headers if h[0] == b"x-request-id"]
+        exchange.respond(200, fields, echo if body is None else body)
 
     def render_refusal(self, refusal):
         fields = [(b"x-execution", refusal.execution.value.encode())]
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -368,6 +368,12 @@
     assert answers[0][1][b"content-length"] == b"8"
 
 
+@behave.then("the answer to HEAD states the length {count:d}")
+def check_stated_length(context, count):
+    (answer,) = context.caller.read_answers(1, ("HEAD",))
+    assert int(answer[1][b"content-length"]) == count and not answer[2]
+
+
 @behave.then("{count:d} requests were cancelled")
 def check_cancelled(context, count):
     assert len(context.handler.cancelled) == count
--- a/features/steps/upstream_steps.py
+++ b/features/steps/upstream_steps.py
@@ -389,6 +389,18 @@
     assert exchange.request.body == b"abc"
 
 
+@behave.when('the upstream sends {method} "{target}" with the body ""')
+def send_empty(context, method, target):
+    send_body(context, method, target, "")
+
+
+@behave.then("the answer to HEAD came back with the length {count:d}")
+def check_length(context, count):
+    outcome = context.side.outcomes[-1][2]
+    assert isinstance(outcome, upstream.Answered), outcome
+    assert outcome.answer.find_header(b"content-length") == b"%d" % count
+
+
 @behave.then('the recording server saw "{names}"')
 def check_passed(context, names):
     (exchange,) = context.recorder.exchanges
--- a/features/upstream.feature
+++ b/features/upstream.feature
@@ -16,6 +16,11 @@
     Then the recording server saw only the upstream's own control headers
     And the recording server saw "accept, idempotency-key, x-forwarded-for"
 
+  Scenario: The length that a HEAD states comes back
+    Given a recording server in place of the minion
+    When the upstream sends HEAD "/h" with the body ""
+    Then the answer to HEAD came back with the length 8
+
   Scenario Outline: A fault of the minion gets its true verdict: <fault>
     Given the minion has the fault "<fault>"
     When the upstream sends POST "/work" with the body "hello"
