Estimate demand from usage and queue growth together

Change: arriving work is what runs plus what the queue gains; among idle pools the one that peaked last lends first.

--- a/clementinewood/demand.py
+++ b/clementinewood/demand.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 import statistics
 from collections.abc import Iterable
@@ -76,8 +77,8 @@
 class DemandEstimator:
     """Estimates the demand of every pool.
 
-    The estimate is a median over the window, so that a single wrong report
-    does not move hosts, plus the queue with its growth over the lag.
+    The estimate is a median of recent samples, so that a single wrong report
+    does not move hosts, plus the slots that work off the queue.
 
     Args:
         settings: Shape of the estimate.
@@ -117,17 +118,17 @@
         ]
         if not samples:
             return Estimate(0.0, capacity.Resources(), False)
-        recent = samples[-settings.minimum :]
-        running = statistics.median(sample.running for sample in recent)
-        queued = self._project_queue(recent, now)
+        recent = samples[-settings.minimum - 1 :]
         run_time = self._measure_run_time(samples)
+        running = self._measure_offered(recent, run_time)
+        queued = statistics.median(sample.queued for sample in recent)
         # The queue needs enough slots to start its last task in target_wait.
         waiting = min(queued, queued * run_time / settings.target_wait)
         slots = (running + waiting) * settings.headroom
         return Estimate(
             slots,
             self._scale_usage(recent, slots),
-            len(samples) >= settings.minimum,
+            len(samples) > settings.minimum,
         )
 
     def estimate_needs(
@@ -149,17 +150,26 @@
             if estimate.trusted
         }
 
-    def _project_queue(self, recent: list[UsageSample], now: float) -> float:
-        queued = statistics.median(sample.queued for sample in recent)
-        last = recent[-1]
-        growth = 0.0
-        if len(recent) > 1 and last.time > recent[0].time:
-            growth = (last.queued - recent[0].queued) / (
-                last.time - recent[0].time
+    def _measure_offered(
+        self, recent: list[UsageSample], run_time: float
+    ) -> float:
+        """Returns the slots that the arriving work needs.
+
+        A pool that is full runs what it can; what arrives beyond that shows
+        as growth of its queue. Counting both finds the demand at once, while
+        a queue alone shows it only after work has waited.
+        """
+        offered = [
+            max(
+                0.0,
+                sample.running
+                + (sample.queued - before.queued)
+                * run_time
+                / (sample.time - before.time),
             )
-        lag = max(0.0, now - statistics.median(s.time for s in recent))
-        # Growth is trusted only up to a doubling: one report may be wrong.
-        return max(0.0, min(queued + growth * lag, 2 * queued))
+            for before, sample in itertools.pairwise(recent)
+        ]
+        return statistics.median(offered or [recent[-1].running])
 
     def _measure_run_time(self, samples: list[UsageSample]) -> float:
         completed = sum(sample.completed for sample in samples)
--- a/clementinewood/move.py
+++ b/clementinewood/move.py
@@ -23,6 +23,7 @@
     Attributes:
         margin: Fraction of its need that a lending pool keeps on top.
         floor: Serving hosts that a pool with a queue always keeps.
+        peak: Used fraction of a pool's hosts from which it is at its peak.
         grace: Seconds for which an absent host still counts as supply, since
             most hosts that restart are back before a move would pay.
         return_after: Seconds for which a borrowed host must be surplus
@@ -34,6 +35,7 @@
 
     margin: float = 0.1
     floor: int = 1
+    peak: float = 0.7
     grace: float = 30.0
     return_after: float = 24 * 3600.0
     returns: int = 1
@@ -91,6 +93,7 @@
         self._wave = engine
         self.settings = settings
         self._surplus_since: dict[identifiers.PoolId, float] = {}
+        self._peaked_at: dict[identifiers.PoolId, float] = {}
         self._balances: dict[identifiers.PoolId, _Balance] = {}
         self._taken: set[identifiers.WorkerId] = set()
 
@@ -116,6 +119,11 @@
         """
         self._balances = self._balance(needs, now)
         self._taken = set()
+        for pool, balance in self._balances.items():
+            if balance.known and balance.hosts and not balance.spare:
+                used = balance.need.share_of(balance.serving)
+                if used >= self.settings.peak:
+                    self._peaked_at[pool] = now
         records = self._plan_new(now, limit)
         blocked: set[identifiers.PoolId] = set()
         while len(records) < limit:
@@ -197,17 +205,24 @@
         reservation: budget.Reservation,
         now: float,
     ) -> fleet_record.Payload | None:
-        """Takes one host, from the spare pool or the most idle one.
+        """Takes one host, from the spare pool or the one that peaked last.
 
-        The most idle pool is usually the one that peaked last. Taking from
-        it leaves the others what they will need at their next peak.
+        Queues peak in turn, so that pool's next peak is the furthest away.
+        Its hosts are taken down to its need, which leaves the other pools
+        what they will need sooner. Pools without a known peak come after it,
+        the most idle first.
         """
         lenders = sorted(
-            (not balance.spare, -self._surplus(balance), pool)
+            (
+                not balance.spare,
+                -self._peaked_at.get(pool, float("-inf")),
+                -self._surplus(balance),
+                pool,
+            )
             for pool, balance in self._balances.items()
             if pool != target and balance.hosts > 0
         )
-        for _, _, lender in lenders:
+        for *_, lender in lenders:
             for worker in self._rank_hosts(lender, target):
                 record = self._lend(worker, target, reservation, now)
                 if record is not None:
