Return a host in the round that sees its good check

Cause: a reboot cost one round more than needed, and a platform without boot ids could not show a reboot. Change: the check and the return are appended together when the report is good; absence after the reboot record shows a reboot without boot ids.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -78,6 +78,9 @@
         site=shape.name,
         ratio=statistics.mean(ratios),
         worst=max(ratios),
+        ratio_to_bound_with_one_zone_at_a_time=statistics.mean(
+            site.now / bound_zones(site, allowed) for site, _ in runs
+        ),
         target=1.2,
         seconds=statistics.mean(seconds),
         bound=statistics.mean(bounds),
@@ -89,6 +92,24 @@
     )
 
 
+def bound_zones(site, allowed):
+    """Least time if no two zones may be worked on at once.
+
+    Uses the reboot times that were drawn: in each zone the pool with the most
+    work takes at least its total, divided by its budget.
+    """
+    work = {}
+    for machine in site.machines.values():
+        seconds = site.reboot_seconds[machine.worker.id]
+        key = (machine.worker.zone, machine.worker.id.split("-")[0])
+        work.setdefault(key, []).append(seconds + fleet_site.TASK_SECONDS)
+    zones = {}
+    for (zone, _), times in work.items():
+        least = max(sum(times) / allowed, max(times))
+        zones[zone] = max(zones.get(zone, 0.0), least)
+    return sum(zones.values())
+
+
 def run_wave(shape, tick, limit, seed):
     settings = planner.PlannerSettings(
         limit=limit, waves=maintenance.MaintenanceSettings(lead=0.0)
--- a/bench/fleet_site.py
+++ b/bench/fleet_site.py
@@ -77,6 +77,7 @@
         self.now = 0.0
         self.appends = self.moves = 0
         self.work_seconds = []
+        self.reboot_seconds = {}
         pools = {}
         self.machines = {}
         for p in range(shape.pools):
@@ -152,6 +153,7 @@
             ):
                 seconds = self.random.uniform(*self.reboot)
                 self.work_seconds.append(seconds)
+                self.reboot_seconds[worker] = seconds
                 machine.boots += 1
                 machine.up = False
                 machine.ready_at = self.now + seconds
--- a/clementinewood/fleet.py
+++ b/clementinewood/fleet.py
@@ -151,6 +151,7 @@
         self.unassigned: set[identifiers.WorkerId] = set()
         self.outdated: dict[identifiers.ZoneId, set[identifiers.WorkerId]] = {}
         self.evidence_time = float("-inf")
+        self.absent_at: dict[identifiers.WorkerId, float] = {}
         self.zone_sizes: dict[identifiers.ZoneId, int] = {}
         self._counted: dict[identifiers.WorkerId, _Contribution] = {}
         state.subscribe(self._on_change)
@@ -162,6 +163,8 @@
         if old is not None and report.time < old.time:
             return
         self.reports[report.worker.id] = report
+        if report.listing is not Listing.LIVE:
+            self.absent_at[report.worker.id] = report.time
         self.evidence_time = max(self.evidence_time, report.time)
         if old is None or old.worker.zone != report.worker.zone:
             self._count_zone(old, -1)
--- a/clementinewood/wave.py
+++ b/clementinewood/wave.py
@@ -75,6 +75,7 @@
             record = self._advance_host(worker, reservation, now, returned)
             if record is not None:
                 records.append(record)
+                records.extend(self._pass_check(record))
         records.extend(self._record_losses(now))
         return records
 
@@ -134,7 +135,7 @@
                     worker, host, report, reservation, now, returned
                 )
             case Step.REBOOTING:
-                if _is_live(report) and report.boot != host.boot:
+                if _is_live(report) and self._has_rebooted(host, report):
                     return self._step(worker, Step.CHECKING, now)
                 if waited > self.settings.reboot:
                     return self._step(worker, Step.LOST, now)
@@ -166,6 +167,40 @@
                     return self._step(worker, Step.CHECKING, now)
         return None
 
+    def _has_rebooted(
+        self, host: fleet_fold.HostState, report: fleet.HostReport
+    ) -> bool:
+        """Whether evidence from after the reboot record shows a new boot.
+
+        A platform that reports no boot id shows it by the host's absence.
+        """
+        if report.time <= host.since:
+            return False
+        if host.boot:
+            return report.boot != host.boot
+        worker = report.worker.id
+        return self._fleet.absent_at.get(worker, host.since) > host.since
+
+    def _pass_check(
+        self, record: fleet_record.Payload
+    ) -> Iterable[fleet_record.Payload]:
+        """Returns a host at once whose report after a reboot is good."""
+        if not (
+            isinstance(record, fleet_record.MaintenanceStep)
+            and record.step is Step.CHECKING
+        ):
+            return
+        host = self._fleet.state.hosts[record.worker]
+        report = self._fleet.reports[record.worker]
+        if (
+            host.step is Step.REBOOTING
+            and report.healthy
+            and report.pool in (None, host.pool)
+        ):
+            yield dataclasses.replace(
+                record, step=Step.IN_SERVICE, expected=record.expected + 1
+            )
+
     def _advance_drain(
         self,
         worker: identifiers.WorkerId,
