Let pools go through the zones apart as a setting

Change: MaintenanceSettings.pools_apart, off by default; test schedules draw one number for each action, and the checks have a file of their own.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -13,6 +13,7 @@
 from bench import fleet_bound, fleet_site
 from clementinewood import buffer, capacity, fleet, maintenance, move, planner
 
+WAVES = ("maintenance", "maintenance, pools apart", "roll")
 SITES = (fleet_site.GUILD, fleet_site.SANCTUM, fleet_site.DESIGN)
 
 
@@ -61,9 +62,9 @@
     )
 
 
-def measure_wave(shape, *, limit, tick=1.0, seeds=(1,)):
-    """Time to maintain every host, with all hosts due and no faults."""
-    runs = [run_wave(shape, tick, limit, seed) for seed in seeds]
+def measure_wave(shape, kind, *, limit, tick=1.0, seeds=(1,)):
+    """Time to work on every host, with all hosts due and no faults."""
+    runs = [run_wave(shape, kind, tick, limit, seed) for seed in seeds]
     allowed = min(shape.budget, shape.zone_budget)
     bounds = [
         shape.hosts_per_pool
@@ -75,6 +76,7 @@
     ratios = [s / b for s, b in zip(seconds, bounds, strict=True)]
     emit(
         "wave",
+        kind=kind,
         site=shape.name,
         ratio=statistics.mean(ratios),
         worst=max(ratios),
@@ -110,16 +112,32 @@
     return sum(zones.values())
 
 
-def run_wave(shape, tick, limit, seed):
+def run_wave(shape, kind, tick, limit, seed):
     settings = planner.PlannerSettings(
-        limit=limit, waves=maintenance.MaintenanceSettings(lead=0.0)
+        limit=limit,
+        waves=maintenance.MaintenanceSettings(
+            lead=1.0 if kind == "roll" else 0.0,
+            pools_apart=kind == "maintenance, pools apart",
+        ),
     )
     site = fleet_site.Site(shape, settings=settings, seed=seed)
     rounds, busy = 0, 0.0
     idle = dict.fromkeys(site.queues, capacity.NONE)
+    if kind == "roll":
+        pools = {
+            pool: dataclasses.replace(spec, revision=2)
+            for pool, spec in site.declaration.pools.items()
+        }
+        site.publish(dataclasses.replace(site.declaration, pools=pools))
+
+    def is_done():
+        if kind == "roll":
+            return len(site.state.roll.done) == len(shape.zones)
+        return all(h.maintained > 0 for h in site.state.hosts.values())
+
     for machine in site.machines.values():
         machine.running = 1
-    while any(host.maintained <= 0 for host in site.state.hosts.values()):
+    while not is_done():
         site.now += tick
         site.advance_machines()
         site.fleet.evidence_time = site.now
@@ -129,7 +147,11 @@
         for record in records:
             worker = getattr(record, "worker", "")
             # Hosts are due again at once here; only the first wave counts.
-            if not worker or site.state.hosts[worker].maintained <= 0:
+            if (
+                kind == "roll"
+                or not worker
+                or site.state.hosts[worker].maintained <= 0
+            ):
                 site.append(record)
         rounds += 1
     return site, busy / rounds
@@ -295,11 +317,11 @@
         measure_buffer(shape)
     for shape in SITES:
         large = shape is fleet_site.DESIGN
-        measure_wave(
-            shape,
-            limit=50,
-            seeds=(1,) if large else tuple(range(1, 11)),
-        )
+        seeds = (1,) if large else tuple(range(1, 11))
+        for kind in WAVES:
+            measure_wave(
+                shape, kind, limit=50, tick=2.0 if large else 1.0, seeds=seeds
+            )
     for shape in SITES[:2]:
         measure_peaks(shape, cycles=3, tick=15.0, policies=POLICIES)
         measure_zone(shape, tick=10.0)
--- a/clementinewood/maintenance.py
+++ b/clementinewood/maintenance.py
@@ -32,6 +32,9 @@
         pause_fraction: The same as a fraction of the fleet; the larger
             number applies, since a large fleet always has some hosts down.
         quiet: Seconds without a wave after which maintenance resumes.
+        pools_apart: Whether each pool goes through the zones on its own. If
+            not, the fleet works in one zone at a time and every pool waits
+            for the slowest one, which takes longer the more pools there are.
     """
 
     period: float = 6 * WEEK
@@ -40,6 +43,7 @@
     pause_hosts: int = 3
     pause_fraction: float = 0.01
     quiet: float = 900.0
+    pools_apart: bool = False
 
 
 class Maintenance:
@@ -134,14 +138,8 @@
         )
 
     def active_zone(self) -> identifiers.ZoneId | None:
-        """Returns the zone in which planned work is in progress."""
-        for worker in sorted(self._fleet.in_progress):
-            host = self._fleet.state.hosts[worker]
-            if host.is_planned and host.purpose is not Purpose.MOVE:
-                report = self._fleet.reports.get(worker)
-                if report is not None:
-                    return report.worker.zone
-        return None
+        """Returns a zone in which planned work is in progress."""
+        return next(iter(self._list_active().values()), None)
 
     def is_due(self, maintained: float, now: float) -> bool:
         """Whether a host last maintained then should be maintained now."""
@@ -175,41 +173,55 @@
         """
         if self.is_paused(now):
             return []
-        zone = zone or self.active_zone()
-        for candidates in self._list_due(zone, now):
-            records: list[fleet_record.Payload] = []
-            for maintained, worker in candidates:
-                if len(records) >= limit:
-                    break
-                if not self.is_urgent(maintained, now) and not (
-                    can_spare is None or can_spare(worker)
-                ):
-                    continue
-                record = self._wave.start(
-                    worker, Purpose.MAINTENANCE, reservation, now
-                )
-                if record is not None:
-                    records.append(record)
-            if records:
-                return records
-        return []
-
-    def _list_due(
-        self, zone: identifiers.ZoneId | None, now: float
-    ) -> list[list[tuple[float, identifiers.WorkerId]]]:
-        """Returns due hosts by zone, the zone with the oldest one first."""
+        chosen = self._list_active()
+        records: list[fleet_record.Payload] = []
+        for maintained, worker in self._list_due(now):
+            if len(records) >= limit:
+                break
+            place = self._fleet.reports[worker].worker.zone
+            scope = self._scope(worker)
+            if zone not in (None, place) or (chosen.get(scope, place) != place):
+                continue
+            if not self.is_urgent(maintained, now) and not (
+                can_spare is None or can_spare(worker)
+            ):
+                continue
+            record = self._wave.start(
+                worker, Purpose.MAINTENANCE, reservation, now
+            )
+            if record is not None:
+                chosen[scope] = place
+                records.append(record)
+        return records
+
+    def _scope(self, worker: identifiers.WorkerId) -> identifiers.PoolId | None:
+        """Returns what may have planned work in one zone at a time only."""
+        if self.settings.pools_apart:
+            return self._fleet.state.hosts[worker].pool
+        return None
+
+    def _list_active(
+        self,
+    ) -> dict[identifiers.PoolId | None, identifiers.ZoneId]:
+        """Returns the zones in which planned work is in progress."""
+        active = {}
+        for worker in sorted(self._fleet.in_progress):
+            host = self._fleet.state.hosts[worker]
+            if host.is_planned and host.purpose is not Purpose.MOVE:
+                report = self._fleet.reports.get(worker)
+                if report is not None:
+                    active[self._scope(worker)] = report.worker.zone
+        return active
+
+    def _list_due(self, now: float) -> list[tuple[float, identifiers.WorkerId]]:
+        """Returns due hosts that serve, the oldest maintenance first."""
         hosts = self._fleet.state.hosts
         while self._queue and self.is_due(self._queue[0][0], now):
             maintained, worker = heapq.heappop(self._queue)
             if worker in hosts and hosts[worker].maintained == maintained:
                 self._due[worker] = maintained
-        zones: dict[
-            identifiers.ZoneId, list[tuple[float, identifiers.WorkerId]]
-        ] = {}
-        for worker, maintained in self._due.items():
-            if not self._fleet.can_start(worker):
-                continue
-            place = self._fleet.reports[worker].worker.zone
-            if zone is None or place == zone:
-                zones.setdefault(place, []).append((maintained, worker))
-        return sorted(sorted(due) for due in zones.values())
+        return sorted(
+            (maintained, worker)
+            for worker, maintained in self._due.items()
+            if self._fleet.can_start(worker)
+        )
--- a/features/fleet_schedule.py
+++ b/features/fleet_schedule.py
@@ -7,204 +7,69 @@
 from hypothesis import strategies
 
 from clementinewood import capacity, fleet, fleet_fold, fleet_record, rollout
-from features import fleet_world
+from features import fleet_check, fleet_world
 
 APPLIED = fleet_fold.Outcome.APPLIED
-Step = fleet_record.Step
 HOSTS = [f"{pool}-{i}" for pool in fleet_world.POOLS for i in range(4)]
 EXAMPLES = int(os.environ.get("FLEET_EXAMPLES", "200"))
 LENGTH = 50
 
-host = strategies.sampled_from(HOSTS)
-zone = strategies.sampled_from(fleet_world.ZONES)
-node = strategies.integers(0, 1)
-seconds = strategies.integers(2, 8)
+ZONES = fleet_world.ZONES
 ACTIONS = {
-    "advance": (8, [seconds]),
-    "task": (3, [host, strategies.integers(2, 60)]),
-    "need": (
-        2,
-        [
-            strategies.sampled_from(fleet_world.POOLS[:2]),
-            strategies.integers(0, 8),
-        ],
-    ),
-    "fail": (1, [host, strategies.integers(5, 60)]),
-    "fail_rack": (1, [host]),
-    "fail_zone": (1, [zone]),
-    "zone_out": (1, [zone]),
+    "advance": (8, [range(2, 9)]),
+    "task": (3, [HOSTS, range(2, 61)]),
+    "need": (2, [fleet_world.POOLS[:2], range(9)]),
+    "fail": (1, [HOSTS, range(5, 61)]),
+    "fail_rack": (1, [HOSTS]),
+    "fail_zone": (1, [ZONES]),
+    "zone_out": (1, [ZONES]),
     "zones_in": (1, []),
-    "log": (1, [strategies.booleans()]),
-    "pause": (1, [node]),
-    "resume": (2, [node]),
-    "race": (2, [node, host, strategies.integers(0, 6)]),
+    "log": (1, [(False, True)]),
+    "pause": (1, [(0, 1)]),
+    "resume": (2, [(0, 1)]),
+    "race": (2, [(0, 1), HOSTS, range(7)]),
     "observe": (1, []),
-    "repeat": (1, [strategies.integers(1, 9)]),
+    "repeat": (1, [range(1, 10)]),
     "publish_race": (1, []),
     "revision": (1, []),
-    "signal": (1, [zone, strategies.booleans()]),
-    "stay_down": (1, [host]),
-    "sick": (1, [host, strategies.booleans()]),
-    "flap": (1, [host]),
-    "replace": (1, [node]),
+    "signal": (1, [ZONES, (False, True)]),
+    "stay_down": (1, [HOSTS]),
+    "sick": (1, [HOSTS, (False, True)]),
+    "flap": (1, [HOSTS]),
+    "replace": (1, [(0, 1)]),
 }
-"""Weight and arguments of every action."""
+"""Weight of every action and the choices for its arguments."""
+
+NAMES = [name for name, (weight, _) in ACTIONS.items() for _ in range(weight)]
+CHOICES = 2**20
+
+
+def create_action(name, number):
+    """Returns an action; `number` selects its arguments."""
+    arguments = []
+    for choices in ACTIONS[name][1]:
+        number, index = divmod(number, len(choices))
+        arguments.append(choices[index])
+    return (name, *arguments)
 
 
 SCHEDULES = strategies.lists(
-    strategies.sampled_from(
-        [name for name, (weight, _) in ACTIONS.items() for _ in range(weight)]
-    ).flatmap(
-        lambda name: strategies.tuples(strategies.just(name), *ACTIONS[name][1])
+    strategies.builds(
+        create_action,
+        strategies.sampled_from(NAMES),
+        strategies.integers(0, CHOICES),
     ),
     min_size=LENGTH,
     max_size=LENGTH,
 )
 
 
-class ViolationError(AssertionError):
-    """A property that does not hold; the first argument names it."""
-
-
-class Checker:
-    """Checks each record, start and reboot against plain host data."""
-
-    def __init__(self, world):
-        self.world = world
-        self.unplanned = []
-        self.out_since = {}
-        self.applied = set()
-        self.bundle_version = 0
-        self.zone_versions = {}
-        self.step_before = None
-
-    def count_unplanned(self, pool, zone=None):
-        world = self.world
-        count = 0
-        for worker, state in world.truth.hosts.items():
-            place = world.hosts[worker].worker.zone
-            if (
-                state.pool != pool
-                or state.is_planned
-                or state.step is Step.ARRIVING
-                or zone not in (None, place)
-            ):
-                continue
-            count += (
-                not world.hosts[worker].up
-                or not world.hosts[worker].healthy
-                or place in world.truth.declaration.zones_out
-                or state.step in (Step.LOST, Step.BROKEN, Step.CHECKING)
-            )
-        return count
-
-    def count_planned(self, pool, zone=None):
-        return sum(
-            state.pool == pool
-            and state.is_planned
-            and zone in (None, self.world.hosts[worker].worker.zone)
-            for worker, state in self.world.truth.hosts.items()
-        )
-
-    def sample(self):
-        """Keeps what a planner may have seen within a record's validity."""
-        now = self.world.now
-        counts = {
-            (pool, place): self.count_unplanned(pool, place)
-            for pool in fleet_world.POOLS
-            for place in (None, *fleet_world.ZONES)
-        }
-        self.unplanned.append((now, counts))
-        settings = fleet_world.SETTINGS
-        oldest = now - settings.steps.validity - settings.evidence
-        self.unplanned = [s for s in self.unplanned if s[0] >= oldest]
-
-    def on_tick(self):
-        self.sample()
-
-    def before(self, payload):
-        state = self.world.truth.hosts.get(getattr(payload, "worker", None))
-        self.step_before = state
-
-    def after(self, payload, outcome):
-        truth = self.world.truth
-        if outcome is APPLIED:
-            if id(payload) in self.applied:
-                raise ViolationError("a repeated record changed the state")
-            self.applied.add(id(payload))
-        if truth.bundle_version < self.bundle_version:
-            raise ViolationError("an accepted bundle reverted")
-        self.bundle_version = truth.bundle_version
-        for place, version in truth.roll.zone_versions.items():
-            if version < self.zone_versions.get(place, 0):
-                raise ViolationError("an accepted bundle reverted")
-            self.zone_versions[place] = version
-        if outcome is not APPLIED:
-            return
-        match payload:
-            case fleet_record.BundleAccepted():
-                self.out_since = {
-                    place: self.out_since.get(place, self.world.now)
-                    for place in payload.declaration.zones_out
-                }
-            case fleet_record.WorkerAssigned():
-                before = self.step_before
-                if (
-                    before.step is not Step.IN_SERVICE
-                    and before.purpose is not (fleet_record.Purpose.MOVE)
-                ):
-                    raise ViolationError("a host under maintenance moved")
-            case fleet_record.MaintenanceStep(step=Step.CORDONED):
-                self.check_budget(payload.worker)
-
-    def check_budget(self, worker):
-        truth = self.world.truth
-        pool = truth.hosts[worker].pool
-        spec = truth.declaration.pools[pool]
-        place = self.world.hosts[worker].worker.zone
-        self.sample()
-        for part, limit in (
-            (None, spec.max_unavailable),
-            (place, spec.max_unavailable_zone),
-        ):
-            seen = min(counts[pool, part] for _, counts in self.unplanned)
-            if self.count_planned(pool, part) > max(0, limit - seen):
-                raise ViolationError("a budget was exceeded by plan")
-
-    def on_start(self, worker):
-        place = self.world.hosts[worker].worker.zone
-        since = self.out_since.get(place, self.world.now)
-        if self.world.now - since > fleet_world.SUBSTEP:
-            raise ViolationError("a task started in a zone that is out")
-
-    def on_reboot(self, machine):
-        if machine.tasks:
-            raise ViolationError("a drain cut work")
-
-    def check_pools(self):
-        for name, fleet_view in [
-            ("view", self.world.view),
-            *((n.name, n.fleet) for n in self.world.nodes),
-        ]:
-            seen = {}
-            for pool in fleet_view.pools.values():
-                for worker in pool.members:
-                    if worker in seen:
-                        raise ViolationError(
-                            f"a host is in two pools at {name}"
-                        )
-                    seen[worker] = pool.id
-            wanted = {w: h.pool for w, h in fleet_view.state.hosts.items()}
-            if seen != wanted:
-                raise ViolationError(f"a host is in no pool at {name}")
-
-
 @dataclasses.dataclass
 class Run:
     """One schedule over one world."""
 
     world: fleet_world.World
-    checker: Checker
+    checker: fleet_check.Checker
     steps: int = 0
 
     def execute(self, action):
@@ -318,12 +183,12 @@
         if not world.log_up:
             return
         if outcomes.count(APPLIED) != 1:
-            raise ViolationError("two operators won one version")
+            raise fleet_check.ViolationError("two operators won one version")
         loser = "ben" if outcomes[0] is APPLIED else "ana"
         rolls = rollout.Rollout(world.view, rollout.RolloutSettings())
         winner = rolls.find_winner(expected + 1)
         if winner.operator == loser:
-            raise ViolationError("the loser was not told who won")
+            raise fleet_check.ViolationError("the loser was not told who won")
 
     def do_signal(self, place, bad):
         self.world.signals = {place: rollout.Signals(100, 50)} if bad else {}
@@ -366,12 +231,14 @@
             if all(h.maintained > 0 for h in world.truth.hosts.values()):
                 break
         else:
-            raise ViolationError("a host was not maintained")
+            raise fleet_check.ViolationError("a host was not maintained")
         self.checker.check_pools()
         for entry in world.nodes:
             entry.read()
             if entry.state.hosts != world.truth.hosts:
-                raise ViolationError("entries disagree on the folded state")
+                raise fleet_check.ViolationError(
+                    "entries disagree on the folded state"
+                )
 
 
 def start_run(parts):
@@ -381,7 +248,7 @@
     world.now = settings.period * settings.lead
     world.deliver()
     world.deliver()
-    checker = Checker(world)
+    checker = fleet_check.Checker(world)
     checker.sample()
     world.observers.append(checker)
     return Run(world, checker)
--- a/features/steps/fleet_schedule_steps.py
+++ b/features/steps/fleet_schedule_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from features import fleet_broken, fleet_schedule, fleet_world
+from features import fleet_broken, fleet_check, fleet_schedule, fleet_world
 
 
 @behave.when("random fleet schedules run")
@@ -19,7 +19,7 @@
     context.violation = None
     try:
         fleet_schedule.execute(parts, fleet_broken.SCHEDULES[mechanism])
-    except fleet_schedule.ViolationError as violation:
+    except fleet_check.ViolationError as violation:
         context.violation = violation.args[0]
 
 
