--- a/clementinewood/peer.thrift
+++ b/clementinewood/peer.thrift
@@ -65,7 +65,6 @@
   2: list<string> debts
   3: i64 opened
   4: map<string, i64> surplus
-  5: map<string, i64> need
   6: bool whole
 }
 
@@ -129,6 +128,7 @@
   3: i64 running
   4: double slot_seconds
   5: double urgent_seconds
+  6: double raised
 }
 
 struct UsageReport {
--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -38,7 +38,7 @@
     And b is removed
     Then a cannot give 1 rights to b
     And a drops a transfer from b
-    When a closes b
+    When a appends its closing of b
     Then the entries hold 6, 0 rights
 
   Scenario: A snapshot keeps accounts, removals and lowerings
@@ -46,7 +46,7 @@
     When the limit changes to 4
     And b is removed
     Then the fold of the snapshot equals the fold
-    When a closes b
+    When a appends its closing of b
     Then the entries hold 4, 0 rights
 
   Scenario: An entry without demand gives what another one needs
@@ -73,8 +73,8 @@
     And the limit changes to 2
     Then the entries hold 2, 1, -1 rights
     When c is removed
-    And a closes c
-    And b closes c
+    And a appends its closing of c
+    And b appends its closing of c
     And a hears that b has settled the lowering at offset 11
     Then a vouches for no lowering
 
--- a/features/runner.py
+++ b/features/runner.py
@@ -10,6 +10,7 @@
 from behave import configuration, model, runner
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+ERROR_CHARACTERS = 2000
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
@@ -34,6 +35,13 @@
     ]
 
 
+def print_errors(scenario: model.Scenario) -> None:
+    """Prints the steps of a failed scenario that did not pass."""
+    for step in scenario.all_steps:
+        if step.error_message:
+            print(f"  {step.name}: {step.error_message[:ERROR_CHARACTERS]}")
+
+
 def main(arguments: list[str]) -> int:
     """Runs the features named in `arguments`, or all of them.
 
@@ -68,6 +76,7 @@
                 print(f"known red: {name}")
             case _:
                 print(f"failed: {name} ({scenario.status.name})")
+                print_errors(scenario)
                 failed += 1
     if passed == 0:
         print("no scenario passed")
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -103,7 +103,7 @@
     assert context.ledgers[a].receive(transfer) is None
 
 
-@behave.when("{a} closes {b}")
+@behave.when("{a:w} appends its closing of {b:w}")
 def close(context, a, b):
     context.offset += 1
     closing = context.ledgers[a].close(b)
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -121,7 +121,7 @@
         known=9,
         age=0.25,
         report=ledger.Report(
-            9, frozenset((team,)), 4, {team: 2}, {team: 1}, False
+            9, frozenset((team,)), 4, {team: 2}, False
         ),
         awaits=True,
         confirmation=coordination.Confirmation(
