--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -118,6 +118,8 @@
             httpclient.HttpClient(self.sockets, self.timers, address)
             for address in self.addresses
         ]
+        self.ready = [False] * len(self.addresses)
+        self.disturbed: set[int] = set()
         self.open = 0
 
     def _start_minions(self) -> None:
@@ -183,6 +185,8 @@
     def run(self) -> int:
         for child in self.children:
             child.start()
+        self.timers.subscribe_every(0.25, self._check_ready)
+        self.timers.subscribe_every(0.5, self._restart_removed)
         self.timers.subscribe_once(3.0, self._roll)
         self.timers.subscribe_once(6.0, self._start_load)
         self.timers.subscribe_once(
@@ -229,6 +233,31 @@
         if self.options.faults:
             self.timers.subscribe_once(1.0, self._inject)
 
+    def _check_ready(self) -> None:
+        """Does what the platform's balancer does."""
+        for index, client in enumerate(self.clients):
+            client.send(
+                "GET",
+                "/ready",
+                [],
+                b"",
+                timeout=1.0,
+                on_result=lambda outcome, index=index: self._note_ready(
+                    index, outcome
+                ),
+            )
+
+    def _note_ready(self, index: int, outcome: httpclient.Result) -> None:
+        self.ready[index] = (
+            isinstance(outcome, httpclient.Answer) and outcome.status == 200
+        )
+
+    def _choose_client(self) -> httpclient.HttpClient:
+        ready = [
+            c for c, ok in zip(self.clients, self.ready, strict=True) if ok
+        ]
+        return self.random.choice(ready or self.clients)
+
     def _load(self) -> None:
         if self.timers.clock() >= self.stop_at:
             return
@@ -268,18 +297,27 @@
             headers.append((b"idempotency-key", item.key.encode()))
         self.open += 1
 
+        tries = [3]
+
         def receive(outcome: httpclient.Result) -> None:
+            tries[0] -= 1
+            if isinstance(outcome, httpclient.NotSent) and tries[0]:
+                send()
+                return
             self.open -= 1
             self._receive(item, outcome)
 
-        self.random.choice(self.clients).send(
-            "POST",
-            f"/q/{queue}/{item.body.decode()}",
-            headers,
-            item.body,
-            timeout=12.0,
-            on_result=receive,
-        )
+        def send() -> None:
+            self._choose_client().send(
+                "POST",
+                f"/q/{queue}/{item.body.decode()}",
+                headers,
+                item.body,
+                timeout=12.0,
+                on_result=receive,
+            )
+
+        send()
         if item.key and again is None and self.random.random() < 0.5:
             delay = self.random.choice((0.0, 0.05, 1.0, 5.0))
             self.timers.subscribe_once(delay, lambda: self._submit(again=item))
@@ -292,6 +330,9 @@
                 item.execution = (
                     outcome.find_header(b"x-execution") or b""
                 ).decode()
+                if item.status in (503, 429, 500):
+                    reason = json.loads(outcome.body).get("reason", "")
+                    item.execution += f" {reason}"
                 item.request_id = (
                     outcome.find_header(b"x-request-id") or b""
                 ).decode()
@@ -310,23 +351,42 @@
         getattr(self, f"_inject_{name}")()
         self.timers.subscribe_once(self.random.uniform(0.5, 3.0), self._inject)
 
-    def _inject_kill(self) -> None:
-        child = self.random.choice(self.children)
-        child.send(signal.SIGKILL)
+    def _take_child(self, seconds: float) -> Child | None:
+        """Returns a child to disturb, unless too many are disturbed."""
+        if len(self.disturbed) >= max(1, (len(self.children) - 1) // 2):
+            return None
+        calm = [
+            index
+            for index in range(len(self.children))
+            if index not in self.disturbed
+        ]
+        index = self.random.choice(calm)
+        self.disturbed.add(index)
         self.timers.subscribe_once(
-            self.random.uniform(0.2, 3.0), lambda: restart(child)
+            seconds + 2.0, lambda: self.disturbed.discard(index)
         )
+        return self.children[index]
+
+    def _inject_kill(self) -> None:
+        pause = self.random.uniform(0.2, 3.0)
+        child = self._take_child(pause)
+        if child is None:
+            return
+        child.send(signal.SIGKILL)
+        self.timers.subscribe_once(pause, lambda: restart(child))
 
     def _inject_pause(self) -> None:
-        child = self.random.choice(self.children)
+        pause = self.random.choice((0.5, 2.5, 8.0))
+        child = self._take_child(pause)
+        if child is None:
+            return
         child.send(signal.SIGSTOP)
-        self.timers.subscribe_once(
-            self.random.choice((0.5, 2.5, 8.0)),
-            lambda: child.send(signal.SIGCONT),
-        )
+        self.timers.subscribe_once(pause, lambda: child.send(signal.SIGCONT))
 
     def _inject_stop(self) -> None:
-        child = self.random.choice(self.children)
+        child = self._take_child(15.0)
+        if child is None:
+            return
         child.send(signal.SIGTERM)
         self.timers.subscribe_once(15.0, lambda: restart(child))
 
@@ -361,6 +421,13 @@
         server = self.random.choice(list(self.minions.values()))
         server.silence_open_connections()
 
+    def _restart_removed(self) -> None:
+        """Starts entries again that the others removed, as a platform does."""
+        for index, child in enumerate(self.children):
+            assert child.process is not None
+            if index not in self.disturbed and child.process.poll() == 75:
+                child.start()
+
     def _end(self) -> None:
         self.timers.stop()
 
@@ -382,7 +449,10 @@
         for item in self.submissions:
             outcome = item.lost or f"{item.status} {item.execution}"
             counts[outcome] = counts.get(outcome, 0) + 1
-            if item.execution == "not-run" and item.request_id in by_id:
+            if (
+                item.execution.startswith("not-run")
+                and item.request_id in by_id
+            ):
                 problems.append(f"not-run but ran: {item}")
             if item.execution == "wrong body":
                 problems.append(f"another request's answer: {item}")
--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -468,10 +468,10 @@
             for zone, spec in declared.zones.items()
             if spec.state is bundle.ZoneState.OUT
         )
-        self._update_targets()
         self.gateway.configure(
             declared, entries=max(1, len(self.coordination.roster.members))
         )
+        self._update_targets()
 
     def _on_members(
         self, payload: record.Joined | record.Left | record.Removed
@@ -482,6 +482,8 @@
             record.Removed: event.Event.MEMBER_REMOVED,
         }
         event.emit(names[type(payload)], member=payload.incarnation)
+        if not isinstance(payload, record.Joined):
+            self.gateway.scheduler.forget_member(payload.incarnation)
         if self.coordination.is_removed:
             self._on_removed()
 
@@ -638,6 +640,7 @@
                         item.running,
                         item.slot_seconds,
                         item.urgent_seconds,
+                        item.raised,
                     )
                     for item in teams
                 }
@@ -689,6 +692,7 @@
                         usage.running,
                         usage.slot_seconds,
                         usage.urgent_seconds,
+                        usage.raised,
                     )
                 )
         self._hub.broadcast(
@@ -706,23 +710,34 @@
     def _update_targets(self) -> None:
         """Tells the router which minions serve which pool."""
         targets = []
+        own: dict[identifiers.PoolId, int] = {}
+        fleet: dict[identifiers.PoolId, int] = {}
         rights = self.coordination.ledger
+        limits = self.coordination.roster.mints.limits
         for worker, assignment in self.state.assignments.items():
             host = self._hosts.get(worker)
             if host is None:
                 continue
             minion = identifiers.MinionId(worker)
+            slot = ledger.slot_resource(minion)
+            held = max(0, rights.held(slot))
+            pool = assignment.pool
+            if not host.leaving:
+                own[pool] = own.get(pool, 0) + held
+                fleet[pool] = fleet.get(pool, 0) + limits.get(slot, 0)
             targets.append(
                 router.Target(
                     minion,
-                    assignment.pool,
+                    pool,
                     host.zone,
                     host.address,
-                    slots=max(0, rights.held(ledger.slot_resource(minion))),
+                    slots=held,
                     leaving=host.leaving,
                 )
             )
         self._router.update(targets, self._clock())
+        for pool, slots in fleet.items():
+            self.gateway.scheduler.set_slots(pool, own=own[pool], fleet=slots)
 
     # Claims, as the gateway sees them.
 
@@ -950,7 +965,7 @@
                 "phase": item.phase.value,
                 "queue": item.grant.queue,
                 "team": item.grant.team,
-                "attempts": item.attempts,
+                "attempts": 0 if item.attempt is None else item.attempt.number,
             }
         team = identifiers.TeamId(subject)
         usage = self.gateway.scheduler.usage().get(team)
--- a/clementinewood/flow.py
+++ b/clementinewood/flow.py
@@ -9,6 +9,7 @@
     edge,
     identifiers,
     priority,
+    retry,
     router,
     scheduler,
     verdict,
@@ -38,14 +39,15 @@
         idempotent: Whether running it twice is harmless.
         deadline: Monotonic time by which its run should have ended.
         run_limit: Seconds after which a minion stops the work.
+        estimate: Declared run time in seconds.
         max_attempts: Attempts allowed by the queue.
         received: Monotonic time of arrival.
         phase: Where it is.
-        attempts: Attempts made.
-        execution: What all attempts so far say.
-        failed_on: Minions to avoid.
+        attempt: The last attempt that ended.
+        exclude: Minions to avoid.
         target: Minion of the attempt in progress.
         started: Monotonic time at which the attempt was sent.
+        attempt_limit: Run limit of the attempt in progress, in seconds.
         key_claim: The claim of its idempotency key, if it has one.
         cancelled: Whether the caller has gone.
     """
@@ -58,18 +60,47 @@
     idempotent: bool
     deadline: float
     run_limit: float
+    estimate: float
     max_attempts: int
     received: float
     phase: Phase = Phase.QUEUED
-    attempts: int = 0
-    execution: verdict.Execution = verdict.Execution.NOT_RUN
-    failed_on: frozenset[identifiers.MinionId] = frozenset()
+    attempt: retry.Attempt | None = None
+    exclude: frozenset[identifiers.MinionId] = frozenset()
     target: router.Target | None = None
     started: float = 0.0
+    attempt_limit: float = 0.0
     key_claim: claim.Claim | None = None
     cancelled: bool = False
 
-    def create_job(self, estimate: float) -> scheduler.Job:
+    @property
+    def execution(self) -> verdict.Execution:
+        """What all attempts so far say about execution."""
+        if self.attempt is None:
+            return verdict.Execution.NOT_RUN
+        return self.attempt.execution
+
+    def end_attempt(
+        self, outcome: retry.Outcome, minion: identifiers.MinionId
+    ) -> retry.Attempt:
+        """Notes how the attempt at `minion` ended and returns it."""
+        if self.attempt is not None:
+            self.attempt = self.attempt.follow(outcome, minion)
+        else:
+            self.attempt = retry.Attempt(
+                request_id=self.request_id,
+                team=self.grant.team,
+                number=1,
+                outcome=outcome,
+                idempotent=self.idempotent,
+                deadline=self.deadline,
+                estimate=self.estimate,
+                minion=minion,
+                max_attempts=self.max_attempts,
+                kind=(self.grant.team, self.grant.queue),
+            )
+        return self.attempt
+
+    def create_job(self) -> scheduler.Job:
         """Returns the job to queue, with the declared run time."""
         return scheduler.Job(
             request_id=self.request_id,
@@ -78,5 +109,5 @@
             customer=self.grant.customer,
             priority=self.priority,
             deadline=self.deadline,
-            estimate=estimate,
+            estimate=self.estimate,
         )
--- a/clementinewood/gateway.py
+++ b/clementinewood/gateway.py
@@ -42,6 +42,9 @@
 ANSWER_MARGIN = 0.5
 """Time for an answer to arrive after the run limit."""
 
+MIN_RUN_LIMIT = 0.1
+"""Least run limit sent to a minion, in seconds."""
+
 CHOICES = 6
 """Minions looked at for one with a free slot; a pool has 6 today."""
 
@@ -150,7 +153,7 @@
         self._me = me
         self._metrics = metrics
         self._wall_clock = wall_clock
-        self._estimates: dict[identifiers.RequestId, float] = {}
+        self._pools: list[identifiers.PoolId] = []
         self._chosen: router.Target | None = None
         self._pumping = False
         timers.subscribe_every(TICK_SECONDS, self._tick)
@@ -164,6 +167,7 @@
         """Takes over a bundle for the requests that come from now on."""
         self.admission = admission.Admission(bundle)
         self.scheduler.configure(bundle.teams, bundle.queues, entries=entries)
+        self._pools = sorted({spec.pool for spec in bundle.queues.values()})
         self.pump()
 
     def handle_exchange(self, exchange: edge.Exchange) -> None:
@@ -199,15 +203,23 @@
             return
         self._pumping = True
         try:
-            while self._is_fresh():
-                now = self._clock()
-                job = self.scheduler.pick(now, self._can_start)
-                if job is None:
-                    break
-                self._start(self.flows[job.request_id], now)
+            for pool in self._pools:
+                self._pump_pool(pool)
         finally:
             self._pumping = False
 
+    def _pump_pool(self, pool: identifiers.PoolId) -> None:
+        while (
+            self.scheduler.has_waiting(pool)
+            and self._is_fresh()
+            and self._router.free_slots(pool, self._clock()) > 0
+        ):
+            now = self._clock()
+            job = self.scheduler.pick(now, self._can_start, pool=pool)
+            if job is None:
+                return
+            self._start(self.flows[job.request_id], now)
+
     def _admit(
         self, exchange: edge.Exchange, head: requesthead.RequestHead
     ) -> None:
@@ -246,11 +258,11 @@
             idempotent=head.idempotent,
             deadline=now + head.deadline,
             run_limit=queue.run_limit,
+            estimate=min(head.estimate, queue.run_limit),
             max_attempts=queue.max_attempts,
             received=now,
         )
         self.flows[item.request_id] = item
-        self._estimates[item.request_id] = min(head.estimate, queue.run_limit)
         exchange.on_cancel = lambda: self._cancel(item)
         self._retries.record_request(grant.team)
         if head.idempotency_key is not None and not head.idempotent:
@@ -296,17 +308,17 @@
 
     def _enqueue(self, item: flow.Flow) -> None:
         item.phase = Phase.QUEUED
-        job = item.create_job(self._estimates[item.request_id])
-        refusal = self.scheduler.submit(job, self._clock())
+        refusal = self.scheduler.submit(item.create_job(), self._clock())
         if refusal is not None:
             self._refuse(item, refusal)
+        self._expire()
 
     def _can_start(self, job: scheduler.Job) -> bool:
         item = self.flows[job.request_id]
         if self._rights.available(ledger.team_resource(job.team)) <= 0:
             return False
-        self._chosen = self._choose(item, item.failed_on)
-        if self._chosen is None and item.failed_on:
+        self._chosen = self._choose(item, item.exclude)
+        if self._chosen is None and item.exclude:
             self._chosen = self._choose(item, frozenset())
         return self._chosen is not None
 
@@ -336,7 +348,11 @@
         item.phase = Phase.RUNNING
         item.target = target
         item.started = now
-        item.attempts += 1
+        # Work that can't end by the deadline is of no use, and a shorter
+        # limit frees the rights of a lost attempt sooner.
+        item.attempt_limit = min(
+            item.run_limit, max(MIN_RUN_LIMIT, item.deadline - now)
+        )
         self._router.start(target.minion, now)
         request = item.exchange.request
         self._sender.send(
@@ -347,9 +363,9 @@
             request.headers,
             request.body,
             idempotent=item.idempotent,
-            run_limit=item.run_limit,
+            run_limit=item.attempt_limit,
             start_before=self._wall_clock() + START_WINDOW,
-            timeout=START_WINDOW + item.run_limit + ANSWER_MARGIN,
+            timeout=START_WINDOW + item.attempt_limit + ANSWER_MARGIN,
             on_result=lambda outcome, answer: self._finish_attempt(
                 item, target, outcome, answer
             ),
@@ -365,43 +381,27 @@
         now = self._clock()
         self._metrics.count(metric.ATTEMPTS, outcome=outcome.value)
         self._release_rights(item, target, outcome, now)
-        self._router.finish(target.minion, outcome, now - item.started, now)
+        earlier = item.attempt
+        attempt = item.end_attempt(outcome, target.minion)
+        self._router.finish(
+            target.minion,
+            outcome,
+            now - item.started,
+            now,
+            blame=earlier is None or not earlier.failures,
+        )
         self.scheduler.finish(item.request_id, now)
-        attempt = self._describe_attempt(item, target, outcome)
-        item.execution = attempt.execution
         item.target = None
         if outcome is retry.Outcome.ANSWERED:
             assert answer is not None
+            self._retries.record_success(attempt.kind)
             self._answer(item, answer)
         elif item.cancelled:
-            self._refuse(
-                item, verdict.Refusal(Reason.CANCELLED, item.execution)
-            )
+            self._refuse(item, verdict.Refusal(Reason.CANCELLED))
         else:
             self._retry(item, attempt, answer, now)
         self.pump()
 
-    def _describe_attempt(
-        self,
-        item: flow.Flow,
-        target: router.Target,
-        outcome: retry.Outcome,
-    ) -> retry.Attempt:
-        return retry.Attempt(
-            request_id=item.request_id,
-            team=item.grant.team,
-            number=item.attempts,
-            outcome=outcome,
-            idempotent=item.idempotent,
-            deadline=item.deadline,
-            estimate=self._estimates[item.request_id],
-            minion=target.minion,
-            earlier=item.execution,
-            failed_on=item.failed_on,
-            max_attempts=item.max_attempts,
-            kind=(item.grant.team, item.grant.queue),
-        )
-
     def _retry(
         self,
         item: flow.Flow,
@@ -412,7 +412,7 @@
         match self._retries.decide(attempt, now):
             case retry.Retry(delay=delay, exclude=exclude):
                 self._metrics.count(metric.RETRIES, cause=attempt.outcome.value)
-                item.failed_on = exclude
+                item.exclude = exclude
                 item.phase = Phase.WAITING_RETRY
                 self._timers.subscribe_once(delay, lambda: self._resume(item))
             case retry.GiveUp(refusal=refusal):
@@ -444,7 +444,7 @@
         if retry.EXECUTIONS[outcome] is not verdict.Execution.MAY_HAVE_RUN:
             release()
             return
-        over = item.started + START_WINDOW + item.run_limit + LEASE_MARGIN
+        over = item.started + START_WINDOW + item.attempt_limit + LEASE_MARGIN
         self._timers.subscribe_once(max(0.0, over - now), release)
 
     def _cancel(self, item: flow.Flow) -> None:
@@ -457,7 +457,7 @@
                 # The minion may go on, so the right stays taken until it
                 # answers; a claim that is decided to run is given up then.
                 return
-        self._refuse(item, verdict.Refusal(Reason.CANCELLED, item.execution))
+        self._refuse(item, verdict.Refusal(Reason.CANCELLED))
 
     def _answer(
         self,
@@ -485,12 +485,9 @@
         item.exchange.respond(answer.status, headers, answer.body)
 
     def _refuse(self, item: flow.Flow, refusal: verdict.Refusal) -> None:
-        execution = retry.combine_executions(refusal.execution, item.execution)
-        refusal = verdict.Refusal(
-            refusal.reason, execution, refusal.detail, refusal.retry_after
-        )
+        refusal = retry.combine_refusal(refusal, item.execution)
         self._count_refusal(refusal)
-        self._finish(item, None, execution)
+        self._finish(item, None, refusal.execution)
         status, headers, body = render_refusal(refusal, item.request_id)
         item.exchange.respond(status, headers, body)
 
@@ -502,7 +499,6 @@
     ) -> None:
         item.phase = Phase.DONE
         self.flows.pop(item.request_id, None)
-        self._estimates.pop(item.request_id, None)
         if item.key_claim is not None:
             size = 0 if answer is None else len(answer.body)
             self._claims.finish(
@@ -527,11 +523,15 @@
         )
 
     def _tick(self) -> None:
+        self._expire()
+        self.pump()
+
+    def _expire(self) -> None:
+        """Refuses queued requests that were evicted or are too late."""
         for job, refusal in self.scheduler.expire(self._clock()):
             item = self.flows.get(job.request_id)
             if item is not None:
                 self._refuse(item, refusal)
-        self.pump()
 
 
 _CLAIM_REFUSALS: Mapping[claim.Ruling, verdict.Refusal] = {
