Do not time out requests that wait for their caller to read

Cause: a whole request that waited for its caller to read earlier answers got a 408 after 10 s (found by letting 15 s pass in the back-pressure scenario, which failed); cancelled calls kept their place among those waiting for a connection. Change: request and idle limits do not run while answers are unread, which has its own limit; cancelled calls are dropped when the queue is full.

--- a/clementinewood/edge.py
+++ b/clementinewood/edge.py
@@ -216,6 +216,10 @@
     def on_drained(self, connection: transport.Connection) -> None:
         """Goes on with requests that waited for the caller to read."""
         self._write_deadline = None
+        if self._is_receiving:
+            self.deadline = (
+                self._edge.clock() + self._edge.limits.request_seconds
+            )
         self._parse()
 
     def on_closed(self, connection: transport.Connection, reason: str) -> None:
@@ -234,9 +238,13 @@
             connection.abort("caller does not read")
         elif self._closing or self.exchange is not None or now < self.deadline:
             return
+        elif connection.buffered_bytes:
+            # Requests wait here for their caller to read earlier answers,
+            # which has its own limit.
+            return
         elif self._is_receiving:
             self._refuse(verdict.Reason.REQUEST_TIMEOUT)
-        elif not connection.buffered_bytes:
+        else:
             self._close()
 
     def close_if_idle(self) -> None:
--- a/clementinewood/httpclient.py
+++ b/clementinewood/httpclient.py
@@ -402,6 +402,11 @@
             timeout, lambda: self._time_out(call)
         )
         if not self._start(call, careful=reuse_careful):
+            if len(self._waiting) >= self._max_waiting:
+                # Calls that timed out or were cancelled hold no place.
+                self._waiting = collections.deque(
+                    waiting for waiting in self._waiting if not waiting.done
+                )
             if len(self._waiting) < self._max_waiting:
                 self._waiting.append(call)
             else:
--- a/features/edge.feature
+++ b/features/edge.feature
@@ -125,6 +125,7 @@
     Given an edge with answer bytes = 100000
     When a caller that does not read sends 100 requests
     Then the edge has requests from 1 to 89
+    When 15 seconds pass at the edge
     Then the caller gets 100 whole answers
 
   Scenario: A caller that never reads is cut off at its time limit
--- a/features/steps/upstream_steps.py
+++ b/features/steps/upstream_steps.py
@@ -70,6 +70,17 @@
     context.side.connect(max_connections=count)
 
 
+@behave.given("the upstream lets {count:d} calls wait")
+def limit_waiting(context, count):
+    context.side.connect(max_connections=1, max_waiting=count)
+
+
+@behave.when("{count:d} requests are sent and cancelled while they wait")
+def cancel_waiting(context, count):
+    for _ in range(count):
+        context.side.send().cancel()
+
+
 @behave.given("a recording server in place of the minion")
 def start_recorder(context):
     side = context.side
--- a/features/upstream.feature
+++ b/features/upstream.feature
@@ -155,6 +155,24 @@
     Then 7 upstream outcomes are Answered
     And the minion saw 3 connections
 
+  Scenario: Calls that wait for a connection are bounded
+    Given an upstream with at most 1 connections
+    And the upstream lets 2 calls wait
+    When the upstream sends 5 requests with run-ms = 60000
+    Then 2 upstream outcomes are NotSent
+    When 4 seconds pass at the upstream
+    And the upstream sends 2 requests with run-ms = 0
+    Then 2 upstream outcomes are Answered
+
+  Scenario: Cancelled calls hold no place among those that wait
+    Given an upstream with at most 1 connections
+    And the upstream lets 2 calls wait
+    When the upstream sends 1 requests with run-ms = 1000
+    And 5 requests are sent and cancelled while they wait
+    And the upstream sends 2 requests with run-ms = 0
+    And 2 seconds pass at the upstream
+    Then 3 upstream outcomes are Answered
+
   Scenario: A cancelled request ends its run at the minion
     When the upstream sends a request of 5000 ms and cancels it
     Then the minion runs 0 requests
