Try each lending pool once in a planning round

Cause: a round at 12,000 workers with many short pools tried every host of every pool again for each move; 60 rounds took over 200 s.

--- a/clementinewood/move.py
+++ b/clementinewood/move.py
@@ -95,6 +95,8 @@
         self._surplus_since: dict[identifiers.PoolId, float] = {}
         self._peaked_at: dict[identifiers.PoolId, float] = {}
         self._balances: dict[identifiers.PoolId, _Balance] = {}
+        self._lenders: list[identifiers.PoolId] = []
+        self._sizes: dict[identifiers.PoolId, set[capacity.Resources]] = {}
         self._taken: set[identifiers.WorkerId] = set()
 
     def plan(
@@ -124,6 +126,8 @@
                 used = balance.need.share_of(balance.serving)
                 if used >= self.settings.peak:
                     self._peaked_at[pool] = now
+        self._sizes = {}
+        self._lenders = self._order_lenders()
         records = self._plan_new(now, limit)
         blocked: set[identifiers.PoolId] = set()
         while len(records) < limit:
@@ -212,7 +216,28 @@
         what they will need sooner. Pools without a known peak come after it,
         the most idle first.
         """
-        lenders = sorted(
+        for lender in list(self._lenders):
+            if lender == target:
+                continue
+            if not self._has_surplus(lender):
+                self._lenders.remove(lender)
+                continue
+            helped = False
+            for worker in self._rank_hosts(lender, target):
+                if not self._helps(target, self._size(worker)):
+                    continue
+                helped = True
+                record = self._lend(worker, target, reservation, now)
+                if record is not None:
+                    return record
+            if helped:
+                # No host of the lender may move in this round, to any pool.
+                self._lenders.remove(lender)
+        return None
+
+    def _order_lenders(self) -> list[identifiers.PoolId]:
+        """Orders the pools for a round; each is tried until it has no more."""
+        ranked = sorted(
             (
                 not balance.spare,
                 -self._peaked_at.get(pool, float("-inf")),
@@ -220,14 +245,32 @@
                 pool,
             )
             for pool, balance in self._balances.items()
-            if pool != target and balance.hosts > 0
+            if balance.known and balance.hosts > 0
         )
-        for *_, lender in lenders:
-            for worker in self._rank_hosts(lender, target):
-                record = self._lend(worker, target, reservation, now)
-                if record is not None:
-                    return record
-        return None
+        return [pool for *_, pool in ranked]
+
+    def _has_surplus(self, pool: identifiers.PoolId) -> bool:
+        """Whether the pool can do without a host of some size it has."""
+        sizes = self._sizes.get(pool)
+        if sizes is None:
+            sizes = self._sizes[pool] = {
+                self._size(worker)
+                for workers in self._fleet.pools[pool].serving.values()
+                for worker in workers
+            }
+        balance = self._balances[pool]
+        return any(self._can_lend(balance, size) for size in sizes)
+
+    def _helps(
+        self, target: identifiers.PoolId, size: capacity.Resources
+    ) -> bool:
+        """Whether the host has the resource that the pool is short of."""
+        taker = self._balances[target]
+        if not taker.is_short():
+            return True
+        before = taker.need.share_of(taker.supply)
+        after = taker.need.share_of(taker.supply + size)
+        return after < before or before == float("inf")
 
     def _lend(
         self,
@@ -237,20 +280,14 @@
         now: float,
     ) -> fleet_record.Payload | None:
         lender = self._balances[self._fleet.state.hosts[worker].pool]
-        taker = self._balances[target]
         size = self._size(worker)
         if not self._can_lend(lender, size):
             return None
-        before = taker.need.share_of(taker.supply)
-        after = taker.need.share_of(taker.supply + size)
-        if after >= before and taker.is_short() and before != float("inf"):
-            # The host lacks the resource that the pool is short of.
-            return None
         record = self.create_move(worker, target, reservation, now)
         if record is not None:
             self._taken.add(worker)
             lender.give(size)
-            taker.supply += size
+            self._balances[target].supply += size
         return record
 
     def create_move(
