--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -347,8 +347,8 @@
             measure_wave(
                 shape,
                 kind,
-                limit=100 if large else 50,
-                tick=4.0 if large else 1.0,
+                limit=200 if large else 50,
+                tick=2.0 if large else 1.0,
                 seeds=seeds,
             )
     for shape in SITES[:2]:
--- a/clementinewood/buffer.py
+++ b/clementinewood/buffer.py
@@ -117,11 +117,32 @@
         workers: Iterable[fleet.Worker],
         planned: int = 0,
     ) -> BufferPlan:
-        """Returns the plan for all pools together, which may borrow."""
+        """Returns the plan for all pools together, which may borrow.
+
+        A host belongs to one pool, so each pool's need is rounded up to
+        whole hosts of the most common size that has what the pool needs.
+        """
+        hosts = list(workers)
+        sizes = [
+            size
+            for size, _ in collections.Counter(
+                worker.resources for worker in hosts
+            ).most_common()
+        ]
         total = capacity.NONE
         for need in needs.values():
-            total += need
-        return self.plan(total, workers, planned)
+            total += _round_up(need, sizes)
+        return self.plan(total, hosts, planned)
+
+
+def _round_up(
+    need: capacity.Resources, sizes: list[capacity.Resources]
+) -> capacity.Resources:
+    for size in sizes:
+        if not math.isinf(need.share_of(size)):
+            whole = size.scale(capacity.count_hosts(need, size))
+            return _maximum(need, whole)
+    return need
 
 
 class _Choice:
