--- a/clementinewood/fleet_fold.py
+++ b/clementinewood/fleet_fold.py
@@ -367,3 +367,11 @@
                 self.planned[host.pool] = self.planned.get(host.pool, 0) + 1
         self._notify(None)
         return Outcome.APPLIED
+
+
+if __name__ == "__main__":
+    LEASE = fleet_record.PlannerLease(
+        identifiers.Incarnation("entry-1/a"), 0, 10.0
+    )
+    STATE = FleetState()
+    print(STATE.apply(LEASE, 0, 0.0), STATE.apply(LEASE, 1, 1.0), STATE.lease)
--- a/clementinewood/planner.py
+++ b/clementinewood/planner.py
@@ -6,7 +6,9 @@
 from clementinewood import (
     budget,
     buffer,
+    capacity,
     fleet,
+    fleet_fold,
     fleet_record,
     identifiers,
     maintenance,
@@ -199,3 +201,40 @@
             zone=roll.zone,
             can_spare=can_spare,
         )
+
+
+def _show_example() -> None:
+    """Prints the records that move a host to a pool in need."""
+    east, spare = identifiers.PoolId("east"), identifiers.PoolId("spare")
+    zone = identifiers.ZoneId("z1")
+    hosts = {
+        pool: tuple(identifiers.WorkerId(f"{pool}-{i}") for i in range(3))
+        for pool in (east, spare)
+    }
+    pools = {
+        pool: fleet_record.PoolDeclaration(workers, spare=pool == spare)
+        for pool, workers in hosts.items()
+    }
+    state = fleet_fold.FleetState()
+    state.apply(
+        fleet_record.BundleAccepted(
+            fleet_record.FleetDeclaration(pools, (zone,)),
+            0,
+            "ana",
+            identifiers.create_record_id(),
+        ),
+        0,
+        0.0,
+    )
+    view = fleet.Fleet(state)
+    for workers in hosts.values():
+        for worker in workers:
+            place = fleet.Worker(worker, zone, identifiers.RackId("r1"))
+            view.observe(fleet.HostReport(place))
+    planner = Planner(identifiers.Incarnation("entry-1/a"), view)
+    for record in planner.plan({east: capacity.DEFAULT.scale(4)}, 0.0):
+        print(record)
+
+
+if __name__ == "__main__":
+    _show_example()
--- a/features/fleet_broken.py
+++ b/features/fleet_broken.py
@@ -132,6 +132,14 @@
         self.maintenance.plan_pause = plan
 
 
+class NeverPause(planner.Planner):
+    """Goes on with maintenance through a wave of failures."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.maintenance.is_paused = lambda now: False
+
+
 class ForgetHosts(planner.Planner):
     """Leaves half-done hosts of a former planner alone."""
 
@@ -162,6 +170,7 @@
     "former members kept": fleet_world.Parts(fleet=KeepMembers),
     "reboot at once": fleet_world.Parts(planner=RebootAtOnce),
     "old idle evidence": fleet_world.Parts(planner=TrustOldEvidence),
+    "no pause": fleet_world.Parts(planner=NeverPause),
     "no resume": fleet_world.Parts(planner=StayPaused),
     "half-done hosts forgotten": fleet_world.Parts(planner=ForgetHosts),
 }
--- a/features/steps/fleet_plain_steps.py
+++ b/features/steps/fleet_plain_steps.py
@@ -1,16 +1,18 @@
 """Steps for fleet planning without faults."""
 
+import dataclasses
+
 import behave
 
-from clementinewood import capacity, fleet_fold, fleet_record
-from features import fleet_world
+from clementinewood import capacity, fleet, fleet_fold, fleet_record
+from features import fleet_broken, fleet_world
 
 
 class Counter:
     """Counts accepted assignments."""
 
     def __init__(self):
-        self.assigned = 0
+        self.assigned = self.cordoned = 0
 
     def on_tick(self):
         pass
@@ -21,6 +23,8 @@
     def after(self, payload, outcome):
         if outcome is fleet_fold.Outcome.APPLIED:
             self.assigned += isinstance(payload, fleet_record.WorkerAssigned)
+            step = getattr(payload, "step", None)
+            self.cordoned += step is fleet_record.Step.CORDONED
 
     def on_start(self, worker):
         pass
@@ -31,7 +35,18 @@
 
 @behave.given("a fleet of three pools of 4 hosts")
 def create_fleet(context):
-    context.world = fleet_world.World()
+    prepare(context, fleet_world.Parts())
+
+
+@behave.given(
+    "a fleet of three pools of 4 hosts whose maintenance never pauses"
+)
+def create_unpaused(context):
+    prepare(context, fleet_broken.PARTS["no pause"])
+
+
+def prepare(context, parts):
+    context.world = fleet_world.World(parts)
     context.counter = Counter()
     context.world.observers.append(context.counter)
 
@@ -118,3 +133,85 @@
     roll = context.world.truth.roll
     assert roll.done == set(fleet_world.ZONES), roll
     assert set(roll.zone_versions.values()) == {2}, roll
+
+
+@behave.when('the hosts of fleet pools "{pools}" fail for {seconds:g} seconds')
+def fail_pools(context, pools, seconds):
+    for worker, host in context.world.hosts.items():
+        if host.pool in pools.split(","):
+            context.world.fail(worker, seconds=seconds)
+
+
+@behave.then("{count:d} fleet hosts were cordoned")
+def check_cordoned(context, count):
+    assert context.counter.cordoned == count, context.counter.cordoned
+
+
+@behave.then("more than {count:d} fleet hosts were cordoned")
+def check_more_cordoned(context, count):
+    assert context.counter.cordoned > count
+
+
+@behave.given('fleet host "{worker}" stays down after its next reboot')
+def stay_down(context, worker):
+    context.world.hosts[worker].returns = False
+
+
+@behave.when('fleet host "{worker}" comes back broken')
+def come_back_broken(context, worker):
+    host = context.world.hosts[worker]
+    host.up, host.healthy, host.returns = True, False, True
+
+
+@behave.when('fleet host "{worker}" is repaired')
+def repair(context, worker):
+    context.world.hosts[worker].healthy = True
+
+
+@behave.then('fleet host "{worker}" is recorded as lost')
+def check_lost(context, worker):
+    step = context.world.truth.hosts[worker].step
+    assert step is fleet_record.Step.LOST, step
+
+
+@behave.then('every host of fleet pools "{pools}" has booted {count:d} times')
+def check_pool_boots(context, pools, count):
+    for host in context.world.hosts.values():
+        if host.pool in pools.split(","):
+            assert host.boots == count, host
+
+
+@behave.then('fleet host "{worker}" starts no task')
+def check_no_task(context, worker):
+    assert not context.world.start_task(worker, 1)
+
+
+@behave.then('fleet host "{worker}" is in service and maintained')
+def check_maintained(context, worker):
+    state = context.world.truth.hosts[worker]
+    assert state.step is fleet_record.Step.IN_SERVICE, state
+    assert state.maintained > 0, state
+
+
+@behave.when('fleet host "{worker}" is listed as live and as leaving')
+def list_twice(context, worker):
+    world = context.world
+    reports = [host.report(world.now + 1) for host in world.hosts.values()]
+    twin = dataclasses.replace(
+        world.hosts[worker].report(world.now + 1),
+        listing=fleet.Listing.LEAVING,
+    )
+    world.view.observe_list([twin, *reports], world.now + 1)
+
+
+@behave.then('fleet host "{worker}" starts no task in the view of that list')
+def check_listed(context, worker):
+    assert not context.world.view.can_start(worker)
+    assert context.world.view.can_start("east-1")
+
+
+@behave.when("a fleet host that no pool has is listed for {seconds:g} seconds")
+def list_new(context, seconds):
+    worker = fleet.Worker("new-0", "z2", "z2-r9")
+    context.world.hosts["new-0"] = fleet_world.Host(worker, None)
+    context.world.advance(seconds)
