Count moves whose records are still on their way to the log

Cause: a round before the log answered planned the same need again with hosts of another pool. Change: the mover counts its unanswered records until they are folded or have expired; PoolBalance has a file of its own.

--- a/clementinewood/move.py
+++ b/clementinewood/move.py
@@ -9,6 +9,7 @@
     fleet,
     fleet_record,
     identifiers,
+    pool_balance,
     wave,
 )
 
@@ -41,35 +42,6 @@
     returns: int = 1
 
 
-@dataclasses.dataclass(slots=True)
-class _Balance:
-    """Resources of one pool while a round is being planned.
-
-    Attributes:
-        need: What its work needs.
-        supply: What serves, arrives or comes back soon.
-        serving: What serves.
-        hosts: Number of serving hosts.
-        spare: Whether it is the pool that lends first.
-        known: Whether the need is known; if not, no host moves or waits.
-    """
-
-    need: capacity.Resources
-    supply: capacity.Resources
-    serving: capacity.Resources
-    hosts: int
-    spare: bool
-    known: bool
-
-    def is_short(self) -> bool:
-        return self.known and not self.supply.covers(self.need)
-
-    def give(self, host: capacity.Resources) -> None:
-        self.supply -= host
-        self.serving -= host
-        self.hosts -= 1
-
-
 class Mover:
     """Plans moves between pools.
 
@@ -94,9 +66,12 @@
         self.settings = settings
         self._surplus_since: dict[identifiers.PoolId, float] = {}
         self._peaked_at: dict[identifiers.PoolId, float] = {}
-        self._balances: dict[identifiers.PoolId, _Balance] = {}
+        self._balances: dict[identifiers.PoolId, pool_balance.PoolBalance] = {}
         self._lenders: list[identifiers.PoolId] = []
         self._sizes: dict[identifiers.PoolId, set[capacity.Resources]] = {}
+        self._pending: dict[
+            identifiers.WorkerId, tuple[identifiers.PoolId, int, float]
+        ] = {}
         self._taken: set[identifiers.WorkerId] = set()
 
     def plan(
@@ -128,6 +103,7 @@
                     self._peaked_at[pool] = now
         self._sizes = {}
         self._lenders = self._order_lenders()
+        self._apply_pending(now)
         records = self._plan_new(now, limit)
         blocked: set[identifiers.PoolId] = set()
         while len(records) < limit:
@@ -157,7 +133,7 @@
 
     def _balance(
         self, needs: Needs, now: float
-    ) -> dict[identifiers.PoolId, _Balance]:
+    ) -> dict[identifiers.PoolId, pool_balance.PoolBalance]:
         balances = {}
         for pool, spec in self._fleet.state.declaration.pools.items():
             counts = self._fleet.pools[pool]
@@ -169,7 +145,7 @@
                     and waited < self.settings.grace
                 ):
                     supply += self._size(worker)
-            balances[pool] = _Balance(
+            balances[pool] = pool_balance.PoolBalance(
                 needs.get(pool, capacity.NONE),
                 supply,
                 counts.capacity,
@@ -190,7 +166,9 @@
         ]
         return min(needy)[1] if needy else None
 
-    def _can_lend(self, balance: _Balance, host: capacity.Resources) -> bool:
+    def _can_lend(
+        self, balance: pool_balance.PoolBalance, host: capacity.Resources
+    ) -> bool:
         """Whether the pool can do without one more host of that size."""
         if balance.spare:
             return (balance.serving - host).covers(balance.need)
@@ -199,7 +177,7 @@
         keep = balance.need.scale(1 + self.settings.margin)
         return (balance.serving - host).covers(keep)
 
-    def _surplus(self, balance: _Balance) -> float:
+    def _surplus(self, balance: pool_balance.PoolBalance) -> float:
         """Returns the part of the pool's serving capacity not needed."""
         return balance.hosts * (1 - balance.need.share_of(balance.serving))
 
@@ -288,8 +266,23 @@
             self._taken.add(worker)
             lender.give(size)
             self._balances[target].supply += size
+            version = self._fleet.state.hosts[worker].version
+            expires = now + self._wave.settings.validity
+            self._pending[worker] = (target, version, expires)
         return record
 
+    def _apply_pending(self, now: float) -> None:
+        """Counts moves whose records may still be on their way to the log."""
+        hosts = self._fleet.state.hosts
+        for worker, (target, version, expires) in list(self._pending.items()):
+            host = hosts.get(worker)
+            if host is None or host.version != version or now > expires:
+                del self._pending[worker]
+            elif target in self._balances and host.pool in self._balances:
+                self._taken.add(worker)
+                self._balances[host.pool].give(self._size(worker))
+                self._balances[target].supply += self._size(worker)
+
     def create_move(
         self,
         worker: identifiers.WorkerId,
--- a/features/fleet_parts.feature
+++ b/features/fleet_parts.feature
@@ -39,6 +39,13 @@
     Then fleet pool "west" has 4 serving hosts
     And fleet pool "east" has 8 serving hosts
 
+  Scenario: A second round before the log answers moves no more hosts
+    Given a fleet of three pools of 4 hosts
+    When two fleet rounds in a row find that pool "east" needs 6 hosts
+    Then the two fleet rounds move 2 hosts in all
+    When a fleet round follows after the first records have expired
+    Then that fleet round moves 2 hosts
+
   Scenario: A roll halts on bad signals and only the next bundle goes on
     Given a fleet of three pools of 4 hosts
     When a bundle with a new fleet revision is published
--- a/features/steps/fleet_parts_steps.py
+++ b/features/steps/fleet_parts_steps.py
@@ -8,7 +8,14 @@
 import hypothesis
 from hypothesis import strategies
 
-from clementinewood import buffer, capacity, demand, fleet, rollout
+from clementinewood import (
+    buffer,
+    capacity,
+    demand,
+    fleet,
+    fleet_record,
+    rollout,
+)
 from clementinewood import rollout_effect as effect
 from features import fleet_world
 
@@ -213,6 +220,38 @@
     del context.world.needs[pool]
 
 
+def count_moves(context, now):
+    planner = context.world.nodes[0].planner
+    records = planner.plan(context.world.needs, now)
+    return sum(isinstance(r, fleet_record.WorkerAssigned) for r in records)
+
+
+@behave.when(
+    'two fleet rounds in a row find that pool "{pool}" needs {hosts:d} hosts'
+)
+def plan_twice(context, pool, hosts):
+    context.world.needs[pool] = HOST.scale(hosts)
+    context.moves = [count_moves(context, now) for now in (0.0, 1.0)]
+
+
+@behave.then("the two fleet rounds move {count:d} hosts in all")
+def check_two_rounds(context, count):
+    assert sum(context.moves) == count, context.moves
+
+
+@behave.when("a fleet round follows after the first records have expired")
+def plan_later(context):
+    context.world.now = 11.0
+    context.world.deliver()
+    context.world.deliver()
+    context.moves = [count_moves(context, 11.0)]
+
+
+@behave.then("that fleet round moves {count:d} hosts")
+def check_later_round(context, count):
+    assert context.moves == [count], context.moves
+
+
 @behave.when('fleet zone "{zone}" reports failures')
 def report_failures(context, zone):
     context.world.signals = {zone: rollout.Signals(100, 50)}
