Send the operators' token; follow the ledger's newer closing rule

Cause: the entry's pages ask for a token and name their errors "error"; its GET /v1/bundles tells no text, which plan took for "no bundle in force".

--- a/clementinewood/command_bundle.py
+++ b/clementinewood/command_bundle.py
@@ -5,7 +5,7 @@
   0  done
   1  the bundle has errors
   2  wrong usage of the command
-  3  the signature or the key was refused
+  3  the signature, the key or the operators' token was refused
   4  another bundle came first; it stays in force
   5  accepted, but not yet in force at every entry
   6  no entry could be reached or could accept it now
@@ -72,6 +72,7 @@
 
     Args:
         addresses: Entries, tried in turn.
+        token: Operators' token, when the entries ask for one.
         sleep: Waits for some seconds.
         clock: Monotonic time in seconds.
     """
@@ -80,10 +81,12 @@
         self,
         addresses: Sequence[settings.Address],
         *,
+        token: str = "",
         sleep: Callable[[float], None] = time.sleep,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.addresses = list(addresses)
+        self.token = token
         self.sleep = sleep
         self.clock = clock
 
@@ -94,15 +97,18 @@
         only requests that are safe to repeat may be made.
 
         Raises:
-            CommandError: No entry answered, or none can serve it now.
+            CommandError: No entry answered, none can serve it now, or the
+                token was refused.
         """
         problems = []
         for address in self.addresses:
             try:
-                reply = _exchange(address, method, path, body)
+                reply = _exchange(address, method, path, body, self.token)
             except (OSError, http.client.HTTPException, ValueError) as error:
                 detail = str(error) or type(error).__name__
             else:
+                if reply.status == 401:
+                    raise CommandError(Exit.SIGNATURE, _describe(reply))
                 if reply.status < 500:
                     return reply
                 detail = _describe(reply)
@@ -111,13 +117,14 @@
 
 
 def _exchange(
-    address: settings.Address, method: str, path: str, body: bytes
+    address: settings.Address, method: str, path: str, body: bytes, token: str
 ) -> Reply:
     connection = http.client.HTTPConnection(*address, timeout=REQUEST_TIMEOUT)
+    headers = {"Content-Type": "text/plain"}
+    if token:
+        headers["Authorization"] = f"Bearer {token}"
     try:
-        connection.request(
-            method, path, body or None, {"Content-Type": "text/plain"}
-        )
+        connection.request(method, path, body or None, headers)
         answer = connection.getresponse()
         content = json.loads(answer.read())
     finally:
@@ -128,7 +135,7 @@
 
 
 def _describe(reply: Reply) -> str:
-    for name in ("detail", "reason", "title"):
+    for name in ("error", "detail", "reason", "title"):
         if reply.content.get(name):
             return f"{reply.status} {reply.content[name]}"
     return f"status {reply.status}"
@@ -215,6 +222,11 @@
         metavar="IP:PORT",
         help=f"may be given often (default: {DEFAULT_ENTRY})",
     )
+    parser.add_argument(
+        "--token-file",
+        metavar="FILE",
+        help="file with the operators' token, when entries ask for one",
+    )
 
 
 def _address(text: str) -> settings.Address:
@@ -244,7 +256,12 @@
 
 
 def _open_site(arguments: argparse.Namespace) -> Site:
-    return Site(arguments.entry or [settings.parse_address(DEFAULT_ENTRY)])
+    token = ""
+    if arguments.token_file:
+        token = _read_file(arguments.token_file).strip()
+    return Site(
+        arguments.entry or [settings.parse_address(DEFAULT_ENTRY)], token=token
+    )
 
 
 def _read_file(path: str) -> str:
@@ -335,9 +352,15 @@
     else:
         reply = _open_site(arguments).request("GET", "/v1/bundles")
         text = reply.content.get("text")
-        if not text:
+        if not reply.content.get("bundles"):
             print("no bundle is in force; this would be the first")
             return
+        if not text:
+            raise CommandError(
+                Exit.UNREACHABLE,
+                "the entry does not tell the bundle in force; compare with a"
+                " file (--against)",
+            )
         old = _parse(str(text), "in force")
     print(f"version {old.version} to {new.version}")
     for change in bundle.diff_bundles(old, new):
--- a/clementinewood/state.py
+++ b/clementinewood/state.py
@@ -725,7 +725,7 @@
         # Work of a removed member that this one has not closed may still run,
         # so whoever closes this one must wait for it.
         unclosed = any(
-            incarnation in closing.waiting
+            closing.wait and incarnation in closing.waiting
             for closing in self._closings.values()
         )
         self._closings[incarnation] = Closing(
--- a/features/command_bundle.feature
+++ b/features/command_bundle.feature
@@ -49,3 +49,9 @@
     Then bundle status prints "entry-1 version 4 fresh" and ends with code 0
     And bundle history prints "version 4 by night" and ends with code 0
     And without the serving entry bundle status ends with code 6 and names both
+
+  Scenario: The operators' token is sent, and a plan never guesses
+    Given an operator entry that asks for token "moth" and tells no bundle text
+    Then bundle status ends with code 3 and prints "operator token needed"
+    And with the token in a file bundle status ends with code 0
+    And with the token in a file bundle plan ends with code 6 and names --against
--- a/features/steps/command_bundle_steps.py
+++ b/features/steps/command_bundle_steps.py
@@ -213,13 +213,17 @@
 }
 
 
-def serve(context, status, render):
+def serve(context, status, render, token=None):
     """Serves on a thread, since the command under test blocks."""
 
     class Handler(http.server.BaseHTTPRequestHandler):
         def do_GET(self):  # noqa: N802
+            given = self.headers["Authorization"]
+            denied = token is not None and given != f"Bearer {token}"
             body = render(self.path)
-            self.send_response(status)
+            if denied:
+                body = b'{"error": "operator token needed"}'
+            self.send_response(401 if denied else status)
             self.send_header("Content-Length", str(len(body)))
             self.end_headers()
             self.wfile.write(body)
@@ -260,3 +264,45 @@
     found = run_command(".", " ".join(["status", *context.entries[:2]]))
     assert found[0] == code, found
     assert "503 not fresh" in found[1] and len(found[1].split("\n")) == 3, found
+
+
+@behave.given(
+    'an operator entry that asks for token "{token}" and tells no bundle text'
+)
+def create_guarded(context, token):
+    create_files(context)
+    (context.folder / "token").write_text(f"{token}\n")
+    context.entries = [
+        serve(
+            context,
+            200,
+            lambda path: json.dumps(ANSWERS[path]).encode(),
+            token=token,
+        )
+    ]
+
+
+@behave.then('bundle status ends with code {code:d} and prints "{text}"')
+def check_denied(context, code, text):
+    found = run_command(context.folder, f"status {context.entries[0]}")
+    assert found[0] == code and text in found[1], found
+
+
+@behave.then("with the token in a file bundle status ends with code {code:d}")
+def check_token(context, code):
+    found = run_command(
+        context.folder, f"status {context.entries[0]} --token-file token"
+    )
+    assert found[0] == code, found
+
+
+@behave.then(
+    "with the token in a file bundle plan ends with code {code:d} and names"
+    " --against"
+)
+def check_plan(context, code):
+    found = run_command(
+        context.folder,
+        f"plan guild.ini {context.entries[0]} --token-file token",
+    )
+    assert found[0] == code and "--against" in found[1], found
