Tell replaced entries from silent ones during a log outage

Change: incarnations carry their start time; a later run of the same entry, or a refused connection dialled after the member was known, shows that the earlier process is gone.

--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -13,6 +13,7 @@
 import json
 import pathlib
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -98,7 +99,7 @@
         self.sockets = transport.Transport(self.timers).register(self.timers)
         self.log = logservice.LogService(self.sockets, self.timers)
         self.log_address = self.log.listen((HOST, 0))
-        self.text = dev.read_example(options.site)
+        self.text = scale_limits(dev.read_example(options.site), options.limits)
         self.declared = dev.parse_text(self.text)
         self.minions: dict[str, minion.Minion] = {}
         self.submissions: list[Submission] = []
@@ -291,7 +292,7 @@
             (b"authorization", f"Bearer {self.keys[item.team]}".encode()),
             (b"x-idempotent", b"true" if item.idempotent else b"false"),
             (b"x-deadline-ms", b"8000"),
-            (b"run-ms", b"%d" % self.random.choice((5, 20, 50, 400))),
+            (b"run-ms", b"%d" % self.random.choice(self.options.run_ms)),
         ]
         if item.key:
             headers.append((b"idempotency-key", item.key.encode()))
@@ -507,6 +508,22 @@
                 problems.append(f"ran {count} times: {item}")
 
 
+def scale_limits(text: str, factor: float) -> str:
+    """Returns a bundle with upper limits and shares scaled by `factor`."""
+    text = re.sub(
+        r"^limit = (\d+)$",
+        lambda found: f"limit = {max(1, int(int(found[1]) * factor))}",
+        text,
+        flags=re.M,
+    )
+    return re.sub(
+        r"^share = ([0-9.]+)$",
+        lambda found: f"share = {float(found[1]) * min(1.0, factor) * 0.9:.3f}",
+        text,
+        flags=re.M,
+    )
+
+
 def restart(child: Child) -> None:
     assert child.process is not None
     if child.process.poll() is not None:
@@ -530,6 +547,15 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--rate", type=int, default=300)
     parser.add_argument("--open", type=int, default=400)
+    parser.add_argument(
+        "--run-ms", type=int, nargs="+", default=(5, 20, 50, 400)
+    )
+    parser.add_argument(
+        "--limits",
+        type=float,
+        default=1.0,
+        help="factor on the upper limits, to make teams reach them",
+    )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--site", default="guild")
     parser.add_argument("--faults", nargs="*", default=FAULTS, choices=FAULTS)
--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -254,7 +254,7 @@
         self._peer_versions: dict[identifiers.EntryId, tuple[int, bool]] = {}
         self._told_usage: dict[identifiers.TeamId, scheduler.Usage] = {}
         self._hosts: Mapping[identifiers.WorkerId, hostlist.Host] = {}
-        self._recent: dict[str, dict[str, Any]] = {}
+        self._folded_at: dict[identifiers.Incarnation, float] = {}
         self._create_log_clients()
         self._create_request_path()
         self._create_links()
@@ -553,6 +553,7 @@
             return
         now = self._clock()
         self._set_demand()
+        self._note_replaced()
         self.coordination.advance(now, log_usable=self._control.reachable)
         if self.coordination.is_removed and not self._stopping:
             self._on_removed()
@@ -663,23 +664,37 @@
     def on_peer_up(self, sender: peer.PeerIdentity) -> None:
         """Tells a new link's peer the usage of all teams."""
         self._told_usage.clear()
-        for member in self.coordination.roster.members:
-            if (
-                member.startswith(f"{sender.entry}/")
-                and member != sender.incarnation
-            ):
-                # The same entry runs as a new incarnation.
-                self.coordination.on_peer_absent(member, self._clock())
 
     def on_peer_down(self, sender: peer.PeerIdentity) -> None:
         """Does nothing: silence is judged by membership."""
 
-    def on_peer_refused(self, entry: identifiers.EntryId) -> None:
+    def on_peer_refused(
+        self, entry: identifiers.EntryId, dialled_at: float
+    ) -> None:
         """Notes that nothing listens at the address of `entry`."""
-        for member in self.coordination.roster.members:
-            if member.startswith(f"{entry}/"):
+        for member, folded_at in self._folded_at.items():
+            if member.startswith(f"{entry}/") and folded_at < dialled_at:
                 self.coordination.on_peer_absent(member, self._clock())
 
+    def _note_replaced(self) -> None:
+        """Notes members whose entry runs as a later incarnation by now.
+
+        Without this, survivors of a log outage wait for a process that is
+        gone and refuse all work.
+        """
+        now = self._clock()
+        present = [item.incarnation for item in self._hub.list_up()]
+        for member in self.coordination.roster.members:
+            self._folded_at.setdefault(member, now)
+            if any(
+                identifiers.is_successor(later, member)
+                for later in (self.me, *present)
+            ):
+                self.coordination.on_peer_absent(member, now)
+        for member in list(self._folded_at):
+            if member not in self.coordination.roster.members:
+                del self._folded_at[member]
+
     def _send_usage(self) -> None:
         changed = []
         for team, usage in self.gateway.scheduler.usage().items():
--- a/clementinewood/identifiers.py
+++ b/clementinewood/identifiers.py
@@ -1,6 +1,7 @@
 """Identifier types used across the package."""
 
 import secrets
+import time
 from typing import NewType
 
 TeamId = NewType("TeamId", str)
@@ -30,7 +31,19 @@
 
 def create_incarnation(entry: EntryId) -> Incarnation:
     """Returns an incarnation that no earlier run of `entry` has used."""
-    return Incarnation(f"{entry}/{secrets.token_hex(6)}")
+    started = time.time_ns() // 1_000_000
+    return Incarnation(f"{entry}/{started:013d}-{secrets.token_hex(4)}")
+
+
+def is_successor(later: Incarnation, earlier: Incarnation) -> bool:
+    """Returns whether `later` is a later run of the same entry.
+
+    The start time in the name decides; a host that replaces another one is
+    started well after it, so clock differences do not matter.
+    """
+    entry, _, run = later.rpartition("/")
+    same, _, other = earlier.rpartition("/")
+    return entry == same and run[:13] > other[:13]
 
 
 def create_request_id() -> RequestId:
--- a/clementinewood/peer.py
+++ b/clementinewood/peer.py
@@ -56,10 +56,13 @@
     def on_peer_down(self, peer: PeerIdentity) -> None:
         """Called when the last link to an incarnation has ended."""
 
-    def on_peer_refused(self, entry: identifiers.EntryId) -> None:
+    def on_peer_refused(
+        self, entry: identifiers.EntryId, dialled_at: float
+    ) -> None:
         """Called when the host of `entry` refuses the connection.
 
-        The host answers, so the process does not listen there.
+        The host answers, so no process that was there at `dialled_at`,
+        monotonic time, is left.
         """
 
 
@@ -88,6 +91,7 @@
         self.dialled = dialled
         self.identity: PeerIdentity | None = None
         self.connection: transport.Connection | None = None
+        self.dialled_at = hub.timers.clock()
         self.unacknowledged_since: float | None = None
         self._hub = hub
         self._reader = peerwire.FrameReader()
@@ -372,7 +376,7 @@
         if link.dialled is None or self._closed:
             return
         if "ECONNREFUSED" in reason:
-            self._listener.on_peer_refused(link.dialled)
+            self._listener.on_peer_refused(link.dialled, link.dialled_at)
         entry = link.dialled
         self.timers.subscribe_once(REDIAL_SECONDS, lambda: self._dial(entry))
 
@@ -413,7 +417,9 @@
     def on_peer_down(self, peer: PeerIdentity) -> None:
         print("down", peer.incarnation)
 
-    def on_peer_refused(self, entry: identifiers.EntryId) -> None:
+    def on_peer_refused(
+        self, entry: identifiers.EntryId, dialled_at: float
+    ) -> None:
         print("refused", entry)
 
 
--- a/features/peer.feature
+++ b/features/peer.feature
@@ -40,3 +40,7 @@
     When 200 random byte strings are sent to the peer listener of entry two
     Then entry two receives nothing
     And no handler has failed
+
+  Scenario: A later run of an entry is told from an earlier one
+    Guards against survivors of a log outage that wait for a replaced process.
+    Then a run of an entry that starts later is its successor and not another
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -46,7 +46,7 @@
     def on_peer_down(self, sender):
         pass
 
-    def on_peer_refused(self, entry):
+    def on_peer_refused(self, entry, dialled_at):
         pass
 
 
@@ -281,3 +281,18 @@
 def check_handlers(context):
     assert context.sockets.failures == 0
     assert context.timers.failures == 0
+
+
+@behave.then(
+    "a run of an entry that starts later is its successor and not another"
+)
+def check_successor(context):
+    earlier = identifiers.Incarnation("one/1764830000123-00aa")
+    later = identifiers.Incarnation("one/1764830001123-00aa")
+    other = identifiers.Incarnation("two/1764830002123-00aa")
+    assert identifiers.is_successor(later, earlier)
+    assert not identifiers.is_successor(earlier, later)
+    assert not identifiers.is_successor(later, later)
+    assert not identifiers.is_successor(other, earlier)
+    created = identifiers.create_incarnation(identifiers.EntryId("one"))
+    assert identifiers.is_successor(created, later)
