Read a log that comes back at once, and ask peers for what is missing

Change: a further read goes out beside one without an answer every 2 s; the first answer ends the others. An entry that can't reach the log asks every peer for records from its next offset on.

--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -46,7 +46,8 @@
 POLL_SECONDS = 0.02
 """Period at which log progress and claims are looked at."""
 
-LOG_CONNECTIONS = 8
+LOG_CONNECTIONS = 2 * (logclient.MAX_READS + 1)
+"""Reads and one append of each of the two streams."""
 
 BUNDLE_SECONDS = 10.0
 """Time after which the outcome of an appended bundle counts as unknown."""
@@ -554,6 +555,12 @@
         now = self._clock()
         self._set_demand()
         self._note_replaced()
+        if not self._control.reachable:
+            # Peers that are not members in this entry's stale state send it
+            # no status, so it asks everyone for what it lacks.
+            self._hub.broadcast(
+                peerwire.RelayRequest("control", self.state.next_offset)
+            )
         self.coordination.advance(now, log_usable=self._control.reachable)
         if self.coordination.is_removed and not self._stopping:
             self._on_removed()
--- a/clementinewood/logclient.py
+++ b/clementinewood/logclient.py
@@ -24,8 +24,17 @@
 """Seconds beyond the poll's wait until a read counts as lost."""
 
 MAX_READ_TIMEOUT = 16.0
-"""Upper bound of the read timeout, which doubles while reads time out, so
-that a log slower than the first timeout can still be read."""
+"""Seconds until a read is given up, so that a slow log can still be read."""
+
+HEDGE_SECONDS = 2.0
+"""Time after which a further read is sent beside one without an answer.
+
+A log that comes back does not answer reads that it received while it was out;
+waiting for them kept an entry from the log for up to 16 s after an outage.
+"""
+
+MAX_READS = 9
+"""Reads under way at a time: one each `HEDGE_SECONDS` until the first ends."""
 
 APPEND_TIMEOUT = 3.0
 BACKOFF_FIRST = 0.1
@@ -177,7 +186,6 @@
         self._random = random_source or random.Random()
         self._poll_wait = poll_wait
         self._read_timeout = read_timeout
-        self._timeout = read_timeout
         self._append_timeout = append_timeout
         self._path = f"/streams/{urllib.parse.quote(stream, safe='')}/records"
         self._read_backoff = BACKOFF_FIRST
@@ -188,7 +196,8 @@
         self._posting = False
         self._doubt_since: float | None = None
         self._retry: timer.Subscription | None = None
-        self._call: httpclient.Call | None = None
+        self._calls: list[httpclient.Call] = []
+        self._read_retry: timer.Subscription | None = None
         self._started = False
 
     @property
@@ -213,8 +222,7 @@
         self._queue.clear()
         self._current = None
         self._doubt_since = None
-        if self._call is not None:
-            self._call.cancel()
+        self._cancel_reads()
 
     def append(self, entry: record.Record, on_result: OnAppend) -> None:
         """Appends a record; `on_result` is called once with the outcome."""
@@ -259,22 +267,39 @@
         )
         offset = self.next_offset
         late = self._timers.subscribe_once(
-            wait + self._read_timeout,
-            lambda: self._mark_unreachable("no answer in time"),
+            wait + (self._read_timeout if self.reachable else HEDGE_SECONDS),
+            self._hedge,
         )
 
         def finish(answer: httpclient.Result) -> None:
             late.cancel()
+            if call in self._calls:
+                self._calls.remove(call)
             self._finish_read(answer, offset, sent)
 
-        self._call = self._http.send(
+        call = self._http.send(
             "GET",
             f"{self._path}?{query}",
             [],
             b"",
-            timeout=wait + self._timeout,
+            timeout=wait + MAX_READ_TIMEOUT,
             on_result=finish,
         )
+        self._calls.append(call)
+
+    def _hedge(self) -> None:
+        """Sends a further read beside those that have no answer yet."""
+        self._mark_unreachable("no answer in time")
+        if len(self._calls) < MAX_READS:
+            self._send_read()
+
+    def _cancel_reads(self) -> None:
+        calls, self._calls = self._calls, []
+        for call in calls:
+            call.cancel()
+        if self._read_retry is not None:
+            self._read_retry.cancel()
+            self._read_retry = None
 
     def _mark_unreachable(self, reason: str) -> None:
         if self.reachable:
@@ -284,7 +309,6 @@
     def _finish_read(
         self, answer: httpclient.Result, offset: int, sent: float
     ) -> None:
-        self._call = None
         if not self._started:
             return
         content: dict[str, Any] | None = None
@@ -293,8 +317,6 @@
             410,
         ):
             content = _parse_object(answer.body)
-        if isinstance(answer, httpclient.Lost) and answer.timed_out:
-            self._timeout = min(self._timeout * 2, MAX_READ_TIMEOUT)
         if content is None or not isinstance(answer, httpclient.Answer):
             self._fail_read(answer)
         elif answer.status == 410:
@@ -312,7 +334,15 @@
         self._mark_unreachable(reason)
         delay = self._random.uniform(0.3, 1.0) * self._read_backoff
         self._read_backoff = min(self._read_backoff * 2, BACKOFF_LIMIT)
-        self._timers.subscribe_once(delay, self._send_read)
+        if self._read_retry is None:
+            self._read_retry = self._timers.subscribe_once(
+                delay, self._retry_read
+            )
+
+    def _retry_read(self) -> None:
+        self._read_retry = None
+        if len(self._calls) < MAX_READS:
+            self._send_read()
 
     def _skip_gap(
         self, answer: httpclient.Answer, content: dict[str, Any]
@@ -333,6 +363,7 @@
             self._guard(self._on_gap, start)
         if self._doubt_since is not None:
             self._finish_append(Unknown("the log expired before it was read"))
+        self._cancel_reads()
         self._send_read()
 
     def _take_records(
@@ -342,6 +373,9 @@
         offset: int,
         sent: float,
     ) -> None:
+        if offset != self.next_offset:
+            # Another read has got further meanwhile.
+            return
         items = _parse_records(content, offset)
         head, start = content.get("head"), content.get("start")
         if (
@@ -355,8 +389,6 @@
         accepted, read_to = self._decode(items, offset)
         self.retained_from = start
         self._read_backoff = BACKOFF_FIRST
-        if self._timers.clock() - sent < self._poll_wait + self._read_timeout:
-            self._timeout = self._read_timeout
         self.next_offset = read_to
         if accepted:
             self._guard(self._on_records, accepted)
@@ -368,6 +400,7 @@
         if read_to >= head:
             self._resolve_doubt(sent)
         self._start_append()
+        self._cancel_reads()
         self._send_read()
 
     def _decode(
--- a/features/logclient.feature
+++ b/features/logclient.feature
@@ -22,6 +22,19 @@
     When the log is back
     Then the log holds 2 records, each append has its offset
 
+  Scenario: A log that comes back is read at once
+    A read sent during the outage is never answered; waiting for it kept
+    entries from the log for up to 16 seconds.
+    Given a log client of a log that is out
+    When 25 seconds pass for the log client
+    And the log is back and 3 seconds pass for the log client
+    Then the log client has read the head
+
+  Scenario: A log slower than the time between reads is still read
+    Given a log client of a log that answers after 6 seconds
+    When 14 seconds pass for the log client
+    Then the log client has read the head
+
   Scenario: Only one append is in progress and waiting items share a record
     Given a log client of a log that answers after 0.3 seconds
     When it offers 10 items, one by one, for batches
--- a/features/steps/logclient_steps.py
+++ b/features/steps/logclient_steps.py
@@ -224,3 +224,19 @@
     for offset, kept in ((7, 1), (6, None), (8, None)):
         found = logclient._parse_records({"records": [item]}, offset)
         assert (found and len(found)) == kept, (offset, found)
+
+
+@behave.when("{seconds:g} seconds pass for the log client")
+def pass_time(context, seconds):
+    context.world.loop.run_for(seconds)
+
+
+@behave.when("the log is back and {seconds:g} seconds pass for the log client")
+def return_log(context, seconds):
+    context.world.service.switches = logservice.Switches()
+    context.world.loop.run_for(seconds)
+
+
+@behave.then("the log client has read the head")
+def check_head_read(context):
+    assert context.reader.client.last_head_read is not None
