--- a/clementinewood/requesthead.py
+++ b/clementinewood/requesthead.py
@@ -15,6 +15,9 @@
 """Run time assumed until a queue's runs have been observed."""
 
 MAX_IDEMPOTENCY_KEY = 255
+MAX_KEYED_DEADLINE_SECONDS = 1800.0
+"""Claims are kept for an hour; a keyed request that ran later could run twice,
+since a repetition would find no claim."""
 
 IDEMPOTENT_METHODS = frozenset(
     ("GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE")
@@ -92,6 +95,10 @@
     )
     if deadline is None or not 0 < deadline <= MAX_DEADLINE_SECONDS:
         return _refuse("X-Deadline-Ms must be a number from 1 to 86400000.")
+    if key is not None and deadline > MAX_KEYED_DEADLINE_SECONDS:
+        return _refuse(
+            "X-Deadline-Ms must be at most 1800000 with an Idempotency-Key."
+        )
     estimate = _read_seconds(
         request.find_header(b"x-estimate-ms"), DEFAULT_ESTIMATE_SECONDS
     )
