Bound run limits, and publish bundles only when peers know this entry

Cause: members wait for the longest run limit before they reclaim the rights of a dead entry; entries assumed 30 s while bundles allowed any limit. Change: a bundle's run limits are at most 120 s and entries wait that long; an entry appends bundles only while it is a confirmed member and may append.

--- a/clementinewood/bundle.py
+++ b/clementinewood/bundle.py
@@ -33,6 +33,14 @@
 """Workers that one range may name; above this it is a typing error."""
 
 
+MAX_RUN_LIMIT = 120.0
+"""Longest run limit in seconds.
+
+The rights of a dead entry are reclaimed only after the longest run that it may
+have started, so a longer limit would leave them unused for longer.
+"""
+
+
 class ZoneState(enum.Enum):
     """Whether an availability zone may run work."""
 
@@ -319,6 +327,13 @@
     return seconds
 
 
+def _parse_run_limit(text: str) -> float:
+    seconds = _parse_duration(text)
+    if seconds > MAX_RUN_LIMIT:
+        raise ValueError("run limit out of range")
+    return seconds
+
+
 def _parse_flag(text: str) -> bool:
     if text not in ("yes", "no"):
         raise ValueError("neither yes nor no")
@@ -380,6 +395,7 @@
 _POSITIVE = "a whole number, 1 to 1000000"
 _COUNT = "a whole number, 0 to 1000000"
 _WORDS = "names of a-z, 0-9, '.', '_' and '-', separated by commas"
+_RUN_TIME = "a duration up to 120s"
 _TIME = "a duration such as 500ms, 30s, 5m, 2h or 42d"
 _FLAG = inifile.Option(_parse_flag, "yes or no", False)
 _PART = "a number above 0, up to 1"
@@ -403,7 +419,7 @@
     "service": {
         "slots": inifile.Option(_parse_int(1, 10**6), _POSITIVE),
         "connections": inifile.Option(_parse_int(1, 10**6), _POSITIVE),
-        "run_limit": inifile.Option(_parse_duration, _TIME),
+        "run_limit": inifile.Option(_parse_run_limit, _RUN_TIME),
     },
     "pool": {
         "service": inifile.Option(_parse_name, "a declared service"),
--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -239,7 +239,10 @@
         self.config = config
         self.me = identifiers.create_incarnation(config.entry)
         self.state = state.ControlState()
-        self.coordination = coordination.Coordination(self.me)
+        self.coordination = coordination.Coordination(
+            self.me,
+            timing=membership.Timing(run_limit=bundle.MAX_RUN_LIMIT),
+        )
         self.metrics = metric.Metrics()
         self._timers = timers
         self._clock = timers.clock
@@ -820,8 +823,13 @@
             if accepted.digest == digest:
                 _respond_json(exchange, 200, {"version": accepted.version})
                 return
-        if not self._control.reachable:
-            _respond_json(exchange, 503, {"error": "the log can't be reached"})
+        if not (
+            self._control.reachable
+            and self.coordination.may_publish(self._clock())
+        ):
+            _respond_json(
+                exchange, 503, {"error": "this entry can't publish now"}
+            )
             return
         parsed = bundle.parse_bundle(checked.unwrap().text)
         if isinstance(parsed, result.Failure):
--- a/features/bundle.feature
+++ b/features/bundle.feature
@@ -45,6 +45,7 @@
       | teams = office                | teams = ofice                 | queue noticeboard | teams                | team 'ofice' is not declared             |
       | team = marquee                | team = marque                 | key marquee-bass  | team                 | team 'marque' is not declared            |
       | run_limit = 20s               | run_limit = 40s               | queue stores      | run_limit            | stops requests after 30 s                |
+      | run_limit = 60s               | run_limit = 3m                | service claims    | run_limit            | run limit out of range                   |
       | open = yes                    | open = maybe                  | queue noticeboard | open                 | neither yes nor no                       |
       | workers = quotes-[1-6]        | workers =                     | queue quotes      | pool                 | has no workers, so the queue would       |
       | [team open]                   | [team opened]                 | queue noticeboard | open                 | team 'open' is not declared              |
