Make no claims after claims expired unread

Cause: an entry whose read position in the claims stream had expired skipped to the first record left and went on as if it knew every claim. Change: unless the first record left is older than the claim window, the entry makes no claims until the missed ones have lapsed. Result: 'An entry that missed claims makes none until they have lapsed' passes and fails without the rule (is_complete at 3600).

--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -46,6 +46,9 @@
 POLL_SECONDS = 0.02
 """Period at which log progress and claims are looked at."""
 
+CLOCK_MARGIN = 60.0
+"""Seconds by which the clocks of log and entry may differ."""
+
 LOG_CONNECTIONS = 2 * (logclient.MAX_READS + 1)
 """Reads and one append of each of the two streams."""
 
@@ -289,8 +292,10 @@
             "claims",
             self._on_claims,
             key=config.cluster_key,
+            on_gap=self._on_claims_gap,
             rate=rate,
         )
+        self._claims_gap = False
         self._control_read: float | None = None
         self._claims_read: float | None = None
         self._host_list = hostlist.HostList(
@@ -502,8 +507,17 @@
         self._stopping = True
         self._edge.start_drain(self._finish_stop)
 
+    def _on_claims_gap(self, start: int) -> None:
+        self._claims_gap = True
+
     def _on_claims(self, entries: list[logclient.LoggedRecord]) -> None:
         now = self._clock()
+        if self._claims_gap:
+            self._claims_gap = False
+            window = self.coordination.claims.window
+            if self._wall_clock() - entries[0].time < window + CLOCK_MARGIN:
+                # Claims that still count may be among those that expired.
+                self.coordination.membership.on_claims_missed(now)
         for item in entries:
             payload = item.record.payload
             if item.offset < self._claims_relay.next_offset:
--- a/clementinewood/membership.py
+++ b/clementinewood/membership.py
@@ -266,6 +266,7 @@
         self._suspect_again: dict[Incarnation, float] = {}
         self._awaited: set[Incarnation] = set()
         self._inherited = False
+        self._claims_missed_at = float("-inf")
         self._decided = float("-inf")
 
     @property
@@ -297,8 +298,18 @@
         if not self.is_confirmed or self._confirmed_at is None:
             return False
         lapse = self.window * (1 + 2 * self.timing.drift)
+        if now - self._claims_missed_at <= lapse:
+            return False
         return self._inherited or now - self._confirmed_at > lapse
 
+    def on_claims_missed(self, now: float) -> None:
+        """Notes that claims expired in the log before they were read here.
+
+        Peers can't stand in for the log: they drop claims by log time and do
+        not hand them out.
+        """
+        self._claims_missed_at = now
+
     def on_record(
         self, author: Incarnation, payload: Payload, offset: int, now: float
     ) -> bool:
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -48,5 +48,13 @@
     When b, c, a are removed and closed
     Then d is confirmed but complete only 3600 seconds after the last closing
 
+  Scenario: An entry that missed claims makes none until they have lapsed
+    Guards against running a request whose claim expired from the log unread.
+    Given a joiner d
+    When a, b, c confirm d
+    And claims expire unread by d at time 10
+    Then d is not complete at time 3600
+    And d is complete at time 3620
+
   Scenario: A snapshot keeps the roster
     Then the fold of the roster snapshot equals the roster
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -153,3 +153,18 @@
 def check_roster_snapshot(context):
     dump = context.roster.dump()
     assert membership.Roster.load(dump).dump() == dump
+
+
+@behave.when("claims expire unread by d at time {now:g}")
+def miss_claims(context, now):
+    context.joiner.on_claims_missed(now)
+
+
+@behave.then("d is not complete at time {now:g}")
+def check_not_complete(context, now):
+    assert not context.joiner.is_complete(now)
+
+
+@behave.then("d is complete at time {now:g}")
+def check_complete_at(context, now):
+    assert context.joiner.is_complete(now)
