--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -54,7 +54,7 @@
 
 SNAPSHOT_TURN_SECONDS = 30.0
 """Time for a member to write a due snapshot before the next one does, and
-pause between two attempts."""
+pause before it tries again when none has landed."""
 
 _UPSTREAM_OUTCOMES: dict[type, retry.Outcome] = {
     upstream.Answered: retry.Outcome.ANSWERED,
@@ -461,6 +461,7 @@
         )
         if bootstrap is None and not due:
             self._snapshot_due = None
+            self._snapshot_sent = float("-inf")
             return
         if self._snapshot_due is None:
             self._snapshot_due = now
--- a/clementinewood/identifiers.py
+++ b/clementinewood/identifiers.py
@@ -20,7 +20,7 @@
 """One run of an entry process: entry id, a slash, and a random part."""
 
 ResourceId = NewType("ResourceId", str)
-"""A limited resource: `team:T`, `slot:M` or `connection:M`."""
+"""A limited resource: `team:T` or `slot:M`."""
 
 RequestId = NewType("RequestId", str)
 RecordId = NewType("RecordId", bytes)
--- a/clementinewood/ledger.py
+++ b/clementinewood/ledger.py
@@ -28,11 +28,6 @@
     return ResourceId(f"slot:{minion}")
 
 
-def connection_resource(minion: identifiers.MinionId) -> ResourceId:
-    """Returns the resource that bounds the connections to `minion`."""
-    return ResourceId(f"connection:{minion}")
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Transfer:
     """Rights moved between two entries; `total` is cumulative."""
--- /dev/null
+++ b/features/steps/entry_snapshot_steps.py
@@ -0,0 +1,119 @@
+"""Steps for snapshots that entries write and start from."""
+
+import behave
+
+from clementinewood import record
+from features import entry_world
+
+
+@behave.given("a site of {n:d} entries whose log keeps {kept:d} records")
+def create_site(context, n, kept):
+    context.world = entry_world.EntryWorld(entries=n, retention=kept)
+    context.add_cleanup(context.world.close)
+
+
+@behave.given("entries {first:d} to {last:d} run with a bundle in force")
+def start_entries(context, first, last):
+    for number in range(first, last + 1):
+        context.world.start(number - 1)
+    context.world.roll()
+
+
+@behave.given("entry {number:d} writes no snapshots")
+def stop_writing(context, number):
+    context.world.entries[number - 1]._write_snapshot = lambda now: None
+
+
+@behave.given("{n:d} foreign control records of which all have expired")
+def expire_all(context, n):
+    append_foreign(context, n)
+    stream = context.world.site.log._open_stream("control")
+    stream.start += len(stream.records)
+    stream.records.clear()
+
+
+@behave.given(
+    "{n:d} foreign control records of which the last {kept:d} are kept"
+)
+def expire_some(context, n, kept):
+    append_foreign(context, n)
+    assert len(context.world.site.log.read_stream("control")) == kept
+
+
+def append_foreign(context, n):
+    for number in range(n):
+        lease = record.PlannerLease("old/1", 1.0, number)
+        context.world.append(record.create_record("old/1", lease))
+
+
+@behave.when("{n:d} stale control records land")
+def append_stale(context, n):
+    for _ in range(n):
+        context.world.append_stale(1)
+
+
+@behave.when("{seconds:g} seconds pass at the entries")
+def wait(context, seconds):
+    context.world.loop.run_for(seconds)
+    context.world.settle()
+
+
+@behave.when("entry {number:d} starts")
+def start_entry(context, number):
+    context.world.start(number - 1)
+    context.world.loop.run_for(1.0)
+
+
+@behave.when("entry {number:d} runs alone for {seconds:g} seconds")
+def run_alone(context, number, seconds):
+    context.world.entries[number - 1].start()
+    context.world.loop.run_for(seconds)
+
+
+@behave.when("entry {number:d} finds that control records expired unread")
+def begin_gap(context, number):
+    entry = context.world.entries[number - 1]
+    context.before = entry.state.roster
+    entry._on_control_gap(entry.state.next_offset + 1)
+    context.offset = entry.coordination.offset
+    context.world.append_stale(3)
+    context.world.loop.run_for(2.5)
+
+
+@behave.then(
+    "entry {number:d} neither is fresh nor counts buffered records as folded"
+)
+def check_stale(context, number):
+    entry = context.world.entries[number - 1]
+    assert not entry.state.based
+    assert entry.coordination.offset == context.offset
+    now = context.world.loop.clock()
+    assert entry.coordination.freshness.own_read_at < now - 2.0
+
+
+@behave.then("entry {number:d} has taken over a new roster")
+def check_new_roster(context, number):
+    entry = context.world.entries[number - 1]
+    assert entry.state.roster is not context.before
+    assert entry.coordination.roster is entry.state.roster
+
+
+@behave.then("the entries' snapshots were written by entry {number:d} alone")
+def check_author(context, number):
+    authors = set(context.world.list_snapshots())
+    assert authors == {context.world.entries[number - 1].me}, authors
+
+
+@behave.then("the log holds no snapshot of an entry")
+def check_no_snapshot(context):
+    assert context.world.list_snapshots() == []
+
+
+@behave.then("the running entries agree on one roster")
+def check_agreement(context):
+    context.world.check_agreement()
+
+
+@behave.then("held rights of the running entries add up to every limit")
+def check_rights(context):
+    context.world.check_rights()
