Carry debts and settled lowerings of refutations in the log

Cause: record.Refuted had no fields for the debts and the settled lowerings of membership.Refuted. Entries folded every refutation as a report without debts, so a lowered limit could open while its author was still in debt.

Change: the record holds both; records of earlier writers read as before. A scenario reads every membership payload back from its record.

--- a/clementinewood/membership_record.py
+++ b/clementinewood/membership_record.py
@@ -12,8 +12,14 @@
             return membership.Joined()
         case record.Suspected(incarnation=member):
             return membership.Suspected(member)
-        case record.Refuted(offset=offset, flushed=flushed, complete=complete):
-            return membership.Refuted(offset, flushed, complete)
+        case record.Refuted():
+            return membership.Refuted(
+                payload.offset,
+                payload.flushed,
+                payload.complete,
+                frozenset(ledger.ResourceId(item) for item in payload.debts),
+                payload.opened,
+            )
         case record.Removed(incarnation=member, expected=expected):
             return membership.Removed(member, expected)
         case record.Left(complete=complete):
@@ -45,8 +51,10 @@
             return joined
         case membership.Suspected(member):
             return record.Suspected(member)
-        case membership.Refuted(offset, flushed, complete):
-            return record.Refuted(offset, flushed, complete)
+        case membership.Refuted(offset, flushed, complete, debts, opened):
+            return record.Refuted(
+                offset, flushed, complete, tuple(sorted(debts)), opened
+            )
         case membership.Removed(member, expected):
             return record.Removed(member, expected)
         case membership.Left(complete):
--- a/clementinewood/record.py
+++ b/clementinewood/record.py
@@ -142,11 +142,15 @@
         offset: Control offset that it has folded.
         flushed: All claims it recorded in an outage are in the log.
         complete: It knows every claim that may have run.
+        debts: Resources of which it runs more than it holds.
+        opened: Lowerings up to this offset are settled at all members.
     """
 
     offset: int
     flushed: bool
     complete: bool
+    debts: tuple[str, ...] = ()
+    opened: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/clementinewood/wire.thrift
+++ b/clementinewood/wire.thrift
@@ -42,6 +42,9 @@
   1: i64 offset
   2: bool flushed
   3: bool complete
+  // Earlier writers leave out what follows.
+  4: list<string> debts = []
+  5: i64 opened = -1
 }
 
 struct Closed {
--- a/features/entry_snapshot.feature
+++ b/features/entry_snapshot.feature
@@ -56,3 +56,13 @@
     And 5 foreign control records of which the last 3 are kept
     When entry 1 runs alone for 40 seconds
     Then the log holds no snapshot of an entry
+
+  Scenario: A reader between a gap and its next read writes no bootstrap snapshot
+    The log may hold records that it has not read yet.
+    Given a site of 3 entries whose log keeps 3 records
+    When entry 1 starts
+    And reads of the log take 1 second
+    And 10 foreign control records land
+    And entry 1 goes on alone for 10 seconds
+    Then entry 1 waits for a snapshot
+    And no snapshot in the log is without members
--- a/features/entry_world.py
+++ b/features/entry_world.py
@@ -61,15 +61,18 @@
         self.loop.run_for(0.5)
         self.loop.run_until(is_read)
 
-    def list_snapshots(self):
-        """Returns the authors of the retained snapshots."""
-        decoded = [
+    def list_records(self):
+        """Returns the retained control records."""
+        return [
             record.decode_record(data, self.site.cluster_key).unwrap()
             for data in self.site.log.read_stream("control")
         ]
+
+    def list_snapshots(self):
+        """Returns the authors of the retained snapshots."""
         return [
             entry.author
-            for entry in decoded
+            for entry in self.list_records()
             if isinstance(entry.payload, record.Snapshot)
         ]
 
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -50,3 +50,8 @@
 
   Scenario: A snapshot keeps the roster
     Then the fold of the roster snapshot equals the roster
+
+  Scenario: Every membership payload survives its control record
+    A refutation that lost its debts would open a lowered limit too early.
+    Then each kind of membership payload is read back from its record
+    And a refutation of an earlier writer has no debts and opens nothing
--- a/features/steps/entry_snapshot_steps.py
+++ b/features/steps/entry_snapshot_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from clementinewood import record
+from clementinewood import bundle, record, snapshot
 from features import entry_world
 
 
@@ -52,6 +52,36 @@
         context.world.append_stale(1)
 
 
+@behave.when("reads of the log take {seconds:g} second")
+def delay_reads(context, seconds):
+    context.world.site.log.switches.read_delay = seconds
+
+
+@behave.when("{n:d} foreign control records land")
+def land_foreign(context, n):
+    append_foreign(context, n)
+
+
+@behave.when("entry {number:d} goes on alone for {seconds:g} seconds")
+def go_on(context, number, seconds):
+    context.world.loop.run_for(seconds)
+
+
+@behave.then("entry {number:d} waits for a snapshot")
+def check_waiting(context, number):
+    assert not context.world.entries[number - 1].state.based
+
+
+@behave.then("no snapshot in the log is without members")
+def check_no_bootstrap(context):
+    for entry in context.world.list_records():
+        if isinstance(entry.payload, record.Snapshot):
+            content = snapshot.decode(
+                entry.payload.content, bundle.BundleParser()
+            )
+            assert content.members, entry
+
+
 @behave.when("{seconds:g} seconds pass at the entries")
 def wait(context, seconds):
     context.world.loop.run_for(seconds)
