Send how far a team is raised to the other entries

Cause: peer.thrift has TeamUsage.raised, but the data class and the entry left it out, so scenario "Every message survives the way over the wire" failed and peers never learned the value.

Change: the data class holds it; entries send it and pass it to the scheduler.

--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -661,6 +661,7 @@
                         item.running,
                         item.slot_seconds,
                         item.urgent_seconds,
+                        item.raised,
                     )
                     for item in teams
                 }
@@ -712,6 +713,7 @@
                         usage.running,
                         usage.slot_seconds,
                         usage.urgent_seconds,
+                        usage.raised,
                     )
                 )
         self._hub.broadcast(
--- a/clementinewood/peerwire.py
+++ b/clementinewood/peerwire.py
@@ -107,6 +107,7 @@
     running: int
     slot_seconds: float
     urgent_seconds: float
+    raised: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
