--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -98,7 +98,7 @@
         self.sockets = transport.Transport(self.timers).register(self.timers)
         self.log = logservice.LogService(self.sockets, self.timers)
         self.log_address = self.log.listen((HOST, 0))
-        self.text = dev.read_example(options.site)
+        self.text = self._read_text()
         self.declared = dev.parse_text(self.text)
         self.minions: dict[str, minion.Minion] = {}
         self.submissions: list[Submission] = []
@@ -122,6 +122,13 @@
         self.disturbed: set[int] = set()
         self.open = 0
 
+    def _read_text(self) -> str:
+        return dev.read_example(self.options.site)
+
+    def _find_log(self, index: int) -> tuple[str, int]:
+        """Returns the address at which an entry reaches the log."""
+        return self.log_address
+
     def _start_minions(self) -> None:
         zones = list(self.declared.zones)
         hosts = []
@@ -159,14 +166,15 @@
         self.children = []
         for index in range(count):
             path = self.folder / f"entry-{index}.ini"
+            log = self._find_log(index)
             path.write_text(
                 f"""[entry]
 id = entry-{index}
 zone = {zones[index % len(zones)]}
 callers = {HOST}:{ports[index]}
 peers = {HOST}:{ports[count + index]}
-log = {self.log_address[0]}:{self.log_address[1]}
-hosts = {self.log_address[0]}:{self.log_address[1]}
+log = {log[0]}:{log[1]}
+hosts = {log[0]}:{log[1]}
 cluster_key = {cluster_key}
 
 [peers]
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -36,7 +36,9 @@
             if lines[-1].count(f"t{pool % teams:03}") > 1:
                 lines[-1] = f"teams = t{pool % teams:03}"
             lines += ["capacity = 1000", "run_limit = 30s", ""]
-    limit = max(1, workers * 8 // 10)
+    # A limit below the team's share of the slots is refused; operators' changes
+    # move it by a few.
+    limit = max(workers * 8 // 10, int(1.2 * share * workers * 8) + 16)
     for team in range(teams):
         lines += [f"[team t{team:03}]", f"share = {share}", f"limit = {limit}"]
         for key in range(2):
--- a/clementinewood/dev.py
+++ b/clementinewood/dev.py
@@ -1,6 +1,7 @@
 """A whole site in one process: entries, stand-ins and an example bundle."""
 
 import pathlib
+import random
 import re
 import secrets
 import socket
@@ -27,6 +28,7 @@
 HOST = "127.0.0.1"
 SIGNATURE_SECONDS = 3600.0
 RACK_WORKERS = 4
+PORTS = range(15000, 30000)
 
 
 class DevSite:
@@ -166,11 +168,24 @@
 
 
 def find_ports(count: int) -> Sequence[int]:
-    """Returns ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Returns ports that are free now.
+
+    They lie below the range from which the system takes the local ports of
+    outgoing connections: an entry that dials a peer which does not listen yet
+    could otherwise be connected to itself and occupy the peer's port.
+    """
+    sockets: list[socket.socket] = []
     try:
-        for item in sockets:
-            item.bind((HOST, 0))
+        for port in random.sample(PORTS, len(PORTS)):
+            if len(sockets) == count:
+                break
+            item = socket.socket()
+            try:
+                item.bind((HOST, port))
+            except OSError:
+                item.close()
+                continue
+            sockets.append(item)
         return [item.getsockname()[1] for item in sockets]
     finally:
         for item in sockets:
