Keep the last endings of requests and explain them

Cause: explain answered only for requests still in progress, so an operator could not tell why a request had been refused. Change: a bounded request log keeps the last 2,000 answers, 2,000 refusals of known teams and 2,000 refusals before admission; explanations name the cause for requests, teams and workers. GET /v1/bundles returns the text in force, and POST /v1/bundles asks for the operators' token when one is set.

--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -15,6 +15,7 @@
     coordination,
     edge,
     event,
+    explanation,
     gateway,
     hostlist,
     httpclient,
@@ -23,6 +24,7 @@
     logclient,
     membership,
     metric,
+    page,
     peer,
     peerwire,
     record,
@@ -772,7 +774,10 @@
         request = exchange.request
         path = request.target.partition("?")[0]
         if (request.method, path) == ("POST", "/v1/bundles"):
-            self._post_bundle(exchange)
+            if self._has_token(request):
+                self._post_bundle(exchange)
+            else:
+                _respond_json(exchange, 401, {"error": page.TOKEN_NEEDED})
         else:
             self._site.handle_exchange(exchange)
 
@@ -870,10 +875,13 @@
 
     def is_operator(self, request: web.Request) -> bool:
         """Returns whether a request carries the operators' token."""
+        return self._has_token(request.exchange.request)
+
+    def _has_token(self, request: edge.HttpRequest) -> bool:
         digest = self.config.operator_token
         if digest is None:
             return True
-        given = request.exchange.request.find_header(b"authorization") or ""
+        given = request.find_header(b"authorization") or ""
         token = given.removeprefix("Bearer ")
         return hmac.compare_digest(signature.hash_secret(token), digest)
 
@@ -907,6 +915,10 @@
             for item in self.state.history
         ]
 
+    def read_bundle_text(self) -> str:
+        """Returns the signed text of the bundle in force, or nothing."""
+        return self.state.bundle_text
+
     def describe_status(self) -> dict[str, Any]:
         """Returns the state of the site as this entry sees it."""
         ready, detail = self.read_readiness()
@@ -958,27 +970,31 @@
 
     def explain(self, subject: str) -> dict[str, Any] | None:
         """Returns why a request, team or worker is in its state."""
-        item = self.gateway.flows.get(identifiers.RequestId(subject))
-        if item is not None:
-            return {
-                "request": subject,
-                "phase": item.phase.value,
-                "queue": item.grant.queue,
-                "team": item.grant.team,
-                "attempts": 0 if item.attempt is None else item.attempt.number,
-            }
+        found = self.gateway.explain_request(identifiers.RequestId(subject))
+        if found is not None:
+            return found
+        declared = self.state.bundle
         team = identifiers.TeamId(subject)
         usage = self.gateway.scheduler.usage().get(team)
-        if usage is not None:
-            return {
-                "team": subject,
-                "queued": usage.queued,
-                "running": usage.running,
-                "held": self._count_held(team),
-            }
-        assignment = self.state.assignments.get(identifiers.WorkerId(subject))
-        if assignment is not None:
-            return {"worker": subject, "pool": assignment.pool}
+        if usage is not None and declared is not None:
+            return explanation.explain_team(
+                team,
+                usage,
+                declared.teams.get(team),
+                held=self._count_held(team),
+            )
+        worker = identifiers.WorkerId(subject)
+        assignment = self.state.assignments.get(worker)
+        if assignment is not None and declared is not None:
+            return explanation.explain_worker(
+                worker,
+                assignment.pool,
+                self._hosts.get(worker),
+                declared,
+                self.state.steps.get(worker),
+                ejected=identifiers.MinionId(subject)
+                in self._router.ejected(assignment.pool),
+            )
         return None
 
 
--- a/clementinewood/flow.py
+++ b/clementinewood/flow.py
@@ -9,6 +9,7 @@
     edge,
     identifiers,
     priority,
+    requestlog,
     retry,
     router,
     scheduler,
@@ -50,6 +51,7 @@
         attempt_limit: Run limit of the attempt in progress, in seconds.
         key_claim: The claim of its idempotency key, if it has one.
         cancelled: Whether the caller has gone.
+        attempts: Every attempt that ended, in order.
     """
 
     request_id: identifiers.RequestId
@@ -71,6 +73,9 @@
     attempt_limit: float = 0.0
     key_claim: claim.Claim | None = None
     cancelled: bool = False
+    attempts: list[requestlog.AttemptNote] = dataclasses.field(
+        default_factory=list
+    )
 
     @property
     def execution(self) -> verdict.Execution:
@@ -83,6 +88,7 @@
         self, outcome: retry.Outcome, minion: identifiers.MinionId
     ) -> retry.Attempt:
         """Notes how the attempt at `minion` ended and returns it."""
+        self.attempts.append(requestlog.AttemptNote(minion, outcome))
         if self.attempt is not None:
             self.attempt = self.attempt.follow(outcome, minion)
         else:
--- a/clementinewood/gateway.py
+++ b/clementinewood/gateway.py
@@ -20,6 +20,7 @@
     metric,
     priority,
     requesthead,
+    requestlog,
     retry,
     router,
     scheduler,
@@ -140,6 +141,7 @@
         self.admission: admission.Admission | None = None
         self.scheduler = scheduler.Scheduler({}, {})
         self.flows: dict[identifiers.RequestId, flow.Flow] = {}
+        self.endings = requestlog.RequestLog()
         self._clock = timers.clock
         self._timers = timers
         self._pages = pages
@@ -186,8 +188,64 @@
         self, refusal: verdict.Refusal
     ) -> tuple[int, Sequence[edge.Header], bytes]:
         """Renders and counts a refusal that belongs to no queued request."""
+        return self._render_early_refusal(refusal, "")
+
+    def _render_early_refusal(
+        self, refusal: verdict.Refusal, queue: str
+    ) -> tuple[int, Sequence[edge.Header], bytes]:
+        request_id = identifiers.create_request_id()
         self._count_refusal(refusal)
-        return render_refusal(refusal, identifiers.create_request_id())
+        self.endings.add(
+            requestlog.Ending(
+                request_id,
+                self._wall_clock(),
+                refusal.status,
+                refusal.execution,
+                refusal.reason,
+                refusal.detail,
+                queue,
+            )
+        )
+        return render_refusal(refusal, request_id)
+
+    def explain_request(
+        self, request_id: identifiers.RequestId
+    ) -> dict[str, object] | None:
+        """Returns why a request waits, or how it ended."""
+        item = self.flows.get(request_id)
+        if item is None:
+            ending = self.endings.find(request_id)
+            return None if ending is None else ending.describe()
+        return {
+            "request": request_id,
+            "phase": item.phase.value,
+            "why": self._explain_phase(item),
+            "queue": item.grant.queue,
+            "team": item.grant.team,
+            "attempts": [
+                {"minion": note.minion, "outcome": note.outcome.value}
+                for note in item.attempts
+            ],
+            "seconds": round(self._clock() - item.received, 4),
+        }
+
+    def _explain_phase(self, item: flow.Flow) -> str:
+        now = self._clock()
+        match item.phase:
+            case Phase.CLAIMING:
+                return "waits until its idempotency key is claimed"
+            case Phase.WAITING_RETRY:
+                return "waits before its next attempt"
+            case Phase.RUNNING if item.target is not None:
+                return f"runs at {item.target.minion}"
+        if not self._is_fresh():
+            return f"waits for configuration: {self._explain_stale()}"
+        team = item.grant.team
+        if self._rights.available(ledger.team_resource(team)) <= 0:
+            return f"waits: this entry's part of the limit of {team} is in use"
+        if self._router.free_slots(item.pool, now) <= 0:
+            return f"waits: no minion of pool {item.pool} has a free slot"
+        return "waits for its turn"
 
     def on_decision(self, decision: claim.Decision) -> None:
         """Goes on with a request whose claim is decided."""
@@ -482,15 +540,42 @@
             queue=item.grant.queue,
         )
         self._finish(item, answer, verdict.Execution.RAN)
+        self._keep_ending(item, answer.status, replayed=replayed)
         item.exchange.respond(answer.status, headers, answer.body)
 
     def _refuse(self, item: flow.Flow, refusal: verdict.Refusal) -> None:
         refusal = retry.combine_refusal(refusal, item.execution)
         self._count_refusal(refusal)
         self._finish(item, None, refusal.execution)
+        self._keep_ending(item, refusal.status, refusal)
         status, headers, body = render_refusal(refusal, item.request_id)
         item.exchange.respond(status, headers, body)
 
+    def _keep_ending(
+        self,
+        item: flow.Flow,
+        status: int,
+        refusal: verdict.Refusal | None = None,
+        *,
+        replayed: bool = False,
+    ) -> None:
+        ran = verdict.Execution.RAN
+        self.endings.add(
+            requestlog.Ending(
+                item.request_id,
+                self._wall_clock(),
+                status,
+                ran if refusal is None else refusal.execution,
+                None if refusal is None else refusal.reason,
+                "" if refusal is None else refusal.detail,
+                item.grant.queue,
+                item.grant.team,
+                tuple(item.attempts),
+                self._clock() - item.received,
+                replayed,
+            )
+        )
+
     def _finish(
         self,
         item: flow.Flow,
@@ -508,7 +593,9 @@
     def _refuse_exchange(
         self, exchange: edge.Exchange, refusal: verdict.Refusal
     ) -> None:
-        exchange.respond(*self.render_refusal(refusal))
+        path = exchange.request.target.removeprefix(requesthead.QUEUE_PREFIX)
+        queue = path.partition("?")[0].partition("/")[0]
+        exchange.respond(*self._render_early_refusal(refusal, queue))
 
     def _count_refusal(self, refusal: verdict.Refusal) -> None:
         self._metrics.count(
--- a/clementinewood/page.py
+++ b/clementinewood/page.py
@@ -7,6 +7,8 @@
 
 from clementinewood import web
 
+TOKEN_NEEDED = "operator token needed"
+
 
 class PageSource(Protocol):
     """What the pages show; an entry."""
@@ -23,6 +25,9 @@
     def list_bundles(self) -> list[dict[str, Any]]:
         """Returns the accepted bundles, oldest first."""
 
+    def read_bundle_text(self) -> str:
+        """Returns the signed text of the bundle in force, or nothing."""
+
     def explain(self, subject: str) -> dict[str, Any] | None:
         """Returns why a request, team or worker is in its state."""
 
@@ -48,9 +53,7 @@
         if _find_source(self.request).is_operator(self.request):
             return None
         self.response.headers["WWW-Authenticate"] = 'Bearer realm="operators"'
-        return _send_json(
-            self.response, {"error": "operator token needed"}, 401
-        )
+        return _send_json(self.response, {"error": TOKEN_NEEDED}, 401)
 
 
 class Health(controllers.Controller):
@@ -113,8 +116,12 @@
         denied = self._deny()
         if denied is not None:
             return denied
-        bundles = _find_source(self.request).list_bundles()
-        return _send_json(self.response, {"bundles": bundles}, 200)
+        source = _find_source(self.request)
+        content = {
+            "bundles": source.list_bundles(),
+            "text": source.read_bundle_text(),
+        }
+        return _send_json(self.response, content, 200)
 
 
 class ExplainPage(_Page):
--- /dev/null
+++ b/clementinewood/requestlog.py
@@ -0,0 +1,157 @@
+"""Bounded memory of requests that have ended, for explanations."""
+
+import collections
+import dataclasses
+import enum
+from typing import Any
+
+from clementinewood import identifiers, retry, verdict
+
+KEPT = 2000
+"""Requests kept of each kind."""
+
+MAX_TEXT = 64
+"""Characters kept of a queue name, which a caller may choose freely."""
+
+
+class Kind(enum.Enum):
+    """Kinds of endings, each with a bound of its own.
+
+    Callers without a valid key can cause any number of refusals; these must
+    not push out the refusals of known teams.
+    """
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    NOT_ADMITTED = "not-admitted"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptNote:
+    """One attempt at a minion.
+
+    Attributes:
+        minion: Where it was sent.
+        outcome: How it ended.
+    """
+
+    minion: identifiers.MinionId
+    outcome: retry.Outcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ending:
+    """How a request ended. It holds no keys and no content.
+
+    Attributes:
+        request_id: Id that the caller was told.
+        time: Wall-clock time of the end.
+        status: HTTP status of the answer.
+        execution: Whether it ran.
+        reason: Why it was refused; None for a minion's answer.
+        detail: The sentence that the caller was told.
+        queue: Queue named in the request; empty if none was.
+        team: Team it counted for; empty if it was not admitted.
+        attempts: Every attempt in order.
+        seconds: Time from arrival to the end.
+        replayed: Whether it got the answer kept for its idempotency key.
+    """
+
+    request_id: identifiers.RequestId
+    time: float
+    status: int
+    execution: verdict.Execution
+    reason: verdict.Reason | None = None
+    detail: str = ""
+    queue: str = ""
+    team: str = ""
+    attempts: tuple[AttemptNote, ...] = ()
+    seconds: float = 0.0
+    replayed: bool = False
+
+    @property
+    def kind(self) -> Kind:
+        """Which bound it counts for."""
+        if self.reason is None:
+            return Kind.ANSWERED
+        return Kind.REFUSED if self.team else Kind.NOT_ADMITTED
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the explanation shown to operators."""
+        return {
+            "request": self.request_id,
+            "phase": "ended",
+            "kind": self.kind.value,
+            "why": self._explain(),
+            "status": self.status,
+            "execution": self.execution.value,
+            "reason": None if self.reason is None else self.reason.value,
+            "queue": self.queue,
+            "team": self.team,
+            "attempts": [
+                {"minion": item.minion, "outcome": item.outcome.value}
+                for item in self.attempts
+            ],
+            "seconds": round(self.seconds, 4),
+            "time": round(self.time, 3),
+        }
+
+    def _explain(self) -> str:
+        if self.replayed:
+            return "answered with the answer kept for its idempotency key"
+        tries = len(self.attempts)
+        where = f" by {self.attempts[-1].minion}" if tries else ""
+        if self.reason is None:
+            return f"answered with {self.status}{where}, attempts: {tries}"
+        detail = f": {self.detail}" if self.detail else ""
+        return f"refused, {self.reason.value}{detail}"
+
+
+class RequestLog:
+    """The last endings of each kind, found by request id.
+
+    Args:
+        kept: Bound of each kind.
+    """
+
+    def __init__(self, kept: int = KEPT) -> None:
+        self._kept = kept
+        self._endings: dict[identifiers.RequestId, Ending] = {}
+        self._order: dict[Kind, collections.deque[identifiers.RequestId]] = {
+            kind: collections.deque() for kind in Kind
+        }
+
+    def __len__(self) -> int:
+        return len(self._endings)
+
+    def add(self, ending: Ending) -> None:
+        """Keeps `ending` and forgets the oldest of its kind if needed."""
+        if ending.request_id in self._endings:
+            return
+        order = self._order[ending.kind]
+        if len(order) >= self._kept:
+            del self._endings[order.popleft()]
+        if len(ending.queue) > MAX_TEXT:
+            ending = dataclasses.replace(ending, queue=ending.queue[:MAX_TEXT])
+        order.append(ending.request_id)
+        self._endings[ending.request_id] = ending
+
+    def find(self, request_id: identifiers.RequestId) -> Ending | None:
+        """Returns how a request ended, if it is still known."""
+        return self._endings.get(request_id)
+
+
+if __name__ == "__main__":
+    example = RequestLog()
+    example.add(
+        Ending(
+            identifiers.RequestId("r1"),
+            0.0,
+            429,
+            verdict.Execution.NOT_RUN,
+            verdict.Reason.QUEUE_FULL,
+            queue="quotes",
+            team="canvas",
+        )
+    )
+    print(example.find(identifiers.RequestId("r1")))
