Add status, top, explain and load commands

Cause: operators could see a site only through bundle status and raw pages. Change: status, top and explain ask every entry given and have documented exit codes; load sends requests at a fixed rate and prints a JSON report with hdrhistogram percentiles. dev writes the files operators need and can ask for an operators' token; entry can stop after a given time.

--- a/clementinewood/cli.py
+++ b/clementinewood/cli.py
@@ -10,6 +10,8 @@
     command_demo,
     command_dev,
     command_entry,
+    command_load,
+    command_status,
 )
 
 
@@ -31,6 +33,8 @@
     )
     command_entry.add_commands(subparsers)
     command_bundle.add_commands(subparsers)
+    command_status.add_commands(subparsers)
+    command_load.add_commands(subparsers)
     command_dev.add_commands(subparsers)
     command_demo.add_commands(subparsers)
     return parser
--- a/clementinewood/command_bundle.py
+++ b/clementinewood/command_bundle.py
@@ -10,6 +10,11 @@
   5  accepted, but not yet in force at every entry
   6  no entry could be reached or could accept it now
   7  a file can't be read or written
+
+Commands that show a site use two more:
+
+  8  no entry knows the request, team or worker
+  9  an entry is not ready, can't be reached or has an older bundle
 """
 
 import argparse
@@ -44,6 +49,8 @@
     PENDING = 5
     UNREACHABLE = 6
     FILE = 7
+    UNKNOWN = 8
+    DEGRADED = 9
 
 
 class CommandError(Exception):
@@ -168,7 +175,7 @@
     text: str,
 ) -> argparse.ArgumentParser:
     parser = commands.add_parser(name, help=text, description=text)
-    parser.set_defaults(run=lambda arguments: _run(function, arguments))
+    parser.set_defaults(run=lambda arguments: run_command(function, arguments))
     return parser
 
 
@@ -183,14 +190,14 @@
     parser.add_argument("operator")
     parser.add_argument("--out", required=True, help="file of the private key")
     parser.add_argument(
-        "--days", type=_positive, default=365.0, help="until it expires"
+        "--days", type=parse_positive, default=365.0, help="until it expires"
     )
     parser = _add(commands, "sign", run_sign, "sign a checked bundle")
     parser.add_argument("file", metavar="FILE")
     parser.add_argument("--operator", required=True)
     parser.add_argument("--key", required=True, help="file of the private key")
     parser.add_argument(
-        "--hours", type=_positive, default=24.0, help="until it expires"
+        "--hours", type=parse_positive, default=24.0, help="until it expires"
     )
     parser.add_argument("--out", help="signed file; FILE itself by default")
 
@@ -199,22 +206,23 @@
     parser = _add(commands, "plan", run_plan, "say what a bundle would do")
     parser.add_argument("file", metavar="FILE")
     parser.add_argument("--against", help="a file instead of the one in force")
-    _add_entries(parser)
+    add_entries(parser)
     parser = _add(
         commands, "roll", run_roll, "put a signed bundle in force everywhere"
     )
     parser.add_argument("file", metavar="FILE")
     parser.add_argument(
-        "--timeout", type=_positive, default=30.0, help="seconds to wait"
+        "--timeout", type=parse_positive, default=30.0, help="seconds to wait"
     )
-    _add_entries(parser)
+    add_entries(parser)
     parser = _add(commands, "status", run_status, "show versions by entry")
-    _add_entries(parser)
+    add_entries(parser)
     parser = _add(commands, "history", run_history, "list accepted bundles")
-    _add_entries(parser)
+    add_entries(parser)
 
 
-def _add_entries(parser: argparse.ArgumentParser) -> None:
+def add_entries(parser: argparse.ArgumentParser, *, token: bool = True) -> None:
+    """Adds the options that say which entries are asked."""
     parser.add_argument(
         "--entry",
         action="append",
@@ -222,6 +230,8 @@
         metavar="IP:PORT",
         help=f"may be given often (default: {DEFAULT_ENTRY})",
     )
+    if not token:
+        return
     parser.add_argument(
         "--token-file",
         metavar="FILE",
@@ -236,35 +246,53 @@
         raise argparse.ArgumentTypeError(str(error)) from None
 
 
-def _positive(text: str) -> float:
+def parse_positive(text: str) -> float:
+    """Reads a number above 0 from the command line."""
     value = float(text)
     if not 0 < value < 1e9:
         raise argparse.ArgumentTypeError("must be above 0")
     return value
 
 
-def _run(
-    function: Callable[[argparse.Namespace], None],
+def run_command(
+    function: Callable[[argparse.Namespace], int | None],
     arguments: argparse.Namespace,
 ) -> int:
+    """Runs a command and reports why it failed.
+
+    Returns:
+        The exit code.
+    """
     try:
-        function(arguments)
+        return function(arguments) or Exit.DONE
     except CommandError as error:
         print(error, file=sys.stderr)
         return error.code
-    return Exit.DONE
 
 
-def _open_site(arguments: argparse.Namespace) -> Site:
+def open_site(arguments: argparse.Namespace) -> Site:
+    """Returns the entries that the options name.
+
+    Raises:
+        CommandError: The file of the token can't be read.
+    """
     token = ""
     if arguments.token_file:
-        token = _read_file(arguments.token_file).strip()
-    return Site(
-        arguments.entry or [settings.parse_address(DEFAULT_ENTRY)], token=token
-    )
+        token = read_file(arguments.token_file).strip()
+    return Site(list_entries(arguments), token=token)
+
+
+def list_entries(arguments: argparse.Namespace) -> list[settings.Address]:
+    """Returns the addresses that the options name, or the default."""
+    return arguments.entry or [settings.parse_address(DEFAULT_ENTRY)]
 
 
-def _read_file(path: str) -> str:
+def read_file(path: str) -> str:
+    """Returns the text of a file.
+
+    Raises:
+        CommandError: It can't be read.
+    """
     try:
         with open(path, encoding="utf-8", newline="") as file:
             return file.read()
@@ -297,7 +325,7 @@
     problems = []
     for path in arguments.files:
         try:
-            declared = _parse(_read_file(path), path)
+            declared = _parse(read_file(path), path)
         except CommandError as error:
             if error.code is not Exit.INVALID:
                 raise
@@ -315,8 +343,7 @@
 def run_diff(arguments: argparse.Namespace) -> None:
     """Prints what changes between two files."""
     old, new = (
-        _parse(_read_file(path), path)
-        for path in (arguments.old, arguments.new)
+        _parse(read_file(path), path) for path in (arguments.old, arguments.new)
     )
     changes = bundle.diff_bundles(old, new)
     if arguments.json:
@@ -346,11 +373,11 @@
 
 def run_plan(arguments: argparse.Namespace) -> None:
     """Prints what a bundle would change and set in motion."""
-    new = _parse(_read_file(arguments.file), arguments.file)
+    new = _parse(read_file(arguments.file), arguments.file)
     if arguments.against:
-        old = _parse(_read_file(arguments.against), arguments.against)
+        old = _parse(read_file(arguments.against), arguments.against)
     else:
-        reply = _open_site(arguments).request("GET", "/v1/bundles")
+        reply = open_site(arguments).request("GET", "/v1/bundles")
         text = reply.content.get("text")
         if not reply.content.get("bundles"):
             print("no bundle is in force; this would be the first")
@@ -388,9 +415,9 @@
 
 def run_sign(arguments: argparse.Namespace) -> None:
     """Signs a bundle that has no errors."""
-    text = _read_file(arguments.file)
+    text = read_file(arguments.file)
     _parse(text, arguments.file)
-    private = _read_file(arguments.key)
+    private = read_file(arguments.key)
     now = round(time.time(), 3)
     try:
         signed = signature.sign_bundle(
@@ -411,7 +438,7 @@
 
 def run_roll(arguments: argparse.Namespace) -> None:
     """Posts a signed bundle and waits until it is in force everywhere."""
-    text = _read_file(arguments.file)
+    text = read_file(arguments.file)
     split = signature.split_signed(text)
     if not isinstance(split, result.Success):
         raise CommandError(
@@ -419,7 +446,7 @@
         )
     declared = _parse(text, arguments.file)
     roll_bundle(
-        _open_site(arguments),
+        open_site(arguments),
         text,
         declared.version,
         split.unwrap().digest,
@@ -541,14 +568,14 @@
 
 def run_status(arguments: argparse.Namespace) -> None:
     """Prints the version at each entry."""
-    for item in _read_entries(_open_site(arguments)):
+    for item in _read_entries(open_site(arguments)):
         fresh = "fresh" if item.get("fresh") else "not fresh"
         print(f"{item.get('entry', '?')} version {item.get('version')} {fresh}")
 
 
 def run_history(arguments: argparse.Namespace) -> None:
     """Prints the accepted bundles, oldest first."""
-    reply = _open_site(arguments).request("GET", "/v1/bundles")
+    reply = open_site(arguments).request("GET", "/v1/bundles")
     for item in reply.content.get("bundles", []):
         print(
             f"{_format_time(item.get('time', 0))} version"
--- a/clementinewood/command_entry.py
+++ b/clementinewood/command_entry.py
@@ -37,6 +37,9 @@
     parser.add_argument(
         "--check", action="store_true", help="check the settings and exit"
     )
+    parser.add_argument(
+        "--seconds", type=float, default=None, help="stop after this time"
+    )
     parser.set_defaults(run=run_entry)
 
 
@@ -51,15 +54,23 @@
             if options.check:
                 print(f"{options.settings}: settings are valid")
                 return 0
-            return serve(config)
+            return serve(config, seconds=options.seconds)
         case result.Failure(faults):
             for item in faults:
                 print(item.render(), file=sys.stderr)
     return EXIT_SETTINGS
 
 
-def serve(config: settings.Settings) -> int:
-    """Runs an entry until it is stopped or removed."""
+def serve(config: settings.Settings, *, seconds: float | None = None) -> int:
+    """Runs an entry until it is stopped or removed.
+
+    Args:
+        config: Settings of the entry.
+        seconds: Time after which it stops by itself.
+
+    Returns:
+        The process exit status.
+    """
     event.configure_log(
         level=config.log_level.name,
         json=config.log_format is settings.LogFormat.JSON,
@@ -73,6 +84,8 @@
     )
     timers.on_signal = daemon.stop
     daemon.start()
+    if seconds is not None:
+        timers.subscribe_once(seconds, daemon.stop)
     timers.run()
     return EXIT_REMOVED if daemon.was_removed else 0
 
--- a/clementinewood/dev.py
+++ b/clementinewood/dev.py
@@ -37,6 +37,10 @@
         base_port: First port used; 0 picks free ports.
         entries: Number of entries.
         run_seconds: Run time of requests without a `Run-Ms` header.
+        operator_token: SHA-256 of the token that opens the operators' pages.
+
+    Attributes:
+        private_key: Signs bundles of operator `dev`.
     """
 
     def __init__(
@@ -46,8 +50,10 @@
         base_port: int = 0,
         entries: int = 3,
         run_seconds: float = 0.02,
+        operator_token: bytes | None = None,
     ) -> None:
         self.text = text
+        self._operator_token = operator_token
         self.timers = timer.TimerService()
         self.sockets = transport.Transport(self.timers).register(self.timers)
         self.pages = web.Web(self.timers).register(self.timers)
@@ -56,7 +62,7 @@
         self.log_address = self.log.listen((HOST, _next_port(base_port, 0)))
         self.declared = parse_text(text)
         self.minions: dict[identifiers.WorkerId, minion.Minion] = {}
-        self._private_key, public = signature.generate_key()
+        self.private_key, public = signature.generate_key()
         self.operator = signature.OperatorKey(
             "dev", public, time.time() + SIGNATURE_SECONDS
         )
@@ -79,7 +85,7 @@
         return signature.sign_bundle(
             text,
             "dev",
-            self._private_key,
+            self.private_key,
             signed=now,
             expires=now + SIGNATURE_SECONDS,
         )
@@ -152,7 +158,7 @@
                     if other != name
                 },
                 operators={"dev": self.operator},
-                operator_token=None,
+                operator_token=self._operator_token,
                 edge_limits=edge.EdgeLimits(),
                 log_level=settings.LogLevel.INFO,
                 log_format=settings.LogFormat.TEXT,
