Log numbered events instead of free text; feed every instrument

Cause: modules logged free text that no page explained, ten catalogue events were never emitted and three instruments never had a value. Change: logclient, hostlist, timer, transport, edge and web emit numbered events; readiness, ejections and finished requests are logged; handler failures, refused records and ejected minions are observed. Values that are not printable are quoted, so they can't forge a log line. Events below the log level are dropped before they are rendered.

--- a/clementinewood/edge.py
+++ b/clementinewood/edge.py
@@ -5,9 +5,7 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from loguru import logger
-
-from clementinewood import framing, timer, transport, verdict
+from clementinewood import event, framing, timer, transport, verdict
 
 Header = framing.Header
 
@@ -582,15 +580,17 @@
         """Passes a whole request to the handler."""
         try:
             self._handler.handle_exchange(exchange)
-        except Exception:
-            logger.exception("request handler failed")
+        except Exception as error:
+            event.emit(
+                event.Event.HANDLER_FAILED, exception=error, where="request"
+            )
             self.failures += 1
             exchange.respond(*self._handler.render_refusal(_INTERNAL))
 
     def record_failure(self, message: str) -> None:
         """Counts and logs a fault of the handler."""
         self.failures += 1
-        logger.error(message)
+        event.emit(event.Event.HANDLER_FAILED, where="edge", detail=message)
 
     def render_refused(
         self, refusal: verdict.Refusal, *, head_only: bool = False
--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -253,6 +253,8 @@
         self._stopping = False
         self._stopped = False
         self._fresh = False
+        self._ready = False
+        self._ejected: dict[identifiers.MinionId, identifiers.PoolId] = {}
         self._peer_versions: dict[identifiers.EntryId, tuple[int, bool]] = {}
         self._told_usage: dict[identifiers.TeamId, scheduler.Usage] = {}
         self._hosts: Mapping[identifiers.WorkerId, hostlist.Host] = {}
@@ -368,6 +370,36 @@
             ],
         )
 
+        observe(metric.EJECTED, lambda: [({}, len(self._list_ejected()))])
+        observe(metric.HANDLER_FAILURES, lambda: [({}, self._count_failures())])
+        observe(metric.RECORDS_REFUSED, self._count_refused_records)
+
+    def _list_ejected(
+        self,
+    ) -> dict[identifiers.MinionId, identifiers.PoolId]:
+        pools = {item.pool for item in self.state.assignments.values()}
+        return {
+            minion: pool
+            for pool in sorted(pools)
+            for minion in self._router.ejected(pool)
+        }
+
+    def _count_failures(self) -> int:
+        return (
+            self._sockets.failures
+            + self._timers.failures
+            + self._site.failures
+            + self._edge.failures
+            + self._control.failures
+            + self._claims.failures
+        )
+
+    def _count_refused_records(self) -> list[metric.Reading]:
+        refused = self._control.refused + self._claims.refused
+        return [
+            ({"cause": code.value}, count) for code, count in refused.items()
+        ]
+
     def _count_held(self, team: identifiers.TeamId) -> int:
         return self.coordination.ledger.held(ledger.team_resource(team))
 
@@ -559,10 +591,34 @@
         if self.coordination.is_removed and not self._stopping:
             self._on_removed()
         self._update_targets()
+        self._note_changes()
         self._send_usage()
         self._flush()
         self.gateway.pump()
 
+    def _note_changes(self) -> None:
+        """Logs changes that no single decision announces."""
+        ready, detail = self.read_readiness()
+        if ready != self._ready:
+            self._ready = ready
+            event.emit(
+                event.Event.ENTRY_READY if ready else event.Event.ENTRY_UNREADY,
+                entry=self.config.entry,
+                detail=detail,
+            )
+        ejected = self._list_ejected()
+        for minion in ejected.keys() - self._ejected.keys():
+            event.emit(
+                event.Event.MINION_EJECTED, minion=minion, pool=ejected[minion]
+            )
+        for minion in self._ejected.keys() - ejected.keys():
+            event.emit(
+                event.Event.MINION_RESTORED,
+                minion=minion,
+                pool=self._ejected[minion],
+            )
+        self._ejected = ejected
+
     def _set_demand(self) -> None:
         balancer = self.coordination.balancer
         pools: dict[identifiers.PoolId, int] = {}
--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -6,6 +6,9 @@
 
 from loguru import logger
 
+_least = 0
+"""Severity below which events are not rendered; requests emit some."""
+
 
 class Event(enum.Enum):
     """Every log event: number, level and message.
@@ -30,6 +33,9 @@
     RECORD_REFUSED = (1203, "WARNING", "log record was dropped")
     LOG_GAP = (1204, "WARNING", "records expired before they were read")
     SNAPSHOT_APPENDED = (1205, "INFO", "snapshot was appended to the log")
+    HOSTS_MALFORMED = (1206, "WARNING", "host list is malformed")
+    HOSTS_UNREACHABLE = (1207, "WARNING", "host list can't be read")
+    HOSTS_REACHABLE = (1208, "INFO", "host list can be read again")
     PEER_UP = (1301, "INFO", "link to another entry is up")
     PEER_DOWN = (1302, "WARNING", "link to another entry is down")
     PEER_REFUSED = (1303, "WARNING", "peer failed authentication")
@@ -63,12 +69,30 @@
         return self.value[2]
 
 
-def emit(event: Event, **fields: object) -> None:
-    """Logs `event`; `fields` must hold no secrets."""
-    parts = "".join(f" {name}={value}" for name, value in fields.items())
-    logger.bind(event=f"CW{event.number}", **fields).log(
-        event.level, "{}", f"CW{event.number} {event.text}{parts}"
+def emit(
+    event: Event, *, exception: BaseException | None = None, **fields: object
+) -> None:
+    """Logs `event` in the name of the calling module.
+
+    Args:
+        event: The event.
+        exception: Logged with its traceback, without values of variables.
+        **fields: Shown after the message; must hold no secrets.
+    """
+    if logger.level(event.level).no < _least:
+        return
+    parts = "".join(
+        f" {name}={_render_value(value)}" for name, value in fields.items()
     )
+    logger.opt(depth=1, exception=exception).bind(
+        event=f"CW{event.number}", **fields
+    ).log(event.level, "{}", f"CW{event.number} {event.text}{parts}")
+
+
+def _render_value(value: object) -> str:
+    """Returns one printable line, so that no value can forge a log line."""
+    text = str(value)
+    return text if text.isprintable() else repr(text)
 
 
 def configure_log(
@@ -81,6 +105,8 @@
         json: One JSON object a line instead of text.
         stream: Where records go.
     """
+    global _least
+    _least = logger.level(level).no
     logger.remove()
     # `enqueue` would start a thread.
     logger.add(
--- a/clementinewood/gateway.py
+++ b/clementinewood/gateway.py
@@ -194,7 +194,7 @@
         self, refusal: verdict.Refusal, queue: str
     ) -> tuple[int, Sequence[edge.Header], bytes]:
         request_id = identifiers.create_request_id()
-        self._count_refusal(refusal)
+        self._count_refusal(refusal, request_id)
         self.endings.add(
             requestlog.Ending(
                 request_id,
@@ -541,11 +541,18 @@
         )
         self._finish(item, answer, verdict.Execution.RAN)
         self._keep_ending(item, answer.status, replayed=replayed)
+        event.emit(
+            event.Event.REQUEST_DONE,
+            request=item.request_id,
+            status=answer.status,
+            queue=item.grant.queue,
+            team=item.grant.team,
+        )
         item.exchange.respond(answer.status, headers, answer.body)
 
     def _refuse(self, item: flow.Flow, refusal: verdict.Refusal) -> None:
         refusal = retry.combine_refusal(refusal, item.execution)
-        self._count_refusal(refusal)
+        self._count_refusal(refusal, item.request_id)
         self._finish(item, None, refusal.execution)
         self._keep_ending(item, refusal.status, refusal)
         status, headers, body = render_refusal(refusal, item.request_id)
@@ -597,7 +604,9 @@
         queue = path.partition("?")[0].partition("/")[0]
         exchange.respond(*self._render_early_refusal(refusal, queue))
 
-    def _count_refusal(self, refusal: verdict.Refusal) -> None:
+    def _count_refusal(
+        self, refusal: verdict.Refusal, request_id: identifiers.RequestId
+    ) -> None:
         self._metrics.count(
             metric.REFUSALS,
             reason=refusal.reason.value,
@@ -605,6 +614,7 @@
         )
         event.emit(
             event.Event.REQUEST_REFUSED,
+            request=request_id,
             reason=refusal.reason.value,
             execution=refusal.execution.value,
         )
--- a/clementinewood/hostlist.py
+++ b/clementinewood/hostlist.py
@@ -5,9 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from loguru import logger
-
-from clementinewood import httpclient, identifiers, timer
+from clementinewood import event, httpclient, identifiers, timer
 
 POLL_SECONDS = 1.0
 TIMEOUT_SECONDS = 2.0
@@ -80,6 +78,7 @@
         self._timers = timers
         self._on_hosts = on_hosts
         self._asking = False
+        self._reachable = True
 
     def start(self) -> None:
         """Reads the list now and then once a second."""
@@ -100,16 +99,28 @@
             on_result=lambda outcome: self._receive(outcome, sent),
         )
 
+    def _note_reachable(self, reachable: bool) -> None:
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        event.emit(
+            event.Event.HOSTS_REACHABLE
+            if reachable
+            else event.Event.HOSTS_UNREACHABLE
+        )
+
     def _receive(self, outcome: httpclient.Result, sent: float) -> None:
         self._asking = False
         if not isinstance(outcome, httpclient.Answer) or outcome.status != 200:
             self.failures += 1
+            self._note_reachable(False)
             return
+        self._note_reachable(True)
         try:
             hosts = parse_hosts(outcome.body)
         except ValueError as error:
             self.failures += 1
-            logger.warning("host list is malformed: {}", error)
+            event.emit(event.Event.HOSTS_MALFORMED, detail=error)
             return
         self.read_at = sent
         self._on_hosts(hosts)
--- a/clementinewood/logclient.py
+++ b/clementinewood/logclient.py
@@ -10,10 +10,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from loguru import logger
 from returns import result
 
-from clementinewood import fault, httpclient, record, timer
+from clementinewood import event, fault, httpclient, record, timer
 from clementinewood.identifiers import Incarnation, RecordId
 
 POLL_WAIT = 0.5
@@ -279,7 +278,9 @@
     def _mark_unreachable(self, reason: str) -> None:
         if self.reachable:
             self.reachable = False
-            logger.warning("log stream {} lost: {}", self.stream, reason)
+            event.emit(
+                event.Event.LOG_UNREACHABLE, stream=self.stream, reason=reason
+            )
 
     def _finish_read(
         self, answer: httpclient.Result, offset: int, sent: float
@@ -321,11 +322,11 @@
         if type(start) is not int or start <= self.next_offset:
             self._fail_read(answer)
             return
-        logger.warning(
-            "log stream {}: records {} to {} expired unread",
-            self.stream,
-            self.next_offset,
-            start - 1,
+        event.emit(
+            event.Event.LOG_GAP,
+            stream=self.stream,
+            first=self.next_offset,
+            last=start - 1,
         )
         self.next_offset = self.retained_from = start
         self._suspect = None
@@ -360,7 +361,9 @@
         self.next_offset = read_to
         if accepted:
             self._guard(self._on_records, accepted)
-        self.reachable = True
+        if not self.reachable:
+            self.reachable = True
+            event.emit(event.Event.LOG_REACHABLE, stream=self.stream)
         if read_to >= head:
             self.last_head_read = sent
         for entry in accepted:
@@ -398,11 +401,11 @@
                 return accepted, place
             self._suspect = None
             self.refused[code] += 1
-            logger.warning(
-                "log stream {}: record {} refused: {}",
-                self.stream,
-                place,
-                code.value,
+            event.emit(
+                event.Event.RECORD_REFUSED,
+                stream=self.stream,
+                offset=place,
+                cause=code.value,
             )
         return accepted, offset + len(items)
 
@@ -521,9 +524,13 @@
         """Runs a callback; its failure must not stop the reading."""
         try:
             callback(value)
-        except Exception:
+        except Exception as error:
             self.failures += 1
-            logger.exception("log stream {}: callback failed", self.stream)
+            event.emit(
+                event.Event.HANDLER_FAILED,
+                exception=error,
+                where=f"log stream {self.stream}",
+            )
 
 
 def _parse_object(body: bytes) -> dict[str, Any] | None:
--- a/clementinewood/metric.py
+++ b/clementinewood/metric.py
@@ -17,6 +17,8 @@
     """How an instrument accumulates."""
 
     COUNTER = "counter"
+    TOTAL = "total"
+    """A counter that is read from a total kept elsewhere."""
     GAUGE = "gauge"
     HISTOGRAM = "histogram"
 
@@ -77,7 +79,7 @@
 )
 RECORDS_REFUSED = Instrument(
     "clementinewood.records.refused",
-    Kind.COUNTER,
+    Kind.TOTAL,
     "1",
     "Log records dropped by the reader, by cause.",
     ("cause",),
@@ -104,7 +106,7 @@
 )
 HANDLER_FAILURES = Instrument(
     "clementinewood.handler.failures",
-    Kind.COUNTER,
+    Kind.TOTAL,
     "1",
     "Exceptions caught in handlers; any makes the entry unready.",
 )
@@ -194,7 +196,7 @@
                 self._histograms[name] = self._meter.create_histogram(
                     name, unit, text
                 )
-            case Kind.GAUGE:
+            case Kind.GAUGE | Kind.TOTAL:
                 pass
 
     def count(
@@ -212,7 +214,7 @@
     def observe(
         self, instrument: Instrument, read: Callable[[], Iterable[Reading]]
     ) -> None:
-        """Makes `read` the source of a gauge; called by `render`."""
+        """Makes `read` the source of a gauge or total; used by `render`."""
 
         def collect(_: api.CallbackOptions) -> Iterable[api.Observation]:
             return [
@@ -220,7 +222,12 @@
                 for attributes, value in read()
             ]
 
-        self._meter.create_observable_gauge(
+        create = (
+            self._meter.create_observable_counter
+            if instrument.kind is Kind.TOTAL
+            else self._meter.create_observable_gauge
+        )
+        create(
             instrument.name,
             [collect],
             instrument.unit,
--- a/clementinewood/timer.py
+++ b/clementinewood/timer.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 
 import circuits
-from loguru import logger
+
+from clementinewood import event as log_event
 
 Callback = Callable[[], None]
 
@@ -131,9 +132,11 @@
             self._push(subscription)
         try:
             callback()
-        except Exception:
+        except Exception as error:
             self.failures += 1
-            logger.exception("timer callback failed")
+            log_event.emit(
+                log_event.Event.HANDLER_FAILED, exception=error, where="timer"
+            )
 
     @circuits.handler("generate_events")
     def _on_generate_events(self, event: circuits.Event) -> None:
--- a/clementinewood/transport.py
+++ b/clementinewood/transport.py
@@ -10,8 +10,8 @@
 from typing import Protocol
 
 import circuits
-from loguru import logger
 
+from clementinewood import event as log_event
 from clementinewood import timer
 
 RECEIVE_BYTES = 65536
@@ -477,8 +477,8 @@
                 self._listeners.remove(listener)
                 try:
                     listener.accept_waiting(MAX_BACKLOG)
-                except Exception:
-                    self._record_failure(listener)
+                except Exception as error:
+                    self._record_failure(listener, error)
                 if self._polled.pop(listener.sock.fileno(), None):
                     self._epoll.unregister(listener.sock)
                 self._dispose(listener.sock)
@@ -557,8 +557,8 @@
         self._connections.add(connection)
         try:
             connection.open()
-        except Exception:
-            self._record_failure(connection)
+        except Exception as error:
+            self._record_failure(connection, error)
 
     def watch(
         self, connection: Connection, fd: int, old: int, new: int
@@ -583,8 +583,8 @@
             self._dispose(sock)
         try:
             connection.receiver.on_closed(connection, reason)
-        except Exception:
-            self._record_failure(connection)
+        except Exception as error:
+            self._record_failure(connection, error)
 
     def pause_listener(self, listener: _Listener) -> None:
         """Stops polling `listener` for a moment."""
@@ -635,21 +635,25 @@
         else:
             sock.close()
 
-    def _record_failure(self, target: "Connection | _Listener") -> None:
+    def _record_failure(
+        self, target: "Connection | _Listener", error: Exception
+    ) -> None:
         """Counts and logs an exception, and ends its connection.
 
         circuits only prints an exception of a handler and goes on, so a
         broken receiver would look healthy.
         """
         self.failures += 1
-        logger.exception("connection handler failed")
+        log_event.emit(
+            log_event.Event.HANDLER_FAILED, exception=error, where="connection"
+        )
         target.abort("handler failed")
 
     def _guard(self, target: "Connection | _Listener", events: int) -> None:
         try:
             target.handle_events(events)
-        except Exception:
-            self._record_failure(target)
+        except Exception as error:
+            self._record_failure(target, error)
 
     @circuits.handler("generate_events", priority=-9)
     def _on_generate_events(self, event: circuits.Event) -> None:
--- a/clementinewood/web.py
+++ b/clementinewood/web.py
@@ -18,9 +18,9 @@
 )
 from circuits.web import errors as web_errors
 from circuits.web.dispatchers import dispatcher
-from loguru import logger
 
 from clementinewood import edge, timer, transport, verdict
+from clementinewood import event as log_event
 
 ANSWER_SECONDS = 10.0
 """Time after which a page that has not answered is given up."""
@@ -179,7 +179,12 @@
     def _give_up(self, exchange: edge.Exchange) -> None:
         if not exchange.answered:
             self.failures += 1
-            logger.error("page {} gave no answer", exchange.request.target)
+            log_event.emit(
+                log_event.Event.HANDLER_FAILED,
+                where="page",
+                detail="no answer in time",
+                path=exchange.request.target.partition("?")[0],
+            )
             self._respond_error(exchange, 503, "")
 
     def _respond_error(
@@ -257,11 +262,8 @@
             code, detail = error.code, error.description or ""
         else:
             self.failures += 1
-            logger.error(
-                "handler failed: {}: {}\n{}",
-                error_type.__name__,
-                error,
-                "".join(traceback),
+            log_event.emit(
+                log_event.Event.HANDLER_FAILED, exception=error, where="page"
             )
         event = fevent
         while event is not None:
