--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -123,3 +123,4 @@
 if __name__ == "__main__":
     configure_log()
     emit(Event.ENTRY_STARTED, entry="entry-1")
+    emit(Event.HOSTS_MALFORMED, detail="not JSON\nsecond line")
