--- a/clementinewood/dev.py
+++ b/clementinewood/dev.py
@@ -41,6 +41,10 @@
         run_seconds: Run time of requests without a `Run-Ms` header.
         timers: Timer service to run on.
         sockets: Transport of that timer service.
+        operator_token: SHA-256 of the token that opens the operators' pages.
+
+    Attributes:
+        private_key: Signs bundles of operator `dev`.
     """
 
     def __init__(
@@ -52,8 +56,10 @@
         run_seconds: float = 0.02,
         timers: timer.TimerService | None = None,
         sockets: transport.Transport | None = None,
+        operator_token: bytes | None = None,
     ) -> None:
         self.text = text
+        self._operator_token = operator_token
         self.timers = timers or timer.TimerService()
         self.sockets = sockets or transport.Transport(self.timers).register(
             self.timers
@@ -64,7 +70,7 @@
         self.log_address = self.log.listen((HOST, _next_port(base_port, 0)))
         self.declared = parse_text(text)
         self.minions: dict[identifiers.WorkerId, minion.Minion] = {}
-        self._private_key, public = signature.generate_key()
+        self.private_key, public = signature.generate_key()
         self.operator = signature.OperatorKey(
             "dev", public, time.time() + SIGNATURE_SECONDS
         )
@@ -87,7 +93,7 @@
         return signature.sign_bundle(
             text,
             "dev",
-            self._private_key,
+            self.private_key,
             signed=now,
             expires=now + SIGNATURE_SECONDS,
         )
@@ -160,7 +166,7 @@
                     if other != name
                 },
                 operators={"dev": self.operator},
-                operator_token=None,
+                operator_token=self._operator_token,
                 edge_limits=edge.EdgeLimits(),
                 log_level=settings.LogLevel.INFO,
                 log_format=settings.LogFormat.TEXT,
--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -15,6 +15,7 @@
     coordination,
     edge,
     event,
+    explanation,
     gateway,
     hostlist,
     httpclient,
@@ -24,6 +25,7 @@
     membership,
     membership_record,
     metric,
+    page,
     peer,
     peerwire,
     record,
@@ -242,6 +244,8 @@
         self._gap_at = float("-inf")
         self._snapshot_due: float | None = None
         self._snapshot_sent = float("-inf")
+        self._ready = False
+        self._ejected: dict[identifiers.MinionId, identifiers.PoolId] = {}
         self._peer_versions: dict[identifiers.EntryId, tuple[int, bool]] = {}
         self._told_usage: dict[identifiers.TeamId, scheduler.Usage] = {}
         self._hosts: Mapping[identifiers.WorkerId, hostlist.Host] = {}
@@ -360,6 +364,36 @@
             ],
         )
 
+        observe(metric.EJECTED, lambda: [({}, len(self._list_ejected()))])
+        observe(metric.HANDLER_FAILURES, lambda: [({}, self._count_failures())])
+        observe(metric.RECORDS_REFUSED, self._count_refused_records)
+
+    def _list_ejected(
+        self,
+    ) -> dict[identifiers.MinionId, identifiers.PoolId]:
+        pools = {item.pool for item in self.state.assignments.values()}
+        return {
+            minion: pool
+            for pool in sorted(pools)
+            for minion in self._router.ejected(pool)
+        }
+
+    def _count_failures(self) -> int:
+        return (
+            self._sockets.failures
+            + self._timers.failures
+            + self._site.failures
+            + self._edge.failures
+            + self._control.failures
+            + self._claims.failures
+        )
+
+    def _count_refused_records(self) -> list[metric.Reading]:
+        refused = self._control.refused + self._claims.refused
+        return [
+            ({"cause": code.value}, count) for code, count in refused.items()
+        ]
+
     def _count_held(self, team: identifiers.TeamId) -> int:
         return self.coordination.ledger.held(ledger.team_resource(team))
 
@@ -617,11 +651,35 @@
         if self.coordination.is_removed and not self._stopping:
             self._on_removed()
         self._update_targets()
+        self._note_changes()
         self._send_usage()
         self._write_snapshot(now)
         self._flush()
         self.gateway.pump()
 
+    def _note_changes(self) -> None:
+        """Logs changes that no single decision announces."""
+        ready, detail = self.read_readiness()
+        if ready != self._ready:
+            self._ready = ready
+            event.emit(
+                event.Event.ENTRY_READY if ready else event.Event.ENTRY_UNREADY,
+                entry=self.config.entry,
+                detail=detail,
+            )
+        ejected = self._list_ejected()
+        for minion in ejected.keys() - self._ejected.keys():
+            event.emit(
+                event.Event.MINION_EJECTED, minion=minion, pool=ejected[minion]
+            )
+        for minion in self._ejected.keys() - ejected.keys():
+            event.emit(
+                event.Event.MINION_RESTORED,
+                minion=minion,
+                pool=self._ejected[minion],
+            )
+        self._ejected = ejected
+
     def _set_demand(self) -> None:
         balancer = self.coordination.balancer
         pools: dict[identifiers.PoolId, int] = {}
@@ -833,7 +891,10 @@
         request = exchange.request
         path = request.target.partition("?")[0]
         if (request.method, path) == ("POST", "/v1/bundles"):
-            self._post_bundle(exchange)
+            if self._has_token(request):
+                self._post_bundle(exchange)
+            else:
+                _respond_json(exchange, 401, {"error": page.TOKEN_NEEDED})
         else:
             self._site.handle_exchange(exchange)
 
@@ -937,10 +998,13 @@
 
     def is_operator(self, request: web.Request) -> bool:
         """Returns whether a request carries the operators' token."""
+        return self._has_token(request.exchange.request)
+
+    def _has_token(self, request: edge.HttpRequest) -> bool:
         digest = self.config.operator_token
         if digest is None:
             return True
-        given = request.exchange.request.find_header(b"authorization") or ""
+        given = request.find_header(b"authorization") or ""
         token = given.removeprefix("Bearer ")
         return hmac.compare_digest(signature.hash_secret(token), digest)
 
@@ -974,6 +1038,10 @@
             for item in self.state.history
         ]
 
+    def read_bundle_text(self) -> str:
+        """Returns the signed text of the bundle in force, or nothing."""
+        return self.state.bundle_text
+
     def describe_status(self) -> dict[str, Any]:
         """Returns the state of the site as this entry sees it."""
         ready, detail = self.read_readiness()
@@ -1025,27 +1093,31 @@
 
     def explain(self, subject: str) -> dict[str, Any] | None:
         """Returns why a request, team or worker is in its state."""
-        item = self.gateway.flows.get(identifiers.RequestId(subject))
-        if item is not None:
-            return {
-                "request": subject,
-                "phase": item.phase.value,
-                "queue": item.grant.queue,
-                "team": item.grant.team,
-                "attempts": 0 if item.attempt is None else item.attempt.number,
-            }
+        found = self.gateway.explain_request(identifiers.RequestId(subject))
+        if found is not None:
+            return found
+        declared = self.state.bundle
         team = identifiers.TeamId(subject)
         usage = self.gateway.scheduler.usage().get(team)
-        if usage is not None:
-            return {
-                "team": subject,
-                "queued": usage.queued,
-                "running": usage.running,
-                "held": self._count_held(team),
-            }
-        assignment = self.state.assignments.get(identifiers.WorkerId(subject))
-        if assignment is not None:
-            return {"worker": subject, "pool": assignment.pool}
+        if usage is not None and declared is not None:
+            return explanation.explain_team(
+                team,
+                usage,
+                declared.teams.get(team),
+                held=self._count_held(team),
+            )
+        worker = identifiers.WorkerId(subject)
+        assignment = self.state.assignments.get(worker)
+        if assignment is not None and declared is not None:
+            return explanation.explain_worker(
+                worker,
+                assignment.pool,
+                self._hosts.get(worker),
+                declared,
+                self.state.steps.get(worker),
+                ejected=identifiers.MinionId(subject)
+                in self._router.ejected(assignment.pool),
+            )
         return None
 
 
