--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -253,6 +253,9 @@
                 kind: round(value / seconds / count, 2)
                 for kind, value in sorted(change.items())
             }
+        figures["minion_connections"] = sum(
+            len(server.open_connections) for server in self.minions.values()
+        )
         figures["requests_per_second"] = (
             last.answered - first.answered
         ) / seconds
