--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -476,7 +476,7 @@
 def run_outage(site: Nodes) -> Iterator[float]:
     """Measures the entries during and after an outage of the log."""
     yield from site.start()
-    site.log.switches.outage = logservice.Outage.SILENT
+    site.log.switches.outage = logservice.Outage(site.options.kind)
     yield 4.0
     yield from site.measure("outage", ready=sum(site.ready))
     yield site.options.outage
@@ -523,6 +523,9 @@
     parser.add_argument("--log-delay", type=float, default=0.3)
     parser.add_argument("--history", type=int, default=400)
     parser.add_argument("--outage", type=float, default=10.0)
+    parser.add_argument(
+        "--kind", choices=("silent", "refuse"), default="silent"
+    )
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
     site = Nodes(options)
