--- a/clementinewood/command_dev.py
+++ b/clementinewood/command_dev.py
@@ -6,7 +6,7 @@
 import sys
 from typing import Any
 
-from clementinewood import command_bundle, dev, event, signature
+from clementinewood import command_bundle, dev, event
 
 
 def add_commands(subparsers: Any) -> None:
@@ -54,7 +54,7 @@
     site = dev.DevSite(
         dev.read_example(options.site),
         base_port=options.base_port,
-        operator_token=None if token is None else signature.hash_secret(token),
+        operator_token=token,
     )
     if options.files:
         try:
--- a/clementinewood/dev.py
+++ b/clementinewood/dev.py
@@ -37,7 +37,7 @@
         base_port: First port used; 0 picks free ports.
         entries: Number of entries.
         run_seconds: Run time of requests without a `Run-Ms` header.
-        operator_token: SHA-256 of the token that opens the operators' pages.
+        operator_token: Token that opens the operators' pages, if any.
 
     Attributes:
         private_key: Signs bundles of operator `dev`.
@@ -50,7 +50,7 @@
         base_port: int = 0,
         entries: int = 3,
         run_seconds: float = 0.02,
-        operator_token: bytes | None = None,
+        operator_token: str | None = None,
     ) -> None:
         self.text = text
         self._operator_token = operator_token
@@ -92,8 +92,12 @@
 
     def post_bundle(self, text: str) -> edge.Exchange:
         """Hands a bundle to the first entry as an operator's request."""
+        headers: tuple[edge.Header, ...] = ()
+        if self._operator_token is not None:
+            value = f"Bearer {self._operator_token}".encode()
+            headers = ((b"authorization", value),)
         request = edge.HttpRequest(
-            "POST", "/v1/bundles", (), self.sign(text).encode(), (HOST, 0)
+            "POST", "/v1/bundles", headers, self.sign(text).encode(), (HOST, 0)
         )
         exchange = edge.Exchange(request, lambda status, headers, body: None)
         self.entries[0].handle_exchange(exchange)
@@ -158,7 +162,9 @@
                     if other != name
                 },
                 operators={"dev": self.operator},
-                operator_token=self._operator_token,
+                operator_token=None
+                if self._operator_token is None
+                else signature.hash_secret(self._operator_token),
                 edge_limits=edge.EdgeLimits(),
                 log_level=settings.LogLevel.INFO,
                 log_format=settings.LogFormat.TEXT,
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -12,7 +12,7 @@
       | status --entry 127.0.0.1:9                                  | 6    | no entry answered     |
       | status --entry LOG                                          | 6    | no entry answered     |
       | status ALL --token-file missing                             | 7    | missing               |
-      | status --entry nowhere                                      | 2    | IPv4                  |
+      | status --entry nowhere                                      | 2    | not an IP                 |
       | top ALL --once                                              | 0    | entries 3  whole      |
       | top ALL --seconds 0.3 --interval 0.1                        | 0    | entries 3  whole      |
       | top --entry 127.0.0.1:9 --once                              | 6    | no entry answered     |
