--- a/features/operators.feature
+++ b/features/operators.feature
@@ -20,7 +20,7 @@
       | explain ALL quotes-1                                        | 0    | serves pool quotes    |
       | explain ALL no/such?thing                                   | 8    | 'no/such?thing'       |
       | explain --entry 127.0.0.1:9 canvas                          | 6    | could be reached      |
-      | bundle plan site/bundle.ini FIRST                           | 0    | version 1 to 1        |
+      | bundle plan site/bundle.ini FIRST                           | 1    | version 1 is in force |
       | load ALL --queue quotes --key KEY --rate 50 --seconds 0.4   | 0    | "statuses": {"200": 20} |
       | load ALL --queue quotes --key-file missing                  | 7    | missing               |
       | load --entry 127.0.0.1:9 --queue quotes --rate 9 --seconds 0.2 | 6 | "not-sent": 2         |
@@ -41,7 +41,7 @@
       | status ALL --token-file token        | 0    | entry-3               |
       | top ALL --once --token-file token    | 0    | entry-3               |
       | explain ALL canvas --token-file token | 0   | limit: 160            |
-      | bundle plan site/bundle.ini ALL --token-file token | 0 | version 1 to 1 |
+      | bundle plan site/bundle.ini ALL --token-file token | 1 | version 1 is in force |
       | bundle roll site/signed.ini ALL --token-file token | 0 | in force at all |
 
   Scenario: The status names every entry in trouble
