--- a/clementinewood/dev.py
+++ b/clementinewood/dev.py
@@ -41,7 +41,7 @@
         run_seconds: Run time of requests without a `Run-Ms` header.
         timers: Timer service to run on.
         sockets: Transport of that timer service.
-        operator_token: SHA-256 of the token that opens the operators' pages.
+        operator_token: Token that opens the operators' pages, if any.
 
     Attributes:
         private_key: Signs bundles of operator `dev`.
@@ -56,7 +56,7 @@
         run_seconds: float = 0.02,
         timers: timer.TimerService | None = None,
         sockets: transport.Transport | None = None,
-        operator_token: bytes | None = None,
+        operator_token: str | None = None,
     ) -> None:
         self.text = text
         self._operator_token = operator_token
@@ -100,8 +100,12 @@
 
     def post_bundle(self, text: str) -> edge.Exchange:
         """Hands a bundle to the first entry as an operator's request."""
+        headers: tuple[edge.Header, ...] = ()
+        if self._operator_token is not None:
+            value = f"Bearer {self._operator_token}".encode()
+            headers = ((b"authorization", value),)
         request = edge.HttpRequest(
-            "POST", "/v1/bundles", (), self.sign(text).encode(), (HOST, 0)
+            "POST", "/v1/bundles", headers, self.sign(text).encode(), (HOST, 0)
         )
         exchange = edge.Exchange(request, lambda status, headers, body: None)
         self.entries[0].handle_exchange(exchange)
@@ -166,7 +170,9 @@
                     if other != name
                 },
                 operators={"dev": self.operator},
-                operator_token=self._operator_token,
+                operator_token=None
+                if self._operator_token is None
+                else signature.hash_secret(self._operator_token),
                 edge_limits=edge.EdgeLimits(),
                 log_level=settings.LogLevel.INFO,
                 log_format=settings.LogFormat.TEXT,
