Add the security page

Cause: no page said what each secret protects and what others can do. Change: docs/security.md; its command is run by features/docs.feature.

--- a/features/docs.feature
+++ b/features/docs.feature
@@ -9,6 +9,7 @@
       | page          |
       | quickstart.md |
       | operate.md    |
+      | security.md   |
       | events.md     |
       | metrics.md    |
 
