--- a/clementinewood/ledger.py
+++ b/clementinewood/ledger.py
@@ -10,11 +10,11 @@
 import dataclasses
 import zlib
 from collections.abc import Iterable, Mapping, Sequence
-from typing import Any, NewType
+from typing import Any
 
 from clementinewood import identifiers
 
-ResourceId = NewType("ResourceId", str)
+ResourceId = identifiers.ResourceId
 Incarnation = identifiers.Incarnation
 
 
@@ -28,11 +28,6 @@
     return ResourceId(f"slot:{minion}")
 
 
-def connection_resource(minion: identifiers.MinionId) -> ResourceId:
-    """Returns the resource that bounds the connections to `minion`."""
-    return ResourceId(f"connection:{minion}")
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Transfer:
     """Rights moved between two entries; `total` is cumulative."""
@@ -333,6 +328,13 @@
         self._reports: dict[Incarnation, Report] = {}
         self._opened = -1
 
+    def adopt_mints(self, mints: Mints) -> None:
+        """Goes on with accounts that a snapshot rebuilt."""
+        self.mints = mints
+        # The version counts the changes of one object only.
+        self._version = -1
+        self._synchronize()
+
     def mint(
         self, resource: ResourceId, holder: Incarnation, amount: int
     ) -> None:
