Fold the planner's records into one fleet state

Cause: the control stream carried simpler fleet records than the planner writes, folded by other rules, so no daemon could plan.

Change: the records of fleet_record have thrift forms under new kind numbers, since readers of the old layout would misread them. ControlState holds one FleetState and folds these records and a declaration derived from each accepted bundle into it; assignments, steps, planner_lease and roll come from it. Hosts that operators move or remove follow the bundle. New hosts start at a version above every one that an old record may name. The state of the host list and usage reports have the fields that planning needs. Control streams of the tests name versions and valid steps; their checks are as before.

Conclusion: entries agree on one fleet state; nothing plans with it yet.

--- a/clementinewood/assignment.py
+++ b/clementinewood/assignment.py
@@ -3,10 +3,8 @@
 import itertools
 from collections.abc import Mapping
 
-from clementinewood import bundle, control_data, identifiers, ledger
-from clementinewood.identifiers import PoolId, ResourceId, WorkerId
-
-Assignment = control_data.Assignment
+from clementinewood import bundle, fleet_fold, identifiers, ledger
+from clementinewood.identifiers import ResourceId, WorkerId
 
 
 def list_workers(declared: bundle.Bundle | None) -> list[WorkerId]:
@@ -44,7 +42,8 @@
 
 
 def list_minion_limits(
-    declared: bundle.Bundle, assignments: Mapping[WorkerId, Assignment]
+    declared: bundle.Bundle,
+    assignments: Mapping[WorkerId, fleet_fold.HostState],
 ) -> dict[ResourceId, int]:
     """Returns the limit of the slots of every minion.
 
@@ -59,42 +58,3 @@
         slot_resource(worker): slots[assignment.pool]
         for worker, assignment in assignments.items()
     }
-
-
-def assign_all(
-    before: bundle.Bundle | None,
-    declared: bundle.Bundle,
-    assignments: Mapping[WorkerId, Assignment],
-    offset: int,
-) -> dict[WorkerId, Assignment]:
-    """Returns the assignments under a new bundle.
-
-    A pool that operators change for a worker overrides the planner; one
-    that they leave alone does not.
-
-    Args:
-        before: Bundle in force so far.
-        declared: The new bundle.
-        assignments: Assignments so far.
-        offset: Offset of the record of the new bundle.
-    """
-    homes: dict[WorkerId, PoolId] = {}
-    if before is not None:
-        homes = {
-            worker: pool
-            for pool, spec in before.pools.items()
-            for worker in spec.workers
-        }
-    assigned: dict[WorkerId, Assignment] = {}
-    for pool, spec in declared.pools.items():
-        new = Assignment(pool, offset + 1)
-        for worker in spec.workers:
-            present = assignments.get(worker)
-            if (
-                present is None
-                or homes.get(worker) != pool
-                or present.pool not in declared.pools
-            ):
-                present = new
-            assigned[worker] = present
-    return assigned
--- a/clementinewood/control_data.py
+++ b/clementinewood/control_data.py
@@ -2,12 +2,12 @@
 
 import dataclasses
 import enum
+from collections.abc import Mapping
 
-from clementinewood import bundle, membership, record
+from clementinewood import bundle, fleet_fold, membership, roll_state
 from clementinewood.identifiers import (
     EntryId,
     Incarnation,
-    PoolId,
     RecordId,
     WorkerId,
     ZoneId,
@@ -46,61 +46,6 @@
     newest_format: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Assignment:
-    """The pool of a worker.
-
-    Attributes:
-        pool: The pool.
-        version: Offset of the record that assigned it, plus 1. Offsets never
-            come again, so a record that names an older one is always stale,
-            even when the worker left the bundle in between.
-    """
-
-    pool: PoolId
-    version: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class MaintenanceState:
-    """Maintenance of a worker.
-
-    Attributes:
-        step: Present step.
-        version: Offset of the record that set it, plus 1.
-        time: Log time of that record.
-    """
-
-    step: record.Step
-    version: int
-    time: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Lease:
-    """The right to plan.
-
-    Attributes:
-        holder: Member that plans.
-        expires: Log time at which it ends.
-        version: Offset of its record, plus 1.
-    """
-
-    holder: Incarnation
-    expires: float
-    version: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Roll:
-    """Progress of the latest roll."""
-
-    bundle_version: int
-    zone: ZoneId
-    phase: record.Phase
-    version: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
     """A bundle that came into force.
@@ -150,11 +95,8 @@
         members: Members in join order.
         roster: Members, suspicions and minted rights.
         ended: Incarnations that were removed or left.
-        assignments: Pool of every declared worker.
-        steps: Maintenance of workers that ever were in a step.
+        fleet: Pools and steps of hosts, roll, pause and planner lease.
         seen: Ids of the latest records.
-        planner_lease: Latest lease of the planner.
-        roll: Progress of the latest roll.
         snapshot_offset: `next_offset` of the latest snapshot in the log.
         snapshot_time: Log time of that snapshot.
     """
@@ -170,14 +112,34 @@
         default_factory=membership.Roster
     )
     ended: dict[Incarnation, None] = dataclasses.field(default_factory=dict)
-    assignments: dict[WorkerId, Assignment] = dataclasses.field(
-        default_factory=dict
-    )
-    steps: dict[WorkerId, MaintenanceState] = dataclasses.field(
-        default_factory=dict
+    fleet: fleet_fold.FleetState = dataclasses.field(
+        default_factory=fleet_fold.FleetState
     )
     seen: dict[RecordId, None] = dataclasses.field(default_factory=dict)
-    planner_lease: Lease | None = None
-    roll: Roll | None = None
     snapshot_offset: int = 0
     snapshot_time: float = 0.0
+
+    @property
+    def assignments(self) -> Mapping[WorkerId, fleet_fold.HostState]:
+        """Every host with its pool and version."""
+        return self.fleet.hosts
+
+    @property
+    def steps(self) -> Mapping[WorkerId, fleet_fold.HostState]:
+        """Hosts that are out of service."""
+        return {
+            worker: host
+            for worker, host in self.fleet.hosts.items()
+            if host.step is not fleet_fold.Step.IN_SERVICE
+        }
+
+    @property
+    def planner_lease(self) -> fleet_fold.LeaseState | None:
+        """Latest lease of the planner."""
+        lease = self.fleet.lease
+        return None if lease.holder is None else lease
+
+    @property
+    def roll(self) -> roll_state.RollState:
+        """Progress of the newest bundle through the zones."""
+        return self.fleet.roll
--- a/clementinewood/fleet.py
+++ b/clementinewood/fleet.py
@@ -258,6 +258,7 @@
         self.in_progress.clear()
         self.unavailable.clear()
         self.outdated.clear()
+        self.unassigned = self.reports.keys() - self.state.hosts.keys()
         for worker in self.state.hosts:
             self._refresh(worker)
 
--- a/clementinewood/fleet_fold.py
+++ b/clementinewood/fleet_fold.py
@@ -202,7 +202,7 @@
                 payload.worker,
                 HostState(
                     payload.pool,
-                    1,
+                    self._first_version(),
                     Step.ARRIVING,
                     since=time,
                     maintained=time,
@@ -344,29 +344,91 @@
             payload.declaration.zones_out,
         ):
             return Outcome.APPLIED
-        self.home = {
-            worker: pool
-            for pool, spec in payload.declaration.pools.items()
-            for worker in spec.workers
-        }
+        homes = self.home
+        self._set_homes()
         for worker, pool in self.home.items():
             if worker not in self.hosts:
                 self.hosts[worker] = HostState(
                     pool,
-                    1,
+                    self._first_version(),
                     since=time,
                     maintained=time,
                     assigned=time,
                     revision=payload.declaration.pools[pool].revision,
                 )
-        self.planned = {}
         for worker, host in list(self.hosts.items()):
-            if worker not in self.home and host.step is Step.LOST:
-                del self.hosts[worker]
+            self._follow_operators(worker, host, homes.get(worker), time)
+        self._count_planned()
+        self._notify(None)
+        return Outcome.APPLIED
+
+    def _first_version(self) -> int:
+        """Returns the version of a new host.
+
+        A host that left and comes back must not get a version that an old
+        record may name; versions never grow faster than offsets.
+        """
+        return self.offset + 1
+
+    def _set_homes(self) -> None:
+        self.home = {
+            worker: pool
+            for pool, spec in self.declaration.pools.items()
+            for worker in spec.workers
+        }
+
+    def _count_planned(self) -> None:
+        self.planned = {}
+        for worker, host in self.hosts.items():
             if worker in self.home and host.is_planned:
                 self.planned[host.pool] = self.planned.get(host.pool, 0) + 1
+
+    def _follow_operators(
+        self,
+        worker: identifiers.WorkerId,
+        host: HostState,
+        old_home: identifiers.PoolId | None,
+        time: float,
+    ) -> None:
+        """Applies to one host what a bundle says about its pool.
+
+        A pool that operators change for a host overrides the planner; one
+        that they leave alone does not.
+        """
+        home = self.home.get(worker)
+        if home is None and (old_home is not None or host.step is Step.LOST):
+            del self.hosts[worker]
+            return
+        is_declared = host.pool in self.declaration.pools
+        if home == old_home and is_declared:
+            return
+        if home is None:
+            # The planner gives it a pool again.
+            del self.hosts[worker]
+        elif home != host.pool:
+            self.hosts[worker] = dataclasses.replace(
+                host,
+                pool=home,
+                version=self._first_version(),
+                step=Step.ARRIVING,
+                purpose=Purpose.MOVE,
+                target=None,
+                since=time,
+                assigned=time,
+                revision=self.declaration.pools[home].revision,
+            )
+
+    def index_hosts(self) -> None:
+        """Counts what follows from the hosts and the declaration."""
+        self._set_homes()
+        self._count_planned()
+
+    def load(self, other: "FleetState") -> None:
+        """Takes the folded state of `other` and tells every listener."""
+        listeners = self._listeners
+        self.__dict__.update(other.__dict__)
+        self._listeners = listeners
         self._notify(None)
-        return Outcome.APPLIED
 
 
 if __name__ == "__main__":
--- a/clementinewood/hostlist.py
+++ b/clementinewood/hostlist.py
@@ -2,12 +2,13 @@
 
 import dataclasses
 import json
+import math
 from collections.abc import Callable, Mapping
 from typing import Any
 
 from loguru import logger
 
-from clementinewood import httpclient, identifiers, timer
+from clementinewood import capacity, httpclient, identifiers, timer
 
 POLL_SECONDS = 1.0
 TIMEOUT_SECONDS = 2.0
@@ -23,6 +24,13 @@
         rack: Rack.
         address: Where its minion listens.
         leaving: Whether it gets no new work.
+        running: Tasks that run on it, as the platform counts them.
+        boot: Id that changes with every boot; empty if not reported.
+        healthy: Result of the platform's checks.
+        processors: Processors.
+        memory_gb: Memory in GB.
+        accelerators: Accelerators.
+        pool: Pool whose service it runs; None if not reported.
     """
 
     worker: identifiers.WorkerId
@@ -30,6 +38,13 @@
     rack: identifiers.RackId
     address: tuple[str, int]
     leaving: bool
+    running: int = 0
+    boot: str = ""
+    healthy: bool = True
+    processors: float = capacity.DEFAULT.processors
+    memory_gb: float = capacity.DEFAULT.memory
+    accelerators: float = capacity.DEFAULT.accelerators
+    pool: identifiers.PoolId | None = None
 
 
 def parse_hosts(body: bytes) -> dict[identifiers.WorkerId, Host]:
@@ -54,11 +69,30 @@
             identifiers.RackId(item.get("rack", "")),
             (address, int(port)),
             item.get("state", "live") != "live",
+            int(item.get("running", 0)),
+            str(item.get("boot", "")),
+            item.get("healthy", True) is True,
+            _parse_amount(item, "processors", capacity.DEFAULT.processors),
+            _parse_amount(item, "memory_gb", capacity.DEFAULT.memory),
+            _parse_amount(item, "accelerators", capacity.DEFAULT.accelerators),
+            identifiers.PoolId(item["pool"]) if item.get("pool") else None,
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"not a host: {item!r}") from error
 
 
+def _parse_amount(item: Any, name: str, default: float) -> float:
+    """Returns a finite amount of zero or more.
+
+    Raises:
+        ValueError: It is none.
+    """
+    amount = float(item.get(name, default))
+    if not 0 <= amount < math.inf:
+        raise ValueError(f"{name} of {item!r} is no amount")
+    return amount
+
+
 class HostList:
     """Polls the list; keeps the last one while the platform is out.
 
--- a/clementinewood/maintenance.py
+++ b/clementinewood/maintenance.py
@@ -70,6 +70,16 @@
         fleet_view.state.subscribe(self._on_change)
         self._on_change(None)
 
+    def configure(self, settings: MaintenanceSettings) -> None:
+        """Replaces the settings; hosts are due by the new period."""
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self._queue.clear()
+        self._due.clear()
+        self._queued.clear()
+        self._on_change(None)
+
     def _on_change(self, worker: identifiers.WorkerId | None) -> None:
         """Queues hosts whose last maintenance is new to this planner."""
         hosts = self._fleet.state.hosts
--- a/clementinewood/peer.thrift
+++ b/clementinewood/peer.thrift
@@ -131,9 +131,29 @@
   6: double raised
 }
 
+struct PoolUsage {
+  1: string pool
+  2: i64 running
+  3: i64 queued
+  4: i64 completed
+  5: double busy
+}
+
+struct WorkerUsage {
+  1: string worker
+  2: i64 running
+}
+
+struct FleetUsage {
+  1: i64 next_offset
+  2: list<PoolUsage> pools
+  3: list<WorkerUsage> workers
+}
+
 struct UsageReport {
   1: list<TeamUsage> teams
   2: i64 version
+  3: optional FleetUsage fleet
 }
 
 struct Frame {
--- a/clementinewood/peerwire.py
+++ b/clementinewood/peerwire.py
@@ -110,6 +110,49 @@
     raised: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolUsage:
+    """Work of one pool at the sender.
+
+    Attributes:
+        pool: The pool.
+        running: Requests that run.
+        queued: Requests that wait.
+        completed: Requests that ended since the sender started.
+        busy: Slot-seconds that they ran, in total.
+    """
+
+    pool: identifiers.PoolId
+    running: int
+    queued: int
+    completed: int
+    busy: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerUsage:
+    """Requests of the sender that run on a host."""
+
+    worker: identifiers.WorkerId
+    running: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetUsage:
+    """What the planner learns from an entry.
+
+    Attributes:
+        next_offset: Control records that the sender has folded. It tells the
+            planner whether the sender knows of a cordon.
+        pools: Pools with any work so far.
+        workers: Hosts with running requests.
+    """
+
+    next_offset: int
+    pools: tuple[PoolUsage, ...]
+    workers: tuple[WorkerUsage, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UsageReport:
     """Usage of the teams for which it changed.
@@ -117,10 +160,13 @@
     Attributes:
         teams: The teams.
         version: Bundle version in force at the sender.
+        fleet: Work by pool and host; sent to the planner only, since a
+            broadcast would exceed the control traffic of a node.
     """
 
     teams: tuple[TeamUsage, ...]
     version: int
+    fleet: FleetUsage | None = None
 
 
 _KINDS: dict[str, type] = {
--- a/clementinewood/record.py
+++ b/clementinewood/record.py
@@ -13,15 +13,19 @@
 from returns import result
 from thriftpy2 import protocol, utils
 
-from clementinewood import fault, identifiers, signature, verdict
+from clementinewood import (
+    fault,
+    fleet_record,
+    identifiers,
+    signature,
+    verdict,
+)
 from clementinewood.identifiers import (
     EntryId,
     Incarnation,
-    PoolId,
     RecordId,
     RequestId,
     TeamId,
-    WorkerId,
     ZoneId,
 )
 
@@ -56,24 +60,6 @@
 NEWEST_FORMAT = max(Format)
 
 
-class Step(enum.Enum):
-    """Maintenance step of a worker."""
-
-    IN_SERVICE = "in-service"
-    DRAINING = "draining"
-    REBOOTING = "rebooting"
-    RETURNING = "returning"
-    FAILED = "failed"
-
-
-class Phase(enum.Enum):
-    """Progress of a roll in one zone."""
-
-    STARTED = "started"
-    DONE = "done"
-    HALTED = "halted"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class BundleAccepted:
     """A bundle that an entry verified.
@@ -177,43 +163,6 @@
     complete: bool = True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkerAssigned:
-    """A worker belongs to another pool from here on."""
-
-    worker: WorkerId
-    pool: PoolId
-    expected: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class MaintenanceStep:
-    """A worker entered a step of its maintenance."""
-
-    worker: WorkerId
-    step: Step
-    expected: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RollStep:
-    """A roll of a bundle entered a phase in a zone."""
-
-    bundle_version: int
-    zone: ZoneId
-    phase: Phase
-    expected: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlannerLease:
-    """A member plans for `seconds` of log time from here on."""
-
-    holder: Incarnation
-    seconds: float
-    expected: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
     """The state folded from all records before `next_offset`."""
@@ -267,10 +216,11 @@
     | Removed
     | Closed
     | Left
-    | WorkerAssigned
-    | MaintenanceStep
-    | RollStep
-    | PlannerLease
+    | fleet_record.WorkerAssigned
+    | fleet_record.MaintenanceStep
+    | fleet_record.RollStep
+    | fleet_record.PlannerLease
+    | fleet_record.MaintenancePause
     | Snapshot
     | Suspected
     | Refuted
@@ -283,16 +233,20 @@
     3: Removed,
     4: Closed,
     5: Left,
-    6: WorkerAssigned,
-    7: MaintenanceStep,
-    8: RollStep,
-    9: PlannerLease,
     10: Snapshot,
     11: Suspected,
     12: Refuted,
+    13: fleet_record.WorkerAssigned,
+    14: fleet_record.MaintenanceStep,
+    15: fleet_record.RollStep,
+    16: fleet_record.PlannerLease,
+    17: fleet_record.MaintenancePause,
     20: Claims,
 }
-"""Kinds on the wire; a number is never used again for another kind."""
+"""Kinds on the wire; a number is never used again for another kind.
+
+Numbers 6 to 9 were fleet records without versions of pools and expiry.
+"""
 _NUMBERS = {kind: number for number, kind in _KINDS.items()}
 
 
@@ -464,6 +418,11 @@
     if origin is tuple:
         item = _find_reader(typing.get_args(hint)[0])
         return lambda value: tuple(item(part) for part in value)
+    # A union with a `NewType` is one of `typing`.
+    if origin in (types.UnionType, typing.Union):
+        (present,) = set(typing.get_args(hint)) - {types.NoneType}
+        read_present = _find_reader(present)
+        return lambda value: None if value is None else read_present(value)
     if origin is not None and issubclass(origin, Mapping):
         return _read_amounts
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
--- a/clementinewood/snapshot.py
+++ b/clementinewood/snapshot.py
@@ -13,11 +13,12 @@
     assignment,
     bundle,
     control_data,
+    fleet_image,
     membership,
     record,
     signature,
 )
-from clementinewood.identifiers import Incarnation, ResourceId, WorkerId
+from clementinewood.identifiers import Incarnation, ResourceId
 
 
 def encode(content: control_data.Content) -> bytes:
@@ -62,16 +63,7 @@
             )
             for incarnation, member in content.members.items()
         ],
-        assignments=_group_assignments(content),
-        steps=[
-            wire.StepImage(
-                worker=worker,
-                step=step.step.value,
-                version=step.version,
-                time=step.time,
-            )
-            for worker, step in sorted(content.steps.items())
-        ],
+        fleet=fleet_image.encode_fleet(content.fleet),
         mints=_group_mints(content.bundle, mints),
         closings=[
             wire.ClosingImage(
@@ -89,43 +81,12 @@
         departed=roster["departed"],
         crashed=roster["crashed"],
         seen=list(content.seen),
-        lease=None
-        if content.planner_lease is None
-        else wire.LeaseImage(**dataclasses.asdict(content.planner_lease)),
-        roll=None
-        if content.roll is None
-        else wire.RollImage(
-            bundle_version=content.roll.bundle_version,
-            zone=content.roll.zone,
-            phase=content.roll.phase.value,
-            version=content.roll.version,
-        ),
         snapshot_offset=content.snapshot_offset,
         snapshot_time=content.snapshot_time,
         time=content.time,
     )
 
 
-def _group_assignments(content: control_data.Content) -> list[Any]:
-    groups: dict[control_data.Assignment, list[int]] = {}
-    places = {
-        worker: place
-        for place, worker in enumerate(assignment.list_workers(content.bundle))
-    }
-    for worker, assigned in content.assignments.items():
-        groups.setdefault(assigned, []).append(places[worker])
-    return [
-        record.wire.AssignmentGroup(
-            pool=assigned.pool,
-            version=assigned.version,
-            runs=_join_runs(numbers),
-        )
-        for assigned, numbers in sorted(
-            groups.items(), key=lambda item: item[1]
-        )
-    ]
-
-
 def _group_mints(
     declared: bundle.Bundle | None, mints: Mapping[str, Any]
 ) -> list[Any]:
@@ -267,35 +228,11 @@
             item.joined_offset,
             item.newest_format,
         )
-    content.assignments = _read_assignments(image, content.bundle)
-    for item in image.steps:
-        content.steps[item.worker] = control_data.MaintenanceState(
-            record.Step(item.step), item.version, item.time
-        )
+    content.fleet = fleet_image.decode_fleet(image.fleet, content.bundle)
     content.roster = _read_roster(image, content.bundle)
-    if image.lease is not None:
-        content.planner_lease = record.from_wire(
-            control_data.Lease, image.lease
-        )
-    if image.roll is not None:
-        content.roll = record.from_wire(control_data.Roll, image.roll)
     return content
 
 
-def _read_assignments(
-    image: Any, declared: bundle.Bundle | None
-) -> dict[WorkerId, control_data.Assignment]:
-    workers = assignment.list_workers(declared)
-    assignments: dict[WorkerId, control_data.Assignment] = {}
-    for group in image.assignments:
-        assigned = control_data.Assignment(group.pool, group.version)
-        for worker in _expand_runs(group.runs, workers):
-            assignments[worker] = assigned
-    if assignments.keys() != set(workers):
-        raise ValueError("some workers have no assignment")
-    return assignments
-
-
 def _read_roster(
     image: Any, declared: bundle.Bundle | None
 ) -> membership.Roster:
--- a/clementinewood/state.py
+++ b/clementinewood/state.py
@@ -12,11 +12,13 @@
     bundle_record,
     control_data,
     fault,
+    fleet_fold,
+    fleet_image,
+    fleet_record,
     identifiers,
     ledger,
     membership,
     membership_record,
-    plan_record,
     record,
     snapshot,
 )
@@ -153,16 +155,15 @@
             return self._change_members(entry, translated, offset)
         match entry.payload:
             case record.BundleAccepted() as payload:
-                return self._accept_bundle(payload, entry.author, offset)
-            case record.WorkerAssigned() as payload:
-                return self._assign(payload, entry.author, offset)
+                return self._accept_bundle(payload, entry, offset)
             case (
-                record.MaintenanceStep()
-                | record.RollStep()
-                | record.PlannerLease()
+                fleet_record.WorkerAssigned()
+                | fleet_record.MaintenanceStep()
+                | fleet_record.RollStep()
+                | fleet_record.PlannerLease()
+                | fleet_record.MaintenancePause()
             ) as payload:
-                counted = plan_record.apply_payload(self, payload, offset)
-                return Outcome.APPLIED if counted else Outcome.STALE
+                return self._apply_plan(payload, entry.author, offset)
             case record.Snapshot() as payload:
                 self.snapshot_offset = max(
                     self.snapshot_offset, payload.next_offset
@@ -172,7 +173,7 @@
         return Outcome.IGNORED
 
     def _accept_bundle(
-        self, payload: record.BundleAccepted, author: Incarnation, offset: int
+        self, payload: record.BundleAccepted, entry: record.Record, offset: int
     ) -> Outcome:
         if payload.expected != self.version or payload.version <= self.version:
             return Outcome.STALE
@@ -182,7 +183,7 @@
         if read is None:
             return Outcome.INVALID
         text, operator, declared = read
-        self._install(declared, author, offset)
+        self._install(declared, operator, entry.id, entry.author, offset)
         self.bundle_text = text
         self.history.append(
             control_data.Accepted(
@@ -191,25 +192,35 @@
                 payload.digest.hex(),
                 offset,
                 self.time,
-                author,
+                entry.author,
             )
         )
         del self.history[:-HISTORY_VERSIONS]
         return Outcome.APPLIED
 
     def _install(
-        self, declared: bundle.Bundle, author: Incarnation, offset: int
+        self,
+        declared: bundle.Bundle,
+        operator: str,
+        record_id: identifiers.RecordId,
+        author: Incarnation,
+        offset: int,
     ) -> None:
         before = self.bundle
-        if before is None or before.pools != declared.pools:
-            self.assignments = assignment.assign_all(
-                before, declared, self.assignments, offset
-            )
-            self.steps = {
-                worker: step
-                for worker, step in self.steps.items()
-                if worker in self.assignments
-            }
+        self.fleet.apply(
+            fleet_record.BundleAccepted(
+                fleet_image.derive_declaration(
+                    declared, before, self.fleet.declaration
+                ),
+                self.fleet.bundle_version,
+                operator,
+                record_id,
+            ),
+            offset,
+            self.time,
+        )
+        # The history holds who won a version; each of these holds all hosts.
+        self.fleet.winners.clear()
         self.bundle = declared
         self.bundle_offset = offset
         limits = assignment.list_team_limits(declared)
@@ -217,6 +228,8 @@
             before is None
             or before.pools != declared.pools
             or before.services != declared.services
+            # The fold drops lost hosts when zones change, too.
+            or before.zones != declared.zones
         ):
             limits |= assignment.list_minion_limits(declared, self.assignments)
             gone = self.roster.mints.limits.keys() - limits.keys()
@@ -277,22 +290,27 @@
                     del self.ended[next(iter(self.ended))]
         return Outcome.APPLIED
 
-    def _assign(
-        self, payload: record.WorkerAssigned, author: Incarnation, offset: int
+    def _apply_plan(
+        self, payload: fleet_record.Payload, author: Incarnation, offset: int
     ) -> Outcome:
-        worker, declared = payload.worker, self.bundle
-        present = self.assignments.get(worker)
-        if present is None or present.version != payload.expected:
+        """Folds a record of the planner."""
+        if (
+            isinstance(payload, fleet_record.PlannerLease)
+            and payload.holder not in self.members
+        ):
             return Outcome.STALE
-        if declared is None or payload.pool not in declared.pools:
+        outcome = self.fleet.apply(payload, offset, self.time)
+        if outcome is not fleet_fold.Outcome.APPLIED:
             return Outcome.STALE
-        self.assignments[worker] = control_data.Assignment(
-            payload.pool, offset + 1
-        )
-        service = declared.services[declared.pools[payload.pool].service]
-        self._set_limits(
-            {assignment.slot_resource(worker): service.slots}, author, offset
-        )
+        if isinstance(payload, fleet_record.WorkerAssigned):
+            declared, worker = self.bundle, payload.worker
+            assert declared is not None
+            service = declared.services[declared.pools[payload.pool].service]
+            self._set_limits(
+                {assignment.slot_resource(worker): service.slots},
+                author,
+                offset,
+            )
         return Outcome.APPLIED
 
     def create_bundle_payload(self, text: str) -> record.BundleAccepted:
@@ -380,8 +398,12 @@
             return _refuse_snapshot(
                 f"its bundle {version} is older than {self.version}"
             )
+        fleet = self.fleet
         for field in dataclasses.fields(control_data.Content):
             setattr(self, field.name, getattr(loaded, field.name))
+        # Planning follows the object, and hears of every change.
+        self.fleet = fleet
+        fleet.load(loaded.fleet)
         self.based = True
         return result.Success(None)
 
--- a/clementinewood/wire.thrift
+++ b/clementinewood/wire.thrift
@@ -59,25 +59,40 @@
   1: string worker
   2: string pool
   3: i64 expected
+  4: i64 pool_version
+  5: double valid_until
 }
 
 struct MaintenanceStep {
   1: string worker
   2: string step
   3: i64 expected
+  4: double valid_until
+  5: string purpose
+  6: optional string target
+  7: string boot
+  8: i64 pool_version
 }
 
 struct RollStep {
-  1: i64 bundle_version
+  1: i64 bundle
   2: string zone
-  3: string phase
+  3: string action
   4: i64 expected
+  5: double valid_until
+  6: string reason
 }
 
 struct PlannerLease {
   1: string holder
-  2: double seconds
-  3: i64 expected
+  2: i64 expected
+  3: double seconds
+}
+
+struct MaintenancePause {
+  1: bool paused
+  2: i64 expected
+  3: double valid_until
 }
 
 struct Snapshot {
@@ -130,18 +145,61 @@
 // Runs are pairs of a first place and a count; places count the workers, or
 // the resources, in the order in which the bundle declares them.
 
-// Workers that share a pool and a version, which is most of them.
-struct AssignmentGroup {
-  1: string pool
-  2: i64 version
-  3: list<i32> runs
-}
-
-struct StepImage {
-  1: string worker
-  2: string step
-  3: i64 version
-  4: double time
+// Columns hold a value for each run of hosts that have the same one; the
+// hosts stand in the order in which the bundle declares them, then by name.
+
+struct TextColumn {
+  1: list<string> values
+  2: list<i32> counts
+}
+
+struct IntColumn {
+  1: list<i64> values
+  2: list<i32> counts
+}
+
+struct TimeColumn {
+  1: list<double> values
+  2: list<i32> counts
+}
+
+// Most hosts were last changed, and many assigned, when they were maintained;
+// a time of -1 stands for that one.
+struct HostsImage {
+  1: list<string> others
+  2: list<i32> missing
+  3: TextColumn pool
+  4: IntColumn version
+  5: TextColumn step
+  6: TextColumn purpose
+  7: TextColumn target
+  8: TextColumn boot
+  9: IntColumn revision
+  10: TimeColumn maintained
+  11: TimeColumn since
+  12: TimeColumn assigned
+}
+
+struct FleetImage {
+  1: HostsImage hosts
+  2: i64 bundle_version
+  3: map<string, i64> revisions
+  4: map<string, i64> pool_versions
+  5: string lease_holder
+  6: double lease_until
+  7: i64 lease_version
+  8: bool paused
+  9: double pause_since
+  10: i64 pause_version
+  11: list<string> roll_zones
+  12: map<string, i64> zone_versions
+  13: string roll_zone
+  14: double roll_since
+  15: string roll_halted
+  16: i64 roll_version
+  17: list<string> roll_done
+  18: i64 offset
+  19: double time
 }
 
 // Resources whose limit and rights are alike, which is most of them.
@@ -167,33 +225,16 @@
   4: list<string> waiting
 }
 
-struct LeaseImage {
-  1: string holder
-  2: double expires
-  3: i64 version
-}
-
-struct RollImage {
-  1: i64 bundle_version
-  2: string zone
-  3: string phase
-  4: i64 version
-}
-
 struct StateImage {
   1: i64 next_offset
   2: i64 bundle_offset
   3: string bundle_text
   4: list<AcceptedImage> history
   5: list<MemberImage> members
-  6: list<AssignmentGroup> assignments
-  7: list<StepImage> steps
   8: list<MintGroup> mints
   9: list<ClosingImage> closings
   11: list<string> ended
   12: list<binary> seen
-  13: LeaseImage lease
-  14: RollImage roll
   15: i64 snapshot_offset
   16: double snapshot_time
   17: double time
@@ -202,4 +243,5 @@
   20: i64 changed
   21: i64 departed
   22: bool crashed
+  23: FleetImage fleet
 }
--- a/features/steps/control_state_steps.py
+++ b/features/steps/control_state_steps.py
@@ -6,7 +6,14 @@
 import hypothesis
 from hypothesis import strategies
 
-from clementinewood import fault, membership, record, snapshot, state
+from clementinewood import (
+    fault,
+    fleet_record,
+    membership,
+    record,
+    snapshot,
+    state,
+)
 from clementinewood.identifiers import EntryId, Incarnation, ZoneId
 from features import control_world
 
@@ -291,7 +298,7 @@
 @behave.then("a control snapshot is due after {n:d} records or {s:g} seconds")
 def check_due_later(context, n, s):
     stream = context.stream
-    lease = record.PlannerLease(Incarnation("e1"), 1.0, -1)
+    lease = fleet_record.PlannerLease(Incarnation("e1"), -1, 1.0)
     for count in range(2, n + 1):
         stream.append("e1", lease)
         due = stream.state.is_snapshot_due(retained_from=0)
@@ -405,7 +412,7 @@
 def take_lease(context):
     for name in ("e1", "e2"):
         context.stream.append(
-            name, record.PlannerLease(Incarnation(name), 5.0, 0)
+            name, fleet_record.PlannerLease(Incarnation(name), 0, 5.0)
         )
 
 
@@ -418,7 +425,8 @@
 def assign_worker(context):
     version = context.stream.state.assignments["w0"].version
     for name, pool in (("e1", "yard"), ("e2", "loft")):
-        context.stream.append(name, record.WorkerAssigned("w0", pool, version))
+        assigned = fleet_record.WorkerAssigned("w0", pool, version, 0, 9.0)
+        context.stream.append(name, assigned)
 
 
 @behave.then("worker w0 is in the pool that e1 named")
--- a/features/steps/entry_snapshot_steps.py
+++ b/features/steps/entry_snapshot_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from clementinewood import record
+from clementinewood import fleet_record, record
 from features import entry_world
 
 
@@ -42,7 +42,7 @@
 
 def append_foreign(context, n):
     for number in range(n):
-        lease = record.PlannerLease("old/1", 1.0, number)
+        lease = fleet_record.PlannerLease("old/1", number, 1.0)
         context.world.append(record.create_record("old/1", lease))
 
 
--- a/features/steps/record_steps.py
+++ b/features/steps/record_steps.py
@@ -10,7 +10,14 @@
 from hypothesis import strategies
 from thriftpy2 import utils
 
-from clementinewood import fault, record, signature, state, verdict
+from clementinewood import (
+    fault,
+    fleet_record,
+    record,
+    signature,
+    state,
+    verdict,
+)
 from clementinewood.identifiers import EntryId, Incarnation, ZoneId
 
 KEY = b"k" * 32
@@ -24,10 +31,23 @@
     record.Removed(ME),
     record.Closed(ME, {"team:a": 3}, {}),
     record.Left(ME),
-    record.WorkerAssigned("w", "p", 4),
-    record.MaintenanceStep("w", record.Step.DRAINING, 0),
-    record.RollStep(3, ZoneId("z"), record.Phase.HALTED, 1),
-    record.PlannerLease(ME, 2.5, 0),
+    fleet_record.WorkerAssigned("w", "p", 4, 9, 2.5),
+    fleet_record.MaintenanceStep("w", fleet_record.Step.LOST, 0, 7.0),
+    fleet_record.MaintenanceStep(
+        "w",
+        fleet_record.Step.CORDONED,
+        3,
+        1.75e9,
+        fleet_record.Purpose.MOVE,
+        "p",
+        "boot-3",
+        12,
+    ),
+    fleet_record.RollStep(
+        3, ZoneId("z"), fleet_record.RollAction.HALT, 1, 2.5, "failing"
+    ),
+    fleet_record.PlannerLease(ME, 0, 2.5),
+    fleet_record.MaintenancePause(True, 4, 2.5),
     record.Snapshot(7, b"\x01" * 3000),
     record.Claims((CLAIM, CLAIM), (OUTCOME,)),
     record.Suspected(ME),
