Plan the fleet in the daemon

Cause: no daemon ran the planner, and entries routed work to hosts whatever their maintenance step was.

Change: FleetControl joins the folded state with the host list and the usage of all entries, and yields the lease and then a round every 2 s, one at a time. A drain ends only when every member has shown that it folded the cordon and runs nothing on the host, and the platform reports nothing. Entries send their work by pool to the planner only; a broadcast would exceed the control traffic of a node. Hosts out of service count as leaving for the router. The host list stand-in reboots hosts and follows their pools. The status page shows hosts by step, the planner and waves; explain says why a host is where it is.

--- a/clementinewood/dev.py
+++ b/clementinewood/dev.py
@@ -5,14 +5,17 @@
 import secrets
 import socket
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from typing import Any
 
 from returns import result
 
 from clementinewood import (
     bundle,
+    dev_platform,
     edge,
     entry,
+    fleet_fold,
     identifiers,
     logservice,
     minion,
@@ -39,6 +42,7 @@
         run_seconds: Run time of requests without a `Run-Ms` header.
         timers: Timer service to run on.
         sockets: Transport of that timer service.
+        wall_clock: Wall-clock time in seconds, also of the log.
     """
 
     def __init__(
@@ -50,6 +54,7 @@
         run_seconds: float = 0.02,
         timers: timer.TimerService | None = None,
         sockets: transport.Transport | None = None,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.text = text
         self.timers = timers or timer.TimerService()
@@ -58,30 +63,48 @@
         )
         self.pages = web.Web(self.timers).register(self.timers)
         page.register_pages(self.pages)
-        self.log = logservice.LogService(self.sockets, self.timers)
+        self._wall_clock = wall_clock
+        self.log = logservice.LogService(
+            self.sockets, self.timers, wall_clock=wall_clock
+        )
         self.log_address = self.log.listen((HOST, _next_port(base_port, 0)))
         self.declared = parse_text(text)
         self.minions: dict[identifiers.WorkerId, minion.Minion] = {}
         self._private_key, public = signature.generate_key()
         self.operator = signature.OperatorKey(
-            "dev", public, time.time() + SIGNATURE_SECONDS
+            "dev", public, wall_clock() + SIGNATURE_SECONDS
         )
         self.cluster_key = secrets.token_bytes(32)
         self._start_minions(base_port, run_seconds)
         self.settings = self._create_settings(base_port, entries)
         self.entries = [
-            entry.Entry(item, self.sockets, self.timers, self.pages)
+            entry.Entry(
+                item,
+                self.sockets,
+                self.timers,
+                self.pages,
+                wall_clock=wall_clock,
+            )
             for item in self.settings
         ]
+        self.platform = dev_platform.HostPlatform(
+            self.log, self.minions, self.timers, self._find_fleet
+        )
+        self.platform.start()
 
     def start(self) -> None:
         """Starts the entries; `post_bundle` brings the bundle into force."""
         for item in self.entries:
             item.start()
 
+    def _find_fleet(self) -> fleet_fold.FleetState:
+        """Returns the state of the entry that has read most of the log."""
+        newest = max(self.entries, key=lambda item: item.state.next_offset)
+        return newest.state.fleet
+
     def sign(self, text: str) -> str:
         """Returns `text` signed by the site's operator."""
-        now = time.time()
+        now = self._wall_clock()
         return signature.sign_bundle(
             text,
             "dev",
@@ -101,7 +124,7 @@
 
     def _start_minions(self, base_port: int, run_seconds: float) -> None:
         zones = list(self.declared.zones)
-        hosts = []
+        hosts: list[dict[str, Any]] = []
         port = 100
         for name, pool in self.declared.pools.items():
             service = self.declared.services[pool.service]
@@ -113,6 +136,7 @@
                     slots=service.slots,
                     connections=service.connections,
                     run_seconds=run_seconds,
+                    wall_clock=self._wall_clock,
                 )
                 address = server.listen((HOST, _next_port(base_port, port)))
                 port += 1
@@ -124,6 +148,9 @@
                         "rack": f"{name}-rack-{index // RACK_WORKERS}",
                         "address": f"{address[0]}:{address[1]}",
                         "state": "live",
+                        "running": 0,
+                        "boot": "boot-1",
+                        "pool": name,
                     }
                 )
         self.log.hosts = hosts
--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -15,6 +15,7 @@
     coordination,
     edge,
     event,
+    fleet_control,
     gateway,
     hostlist,
     httpclient,
@@ -122,12 +123,17 @@
     Args:
         sockets: Opens connections.
         timers: Timer service.
+        meter: Counts requests by pool and host.
     """
 
     def __init__(
-        self, sockets: transport.Transport, timers: timer.TimerService
+        self,
+        sockets: transport.Transport,
+        timers: timer.TimerService,
+        meter: fleet_control.WorkMeter,
     ) -> None:
         self._sockets = sockets
+        self._meter = meter
         self._timers = timers
         self._upstreams: dict[
             tuple[identifiers.MinionId, tuple[str, int]], upstream.Upstream
@@ -149,8 +155,14 @@
         on_result: Callable[[retry.Outcome, httpclient.Answer | None], None],
     ) -> None:
         """Sends one attempt and reports its outcome once."""
+        worker = identifiers.WorkerId(target.minion)
+        started = self._timers.clock()
+        self._meter.start(worker, target.pool)
 
         def report(outcome: upstream.Outcome) -> None:
+            self._meter.finish(
+                worker, target.pool, self._timers.clock() - started
+            )
             if not isinstance(outcome, upstream.Answered):
                 on_result(_UPSTREAM_OUTCOMES[type(outcome)], None)
                 return
@@ -221,6 +233,7 @@
         self.coordination = coordination.Coordination(
             self.me, roster=self.state.roster
         )
+        self.fleet = fleet_control.FleetControl(self.me, self.state)
         self.metrics = metric.Metrics()
         self._timers = timers
         self._clock = timers.clock
@@ -283,7 +296,9 @@
 
     def _create_request_path(self) -> None:
         self._router = router.Router(self.config.zone, self._random)
-        self._upstreams = Upstreams(self._sockets, self._timers)
+        self._upstreams = Upstreams(
+            self._sockets, self._timers, self.fleet.meter
+        )
         self.gateway = gateway.Gateway(
             self._timers,
             pages=self,
@@ -409,6 +424,7 @@
         now = self._clock()
         version = self.state.version
         author, payload = item.record.author, item.record.payload
+        self.fleet.on_record(item.time, now)
         self.state.apply(item.record, item.offset, item.time)
         self._tell_coordination(author, item.offset, now)
         if self.state.version != version:
@@ -499,6 +515,7 @@
             for zone, spec in declared.zones.items()
             if spec.state is bundle.ZoneState.OUT
         )
+        self.fleet.configure(declared)
         self.gateway.configure(
             declared, entries=max(1, len(self.coordination.roster.members))
         )
@@ -594,10 +611,29 @@
             self._on_removed()
         self._update_targets()
         self._send_usage()
+        self._plan(now)
         self._write_snapshot(now)
         self._flush()
         self.gateway.pump()
 
+    def _plan(self, now: float) -> None:
+        """Appends the fleet records that are due."""
+        usable = self.state.based and self._control.reachable
+
+        def report(outcome: logclient.AppendResult) -> None:
+            if isinstance(outcome, logclient.Appended):
+                self.fleet.on_appended(outcome.offset)
+            else:
+                self.fleet.on_failed()
+
+        for payload in self.fleet.plan(
+            now,
+            fresh=usable and self.is_fresh and not self._stopping,
+            read_at=self._control.last_head_read,
+        ):
+            entry = record.create_record(self.me, payload)
+            self._control.append(entry, report)
+
     def _set_demand(self) -> None:
         balancer = self.coordination.balancer
         pools: dict[identifiers.PoolId, int] = {}
@@ -606,6 +642,7 @@
         for item in self.gateway.flows.values():
             if item.phase is gateway.Phase.QUEUED:
                 pools[item.pool] = pools.get(item.pool, 0) + 1
+        self.fleet.observe_queued(pools)
         for worker, assignment in self.state.assignments.items():
             slot = ledger.slot_resource(identifiers.MinionId(worker))
             balancer.set_waiting(slot, pools.get(assignment.pool, 0))
@@ -657,6 +694,10 @@
         match message:
             case peerwire.UsageReport(teams=teams, version=version):
                 self._peer_versions[sender.entry] = (version, True)
+                if message.fleet is not None:
+                    self.fleet.observe_usage(
+                        sender.incarnation, message.fleet, now
+                    )
                 usage = {
                     item.team: scheduler.Usage(
                         item.queued,
@@ -721,6 +762,12 @@
         self._hub.broadcast(
             peerwire.UsageReport(tuple(changed), self.state.version)
         )
+        planner = self.fleet.find_usage_reader(self._clock())
+        if planner is not None:
+            report = peerwire.UsageReport(
+                (), self.state.version, self.fleet.create_usage()
+            )
+            self._hub.send(planner, report)
 
     # Minions.
 
@@ -728,6 +775,8 @@
         self, hosts: Mapping[identifiers.WorkerId, hostlist.Host]
     ) -> None:
         self._hosts = hosts
+        assert self._host_list.read_at is not None
+        self.fleet.observe_hosts(hosts, self._host_list.read_at)
         self._update_targets()
 
     def _update_targets(self) -> None:
@@ -745,7 +794,8 @@
             slot = ledger.slot_resource(minion)
             held = max(0, rights.held(slot))
             pool = assignment.pool
-            if not host.leaving:
+            leaving = host.leaving or not self.fleet.is_in_service(worker)
+            if not leaving:
                 own[pool] = own.get(pool, 0) + held
                 fleet[pool] = fleet.get(pool, 0) + limits.get(slot, 0)
             targets.append(
@@ -755,7 +805,7 @@
                     host.zone,
                     host.address,
                     slots=held,
-                    leaving=host.leaving,
+                    leaving=leaving,
                 )
             )
         self._router.update(targets, self._clock())
@@ -952,6 +1002,7 @@
                 for team, item in usage.items()
             },
             "pools": self._describe_pools(),
+            "fleet": self.fleet.describe(),
         }
 
     def _describe_entries(self) -> list[dict[str, Any]]:
@@ -969,9 +1020,16 @@
 
     def _describe_pools(self) -> dict[str, dict[str, Any]]:
         pools: dict[str, dict[str, Any]] = {}
+        steps = self.fleet.describe_pools()
         for worker, assignment in self.state.assignments.items():
             found = pools.setdefault(
-                assignment.pool, {"workers": 0, "listed": 0, "leaving": 0}
+                assignment.pool,
+                {
+                    "workers": 0,
+                    "listed": 0,
+                    "leaving": 0,
+                    "steps": steps[assignment.pool],
+                },
             )
             host = self._hosts.get(worker)
             found["workers"] += 1
@@ -999,10 +1057,7 @@
                 "running": usage.running,
                 "held": self._count_held(team),
             }
-        assignment = self.state.assignments.get(identifiers.WorkerId(subject))
-        if assignment is not None:
-            return {"worker": subject, "pool": assignment.pool}
-        return None
+        return self.fleet.explain(identifiers.WorkerId(subject))
 
 
 def _respond_json(
--- /dev/null
+++ b/clementinewood/fleet_control.py
@@ -0,0 +1,509 @@
+"""Planning by the daemon: lease, rounds, evidence and explanations."""
+
+import collections
+import dataclasses
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from clementinewood import (
+    bundle,
+    capacity,
+    control_data,
+    demand,
+    fleet,
+    fleet_fold,
+    fleet_record,
+    hostlist,
+    identifiers,
+    move,
+    peerwire,
+    planner,
+)
+
+Step = fleet_record.Step
+Purpose = fleet_record.Purpose
+
+ROUND_SECONDS = 2.0
+
+READ_SECONDS = 2.0
+"""Age of this entry's own read of the log above which it does not plan."""
+
+ROUND_RECORDS = 20
+"""Records of one round; an entry appends 20 a second, and claims share that."""
+
+LEASE_RETRY_SECONDS = 2.0
+"""Time between two attempts to take the lease."""
+
+USAGE_SECONDS = 1.0
+"""Period of usage reports to the planner."""
+
+USAGE_AGE = 10.0
+"""Age in seconds at which a member's usage says nothing about demand."""
+
+CLOCK_RECORDS = 64
+"""Latest records from which the log's clock is estimated. The planner renews
+its lease every few seconds, so drift of the local clock stays small."""
+
+_REASONS: dict[Step, str] = {
+    Step.IN_SERVICE: "in service",
+    Step.CORDONED: "gets no new work and drains",
+    Step.CHECKPOINTING: "its tasks were asked to checkpoint",
+    Step.REBOOTING: "reboots",
+    Step.CHECKING: "is checked before it returns",
+    Step.ARRIVING: "was assigned and does not serve its pool yet",
+    Step.BROKEN: "failed its checks",
+    Step.LOST: "was absent for too long",
+}
+
+
+class WorkMeter:
+    """Counts this entry's requests by pool and host."""
+
+    def __init__(self) -> None:
+        self.workers: collections.Counter[identifiers.WorkerId] = (
+            collections.Counter()
+        )
+        self.pools: collections.Counter[identifiers.PoolId] = (
+            collections.Counter()
+        )
+        self.completed: collections.Counter[identifiers.PoolId] = (
+            collections.Counter()
+        )
+        self.busy: dict[identifiers.PoolId, float] = {}
+
+    def start(
+        self, worker: identifiers.WorkerId, pool: identifiers.PoolId
+    ) -> None:
+        """Counts a request that may reach the host from now on."""
+        self.workers[worker] += 1
+        self.pools[pool] += 1
+
+    def finish(
+        self,
+        worker: identifiers.WorkerId,
+        pool: identifiers.PoolId,
+        seconds: float,
+    ) -> None:
+        """Counts the end of a request after `seconds`."""
+        self.workers[worker] -= 1
+        if not self.workers[worker]:
+            del self.workers[worker]
+        self.pools[pool] -= 1
+        self.completed[pool] += 1
+        self.busy[pool] = self.busy.get(pool, 0.0) + seconds
+
+
+@dataclasses.dataclass(slots=True)
+class _MemberUsage:
+    """Latest usage of a member, and the one of the round before."""
+
+    usage: peerwire.FleetUsage
+    received: float
+    workers: dict[identifiers.WorkerId, int]
+    counted: dict[identifiers.PoolId, tuple[int, float]]
+
+
+class FleetControl:
+    """Yields the fleet records that this entry should append.
+
+    Every entry runs one; the lease only saves duplicate work, since every
+    record names the versions that it replaces.
+
+    Args:
+        me: Incarnation of this entry.
+        state: Folded control stream; its `fleet` stays the same object.
+        meter: This entry's running requests.
+        settings: Settings of the planner; periods come from the bundle.
+    """
+
+    def __init__(
+        self,
+        me: identifiers.Incarnation,
+        state: control_data.Content,
+        meter: WorkMeter | None = None,
+        settings: planner.PlannerSettings | None = None,
+    ) -> None:
+        self.me = me
+        self.state = state
+        self.meter = meter or WorkMeter()
+        self.view = fleet.Fleet(state.fleet)
+        self.planner = planner.Planner(
+            me,
+            self.view,
+            settings or planner.PlannerSettings(limit=ROUND_RECORDS),
+        )
+        self.demand = demand.DemandEstimator()
+        self._hosts: Mapping[identifiers.WorkerId, hostlist.Host] = {}
+        self._hosts_read = float("-inf")
+        self._workers: dict[identifiers.WorkerId, fleet.Worker] = {}
+        self._usage: dict[identifiers.Incarnation, _MemberUsage] = {}
+        self._queued: Mapping[identifiers.PoolId, int] = {}
+        self._clock_offsets: collections.deque[float] = collections.deque(
+            maxlen=CLOCK_RECORDS
+        )
+        self._cordoned_at: dict[identifiers.WorkerId, int] = {}
+        self._appending = 0
+        self._last_offset = -1
+        self._next_round = float("-inf")
+        self._next_lease = float("-inf")
+        self._next_usage = float("-inf")
+        state.fleet.subscribe(self._on_change)
+        self._on_change(None)
+
+    def estimate_log_time(self, now: float) -> float:
+        """Returns the log's time, or a little less.
+
+        Records arrive late, never early, so the largest difference between
+        their times and the local clock is the best estimate.
+        """
+        offset = max(self._clock_offsets, default=float("-inf"))
+        return max(self.state.time, now + offset)
+
+    def on_record(self, time: float, now: float) -> None:
+        """Notes the log time of a record that arrived at `now`."""
+        self._clock_offsets.append(time - now)
+
+    def configure(self, declared: bundle.Bundle) -> None:
+        """Takes periods and thresholds from the bundle in force."""
+        upkeep, rolls = declared.maintenance, declared.rollout
+        self.planner.maintenance.configure(
+            dataclasses.replace(
+                self.planner.maintenance.settings,
+                period=upkeep.interval,
+                pause_fraction=upkeep.pause_unavailable,
+            )
+        )
+        self.planner.rollout.settings = dataclasses.replace(
+            self.planner.rollout.settings,
+            observe=rolls.soak,
+            failure_rate=rolls.halt_failures,
+        )
+
+    def observe_hosts(
+        self,
+        hosts: Mapping[identifiers.WorkerId, hostlist.Host],
+        read_at: float,
+    ) -> None:
+        """Takes the host list, asked for at monotonic time `read_at`."""
+        self._hosts, self._hosts_read = hosts, read_at
+
+    def observe_queued(self, queued: Mapping[identifiers.PoolId, int]) -> None:
+        """Takes the requests that wait at this entry, by pool."""
+        self._queued = queued
+
+    def observe_usage(
+        self,
+        member: identifiers.Incarnation,
+        usage: peerwire.FleetUsage,
+        now: float,
+    ) -> None:
+        """Takes the usage of a member."""
+        old = self._usage.get(member)
+        self._usage[member] = _MemberUsage(
+            usage,
+            now,
+            {item.worker: item.running for item in usage.workers},
+            old.counted if old else {},
+        )
+
+    def create_usage(self) -> peerwire.FleetUsage:
+        """Returns this entry's usage, for the planner.
+
+        Hosts in service are left out: their load changes no decision, and at
+        12,000 hosts it would exceed the control traffic of a node.
+        """
+        meter, hosts = self.meter, self.state.fleet.hosts
+        names = meter.pools.keys() | self._queued.keys()
+        return peerwire.FleetUsage(
+            self.state.next_offset,
+            tuple(
+                peerwire.PoolUsage(
+                    pool,
+                    meter.pools[pool],
+                    self._queued.get(pool, 0),
+                    meter.completed[pool],
+                    meter.busy.get(pool, 0.0),
+                )
+                for pool in sorted(names)
+            ),
+            tuple(
+                peerwire.WorkerUsage(worker, running)
+                for worker, running in sorted(meter.workers.items())
+                if worker not in hosts
+                or hosts[worker].step is not Step.IN_SERVICE
+            ),
+        )
+
+    def find_usage_reader(self, now: float) -> identifiers.Incarnation | None:
+        """Returns the planner that should get a usage report now."""
+        holder = self.state.fleet.lease.holder
+        if holder in (None, self.me) or now < self._next_usage:
+            return None
+        self._next_usage = now + USAGE_SECONDS
+        return holder
+
+    def is_in_service(self, worker: identifiers.WorkerId) -> bool:
+        """Whether requests may be sent to the host."""
+        host = self.state.fleet.hosts.get(worker)
+        return host is not None and host.step is Step.IN_SERVICE
+
+    def plan(
+        self, now: float, *, fresh: bool, read_at: float | None
+    ) -> list[fleet_record.PlanPayload]:
+        """Returns the records to append now, in that order.
+
+        Call `on_appended` or `on_failed` once for each; until then, and until
+        the last one is folded, nothing more is returned.
+
+        Args:
+            now: Monotonic time.
+            fresh: Whether this entry may act on its configuration.
+            read_at: When this entry itself sent the read that reached the
+                head of the log. A relay keeps an entry fresh that cannot
+                append.
+        """
+        if not fresh or read_at is None or now - read_at > READ_SECONDS:
+            return []
+        if self.is_busy or self.state.bundle is None:
+            return []
+        if self.me not in self.state.members or not self._clock_offsets:
+            return []
+        log_time = self.estimate_log_time(now)
+        lease = self.planner.plan_lease(log_time)
+        if lease is not None and now >= self._next_lease:
+            self._next_lease = now + LEASE_RETRY_SECONDS
+            return self._begin([lease])
+        if not self.planner.holds_lease(log_time) or now < self._next_round:
+            return []
+        self._next_round = now + ROUND_SECONDS
+        self._observe(now)
+        self._sample_demand(now, log_time)
+        return self._begin(
+            self.planner.plan(self._estimate_needs(log_time), log_time)
+        )
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether records of the last round are not folded yet."""
+        return self._appending > 0 or (
+            self.state.next_offset <= self._last_offset
+        )
+
+    def on_appended(self, offset: int) -> None:
+        """Notes that a record is in the log."""
+        self._appending -= 1
+        self._last_offset = max(self._last_offset, offset)
+
+    def on_failed(self) -> None:
+        """Notes that a record was not appended, as far as is known."""
+        self._appending -= 1
+
+    def _begin(
+        self, records: Sequence[fleet_record.Payload]
+    ) -> list[fleet_record.PlanPayload]:
+        planned = [
+            item
+            for item in records
+            # Operators publish bundles; planning never does.
+            if not isinstance(item, fleet_record.BundleAccepted)
+        ]
+        self._appending = len(planned)
+        return planned
+
+    def _on_change(self, worker: identifiers.WorkerId | None) -> None:
+        """Notes the offset from which a host gets no new work."""
+        hosts = self.state.fleet.hosts
+        for changed in list(hosts) if worker is None else (worker,):
+            if hosts[changed].step in fleet_fold.DRAINING:
+                self._cordoned_at.setdefault(changed, self.state.fleet.offset)
+            else:
+                self._cordoned_at.pop(changed, None)
+        if worker is None:
+            for gone in self._cordoned_at.keys() - hosts.keys():
+                del self._cordoned_at[gone]
+
+    # Evidence.
+
+    def _observe(self, now: float) -> None:
+        """Joins the host list with the usage of the members."""
+        if self._hosts_read == float("-inf"):
+            return
+        time = self._hosts_read + max(self._clock_offsets)
+        self.observe_usage(self.me, self.create_usage(), now)
+        for gone in self._usage.keys() - self.state.members.keys():
+            del self._usage[gone]
+        self.view.observe_list(
+            [self._create_report(host, time) for host in self._hosts.values()],
+            time,
+        )
+
+    def _create_report(
+        self, host: hostlist.Host, time: float
+    ) -> fleet.HostReport:
+        running = host.running
+        if host.worker in self._cordoned_at:
+            running += self._count_running(host.worker)
+        return fleet.HostReport(
+            self._find_worker(host),
+            fleet.Listing.LEAVING if host.leaving else fleet.Listing.LIVE,
+            running,
+            host.boot,
+            host.healthy,
+            host.pool,
+            time,
+        )
+
+    def _count_running(self, worker: identifiers.WorkerId) -> int:
+        """Returns requests that entries may have running on a drained host.
+
+        A member that has not shown that it folded the cordon counts as one,
+        since it may still send work there.
+        """
+        cordoned = self._cordoned_at[worker]
+        running = 0
+        for member in self.state.members:
+            found = self._usage.get(member)
+            if found is None or found.usage.next_offset <= cordoned:
+                running += 1
+            else:
+                running += found.workers.get(worker, 0)
+        return running
+
+    def _find_worker(self, host: hostlist.Host) -> fleet.Worker:
+        """Returns the same object as long as nothing about it changes."""
+        new = fleet.Worker(
+            host.worker,
+            host.zone,
+            host.rack,
+            capacity.Resources(
+                host.processors, host.memory_gb, host.accelerators
+            ),
+        )
+        old = self._workers.get(host.worker)
+        if old == new:
+            return old
+        self._workers[host.worker] = new
+        return new
+
+    # Demand.
+
+    def _list_queue_pools(self) -> set[identifiers.PoolId]:
+        declared = self.state.bundle
+        assert declared is not None
+        return {queue.pool for queue in declared.queues.values()}
+
+    def _sample_demand(self, now: float, log_time: float) -> None:
+        """Adds a sample of all members, unless one has not reported."""
+        for member in self.state.members:
+            found = self._usage.get(member)
+            if found is None or now - found.received > USAGE_AGE:
+                return
+        totals = {pool: [0.0] * 4 for pool in self._list_queue_pools()}
+        for found in self._usage.values():
+            for item in found.usage.pools:
+                total = totals.setdefault(item.pool, [0.0] * 4)
+                completed, busy = found.counted.get(
+                    item.pool, (item.completed, item.busy)
+                )
+                total[0] += item.running
+                total[1] += item.queued
+                total[2] += item.completed - completed
+                total[3] += item.busy - busy
+                found.counted[item.pool] = (item.completed, item.busy)
+        for pool, (running, queued, completed, busy) in totals.items():
+            self.demand.report(
+                pool,
+                demand.UsageSample(log_time, running, queued, completed, busy),
+            )
+
+    def _estimate_needs(self, log_time: float) -> move.Needs:
+        """Returns the needs of pools with a queue whose demand is known."""
+        declared = self.state.bundle
+        assert declared is not None
+        needs: dict[identifiers.PoolId, capacity.Resources] = {}
+        for pool in sorted(self._list_queue_pools()):
+            counts = self.view.pools.get(pool)
+            host = capacity.DEFAULT
+            if counts is not None and counts.serving_count:
+                host = counts.capacity.scale(1 / counts.serving_count)
+            slots = declared.services[declared.pools[pool].service].slots
+            needs.update(
+                self.demand.estimate_needs([pool], slots, host, log_time)
+            )
+        return needs
+
+    # Pages.
+
+    def describe_pools(self) -> dict[str, dict[str, int]]:
+        """Returns the number of hosts of each pool by step."""
+        pools: dict[str, dict[str, int]] = {}
+        for host in self.state.fleet.hosts.values():
+            steps = pools.setdefault(host.pool, {})
+            steps[host.step.value] = steps.get(host.step.value, 0) + 1
+        return pools
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the planner's lease and the waves in progress."""
+        state = self.state.fleet
+        waves: dict[str, dict[str, int]] = {}
+        for worker in sorted(self.view.in_progress):
+            host = state.hosts[worker]
+            if host.purpose is Purpose.NONE:
+                continue
+            listed = self._hosts.get(worker)
+            known = self.view.reports.get(worker)
+            zone = "unknown"
+            if listed is not None:
+                zone = listed.zone
+            elif known is not None:
+                zone = known.worker.zone
+            purposes = waves.setdefault(zone, {})
+            name = host.purpose.value
+            purposes[name] = purposes.get(name, 0) + 1
+        return {
+            "planner": state.lease.holder,
+            "lease_until": state.lease.until,
+            "paused": state.pause.paused,
+            "roll_zone": state.roll.zone,
+            "roll_halted": state.roll.halted,
+            "waves": waves,
+        }
+
+    def explain(self, worker: identifiers.WorkerId) -> dict[str, Any] | None:
+        """Returns why a host is where it is, or None if it is unknown."""
+        state = self.state.fleet
+        host = state.hosts.get(worker)
+        if host is None:
+            return None
+        listed = self._hosts.get(worker)
+        reason = _REASONS[host.step]
+        if host.purpose is not Purpose.NONE:
+            reason = f"{host.purpose.value}: {reason}"
+        home = state.home.get(worker)
+        if home is None:
+            reason += "; no bundle declares it"
+        elif home != host.pool:
+            reason += f"; lent by pool {home}"
+        if listed is None:
+            reason += "; not on the host list"
+        elif listed.leaving:
+            reason += "; the host list says that it leaves"
+        return {
+            "worker": worker,
+            "pool": host.pool,
+            "step": host.step.value,
+            "reason": reason,
+            "target": host.target,
+            "since": host.since,
+            "version": host.version,
+            "maintained": host.maintained,
+            "running": None if listed is None else listed.running,
+            "running_here": self.meter.workers[worker],
+        }
+
+
+if __name__ == "__main__":
+    CONTROL = FleetControl(
+        identifiers.Incarnation("entry-1/a"), control_data.Content()
+    )
+    print(CONTROL.plan(0.0, fresh=True, read_at=0.0), CONTROL.describe())
--- a/clementinewood/fleet_record.py
+++ b/clementinewood/fleet_record.py
@@ -162,11 +162,11 @@
     record: identifiers.RecordId
 
 
-Payload = (
+PlanPayload = (
     WorkerAssigned
     | MaintenanceStep
     | RollStep
     | PlannerLease
     | MaintenancePause
-    | BundleAccepted
 )
+Payload = PlanPayload | BundleAccepted
--- a/clementinewood/logservice.py
+++ b/clementinewood/logservice.py
@@ -99,7 +99,7 @@
         random_source: random.Random | None = None,
     ) -> None:
         self.switches = Switches()
-        self.hosts: list[dict[str, str]] = []
+        self.hosts: list[dict[str, Any]] = []
         self.requests: collections.Counter[str] = collections.Counter()
         self._timers = timers
         self._wall_clock = wall_clock
