--- a/clementinewood/fleet_control.py
+++ b/clementinewood/fleet_control.py
@@ -402,13 +402,11 @@
         for found in self._usage.values():
             for item in found.usage.pools:
                 total = totals.setdefault(item.pool, [0.0] * 4)
-                completed, busy = found.counted.get(
-                    item.pool, (item.completed, item.busy)
-                )
+                past = found.counted.get(item.pool, (item.completed, item.busy))
                 total[0] += item.running
                 total[1] += item.queued
-                total[2] += item.completed - completed
-                total[3] += item.busy - busy
+                total[2] += item.completed - past[0]
+                total[3] += item.busy - past[1]
                 found.counted[item.pool] = (item.completed, item.busy)
         for pool, (running, queued, completed, busy) in totals.items():
             self.demand.report(
