Test planning in the daemon

Cause: nothing showed that daemons that plan keep budgets, nor that a drain waits for the requests of all entries.

Two broken variants show that the races notice a fold without pool versions and counts, and that the loaded site notices drains that do not wait.

Conclusion: a site maintains and moves hosts under load without a cut request.

--- /dev/null
+++ b/features/fleet_control_world.py
@@ -0,0 +1,283 @@
+"""Entries' fleet control over one log in memory, on a manual clock."""
+
+import dataclasses
+import random
+
+from clementinewood import (
+    dev,
+    fleet_control,
+    fleet_fold,
+    fleet_record,
+    hostlist,
+    record,
+    signature,
+    state,
+)
+from features import fleet_broken
+
+Step = fleet_record.Step
+PRIVATE, _ = signature.generate_key()
+EPOCH = 1.8e9
+SHORT_TEXT = (
+    dev.read_example("guild")
+    .replace("interval = 42d", "interval = 40s")
+    .replace("duration = 30m", "duration = 5s")
+)
+"""Bundle whose hosts are due for maintenance after 30 s."""
+
+ZONES = ("hobart", "launceston", "burnie")
+
+
+class Node:
+    """One entry: its fold of the log and its fleet control."""
+
+    def __init__(self, world, name, kind):
+        self.world = world
+        self.name = name
+        self.state = state.ControlState()
+        self.state.fleet = kind()
+        self.control = fleet_control.FleetControl(name, self.state)
+
+    def read(self, count=None):
+        """Folds the next records."""
+        end = len(self.world.log) if count is None else count
+        for offset in range(
+            self.state.next_offset,
+            min(len(self.world.log), self.state.next_offset + end),
+        ):
+            entry, time = self.world.log[offset]
+            self.control.on_record(time, self.world.now)
+            version = self.state.version
+            self.state.apply(entry, offset, time)
+            if self.state.version != version:
+                self.control.configure(self.state.bundle)
+
+    def plan(self, *, fresh=True, read_at=None):
+        now = self.world.now
+        return self.control.plan(
+            now, fresh=fresh, read_at=now if read_at is None else read_at
+        )
+
+
+class World:
+    """A log, hosts and entries.
+
+    Args:
+        names: Entries, all of which have joined.
+        kind: Class of the folded fleet state.
+        text: Bundle in force.
+    """
+
+    def __init__(
+        self, names=("e1/1", "e2/1"), *, kind=fleet_fold.FleetState, text=None
+    ):
+        self.now = 1000.0
+        self.log = []
+        self.truth = Node(self, "reader/1", kind)
+        self.nodes = [Node(self, name, kind) for name in names]
+        self.under_way = []
+        self.reboots = 0
+        for name in names:
+            self.append(name, record.Joined(name, name[:2], "::", 1, "hobart"))
+        signed = signature.sign_bundle(
+            text or SHORT_TEXT, "night", PRIVATE, signed=1.0, expires=9e9
+        )
+        self.append(names[0], self.truth.state.create_bundle_payload(signed))
+        self.hosts = {}
+        for pool, spec in self.truth.state.bundle.pools.items():
+            for index, worker in enumerate(spec.workers):
+                self.hosts[worker] = {
+                    "zone": ZONES[index % 3],
+                    "pool": pool,
+                    "boot": 1,
+                    "running": 0,
+                    "back_at": 0.0,
+                }
+        for node in self.nodes:
+            node.read()
+
+    def append(self, author, payload):
+        """Appends a record; returns its offset."""
+        entry = record.create_record(author, payload)
+        self.log.append((entry, EPOCH + self.now))
+        self.truth.read()
+        return len(self.log) - 1
+
+    def list_hosts(self):
+        """Returns the host list of the platform."""
+        return {
+            worker: hostlist.Host(
+                worker,
+                host["zone"],
+                f"{host['zone']}-r1",
+                ("::", 1),
+                leaving=False,
+                running=host["running"],
+                boot=f"b{host['boot']}",
+                pool=host["pool"],
+            )
+            for worker, host in self.hosts.items()
+            if host["back_at"] <= self.now
+        }
+
+    def advance(self, seconds):
+        """Lets time pass and the platform follow the log."""
+        self.now += seconds
+        for worker, host in self.hosts.items():
+            found = self.truth.state.fleet.hosts[worker]
+            if (
+                found.step is Step.REBOOTING
+                and found.boot == f"b{host['boot']}"
+            ):
+                assert not host["running"], f"the reboot of {worker} cut work"
+                host["boot"] += 1
+                host["back_at"] = self.now + 3.0
+                self.reboots += 1
+            elif found.step is Step.ARRIVING and not host["running"]:
+                host["pool"] = found.pool
+
+    def share_evidence(self, *, leaving=None):
+        """Brings host list and usage to the nodes.
+
+        Args:
+            leaving: Host that each node's list shows as leaving, by node.
+        """
+        for node in self.nodes:
+            listed = self.list_hosts()
+            worker = (leaving or {}).get(node.name)
+            if worker in listed:
+                listed[worker] = dataclasses.replace(
+                    listed[worker], leaving=True
+                )
+            node.control.observe_hosts(listed, self.now)
+            for other in self.nodes:
+                node.control.observe_usage(
+                    other.name, other.control.create_usage(), self.now
+                )
+
+    def run_round(self, node):
+        """Appends all that a node plans now, and has every node read it."""
+        payloads = node.plan()
+        for payload in payloads:
+            node.control.on_appended(self.append(node.name, payload))
+        for other in self.nodes:
+            other.read()
+        return payloads
+
+
+class Race:
+    """Instances that all plan, with records late, reordered or lost.
+
+    Args:
+        seed: Seed of every choice.
+        kind: Class of the folded fleet state.
+    """
+
+    def __init__(self, seed, kind=fleet_fold.FleetState):
+        self.random = random.Random(seed)
+        text = SHORT_TEXT.replace("unavailable = 1", "unavailable = 2")
+        self.world = World(kind=kind, text=text)
+        self.landed = 0
+        for node in self.world.nodes:
+            # Each believes that it holds the lease, as one does that was
+            # paused; the lease alone must not be what keeps budgets.
+            node.control.planner.holds_lease = lambda now: True
+            node.control.planner.plan_lease = lambda now: None
+            # Hosts of several zones are chosen, so budgets alone bound them.
+            settings = node.control.planner.maintenance.settings
+            node.control.planner.maintenance.settings = dataclasses.replace(
+                settings, pools_apart=True
+            )
+
+    def run(self, steps):
+        world, choose = self.world, self.random
+        for _ in range(steps):
+            world.advance(0.5)
+            host = choose.choice(list(world.hosts.values()))
+            # Work ends anywhere and starts on hosts in service alone.
+            host["running"] = 0
+            worker = choose.choice(list(world.hosts))
+            found = world.truth.state.fleet.hosts[worker]
+            if found.step is Step.IN_SERVICE and choose.random() < 0.3:
+                world.hosts[worker]["running"] = 1
+            self._share_demand()
+            if choose.random() < 0.8:
+                # Lists that lag differently lead to different choices.
+                world.share_evidence(
+                    leaving={
+                        node.name: choose.choice(list(world.hosts))
+                        for node in world.nodes
+                    }
+                )
+            for node in world.nodes:
+                if choose.random() < 0.7:
+                    node.read(choose.randrange(12))
+                world.under_way += [(node, payload) for payload in node.plan()]
+            self._land()
+        self._finish()
+
+    def _share_demand(self):
+        """Makes work wait for a pool that changes from time to time."""
+        pools = sorted(self.world.truth.state.bundle.pools)
+        pool = pools[int(self.world.now // 60) % len(pools)]
+        for node in self.world.nodes:
+            node.control.observe_queued({pool: 400})
+
+    def _land(self):
+        world, choose = self.world, self.random
+        choose.shuffle(world.under_way)
+        for _ in range(choose.randrange(len(world.under_way) + 1)):
+            node, payload = world.under_way.pop()
+            if choose.random() < 0.1:
+                node.control.on_failed()
+                continue
+            node.control.on_appended(world.append(node.name, payload))
+            self.landed += 1
+            self.check_budgets()
+
+    def _finish(self):
+        while self.world.under_way:
+            self._land()
+        for node in self.world.nodes:
+            node.read()
+        self.check_pools()
+
+    def check_budgets(self):
+        """No pool has more hosts out by plan than its budget."""
+        fleet = self.world.truth.state.fleet
+        out = {}
+        for worker, host in fleet.hosts.items():
+            if worker in fleet.home and host.is_planned:
+                out[host.pool] = out.get(host.pool, 0) + 1
+        for pool, count in out.items():
+            limit = fleet.declaration.pools[pool].max_unavailable
+            assert count <= limit, f"{count} hosts of {pool} are out"
+
+    def check_pools(self):
+        """Every host is in exactly one pool, the same at every instance."""
+        expected = self.world.truth.state.snapshot()
+        for node in [self.world.truth, *self.world.nodes]:
+            assert node.state.snapshot() == expected, node.name
+            members = [
+                worker
+                for pool in node.control.view.pools.values()
+                for worker in pool.members
+            ]
+            assert sorted(members) == sorted(self.world.hosts), node.name
+
+
+class NoCounts(dict):
+    """Counts nothing."""
+
+    def get(self, key, default=None):
+        return 0
+
+    def __getitem__(self, key):
+        return 0
+
+
+class UnboundedState(fleet_broken.NoPoolVersion):
+    """Folds cordons that were decided on another state of the pool."""
+
+    def _count_planned(self):
+        self.planned = NoCounts()
