--- a/clementinewood/fleet.py
+++ b/clementinewood/fleet.py
@@ -141,10 +141,17 @@
 
     Args:
         state: Folded state; the fleet follows its changes.
+        lazy: Whether to count all hosts anew only in `refresh`. That takes
+            about 0.3 s at 12,000 hosts, and entries that do not plan need no
+            counts.
     """
 
-    def __init__(self, state: fleet_fold.FleetState) -> None:
+    def __init__(
+        self, state: fleet_fold.FleetState, *, lazy: bool = False
+    ) -> None:
         self.state = state
+        self._lazy = lazy
+        self._stale = False
         self.reports: dict[identifiers.WorkerId, HostReport] = {}
         self.pools: dict[identifiers.PoolId, Pool] = {}
         self.in_progress: set[identifiers.WorkerId] = set()
@@ -264,13 +271,21 @@
             for zone, members in zones.items()
         )
 
+    def refresh(self) -> None:
+        """Counts all hosts anew if a change of all was put off."""
+        if self._stale:
+            self._rebuild()
+
     def _on_change(self, worker: identifiers.WorkerId | None) -> None:
-        if worker is None:
+        if worker is None and self._lazy:
+            self._stale = True
+        elif worker is None:
             self._rebuild()
-        else:
+        elif not self._stale:
             self._refresh(worker)
 
     def _rebuild(self) -> None:
+        self._stale = False
         self.pools = {pool: Pool(pool) for pool in self.state.declaration.pools}
         self._counted.clear()
         self.in_progress.clear()
--- a/clementinewood/fleet_control.py
+++ b/clementinewood/fleet_control.py
@@ -126,7 +126,7 @@
         self.me = me
         self.state = state
         self.meter = meter or WorkMeter()
-        self.view = fleet.Fleet(state.fleet)
+        self.view = fleet.Fleet(state.fleet, lazy=True)
         self.planner = planner.Planner(
             me,
             self.view,
@@ -136,6 +136,7 @@
         self._hosts: Mapping[identifiers.WorkerId, hostlist.Host] = {}
         self._hosts_read = float("-inf")
         self._observed: Mapping[identifiers.WorkerId, hostlist.Host] = {}
+        self._absent_zones: dict[identifiers.WorkerId, identifiers.ZoneId] = {}
         self._workers: dict[identifiers.WorkerId, fleet.Worker] = {}
         self._usage: dict[identifiers.Incarnation, _MemberUsage] = {}
         self._queued: Mapping[identifiers.PoolId, int] = {}
@@ -186,6 +187,12 @@
         read_at: float,
     ) -> None:
         """Takes the host list, asked for at monotonic time `read_at`."""
+        # A host that reboots is off the list but stays in its zone.
+        for worker in self._hosts.keys() - hosts.keys():
+            self._absent_zones[worker] = self._hosts[worker].zone
+        for worker in list(self._absent_zones):
+            if worker in hosts or worker not in self.state.fleet.hosts:
+                del self._absent_zones[worker]
         self._hosts, self._hosts_read = hosts, read_at
 
     def observe_queued(self, queued: Mapping[identifiers.PoolId, int]) -> None:
@@ -277,6 +284,7 @@
         if not self.planner.holds_lease(log_time) or now < self._next_round:
             return []
         self._next_round = now + ROUND_SECONDS
+        self.view.refresh()
         self._observe(now)
         self._sample_demand(now, log_time)
         return self._begin(
@@ -453,18 +461,12 @@
         """Returns the planner's lease and the waves in progress."""
         state = self.state.fleet
         waves: dict[str, dict[str, int]] = {}
-        for worker in sorted(self.view.in_progress):
-            host = state.hosts[worker]
-            if host.purpose is Purpose.NONE:
+        for worker, host in sorted(state.hosts.items()):
+            if host.step is Step.IN_SERVICE or host.purpose is Purpose.NONE:
                 continue
             listed = self._hosts.get(worker)
-            known = self.view.reports.get(worker)
-            zone = "unknown"
-            if listed is not None:
-                zone = listed.zone
-            elif known is not None:
-                zone = known.worker.zone
-            purposes = waves.setdefault(zone, {})
+            zone = listed.zone if listed else self._absent_zones.get(worker)
+            purposes = waves.setdefault(zone or "unknown", {})
             name = host.purpose.value
             purposes[name] = purposes.get(name, 0) + 1
         return {
--- a/features/fleet_control_world.py
+++ b/features/fleet_control_world.py
@@ -258,6 +258,7 @@
         expected = self.world.truth.state.snapshot()
         for node in [self.world.truth, *self.world.nodes]:
             assert node.state.snapshot() == expected, node.name
+            node.control.view.refresh()
             members = [
                 worker
                 for pool in node.control.view.pools.values()
--- a/features/steps/fleet_control_steps.py
+++ b/features/steps/fleet_control_steps.py
@@ -82,6 +82,8 @@
     planned = {pool: n for pool, n in expected.planned.items() if n}
     assert found.planned == planned, (found.planned, planned)
     view = context.world.truth.control.view
+    view.refresh()
+    context.fresh.control.view.refresh()
     for pool, counts in context.fresh.control.view.pools.items():
         assert counts.members == view.pools[pool].members, pool
 
@@ -438,6 +440,7 @@
     assert status["fleet"]["planner"] == holder
     waves = status["fleet"]["waves"]
     assert len(waves) == 1, waves
+    assert waves.keys() <= set(context.site.site.declared.zones), waves
     assert all(set(found) == {"maintenance"} for found in waves.values())
     for worker, found in context.explained.items():
         assert found["worker"] == worker
