Treat a cordon behind a gap in the log as a new one

The age of evidence was also taken from the local clock's estimate alone, which falls behind a log clock that stepped back.

Conclusion: a drain ends only on evidence from after its own cordon.

--- a/clementinewood/fleet_control.py
+++ b/clementinewood/fleet_control.py
@@ -285,7 +285,7 @@
             return []
         self._next_round = now + ROUND_SECONDS
         self.view.refresh()
-        self._observe(now)
+        self._observe(now, log_time)
         self._sample_demand(now, log_time)
         return self._begin(
             self.planner.plan(self._estimate_needs(log_time), log_time)
@@ -322,22 +322,22 @@
     def _on_change(self, worker: identifiers.WorkerId | None) -> None:
         """Notes the offset from which a host gets no new work."""
         hosts = self.state.fleet.hosts
+        if worker is None:
+            # A snapshot may hide that a host returned and was cordoned again.
+            self._cordoned_at.clear()
         for changed in list(hosts) if worker is None else (worker,):
             if hosts[changed].step in fleet_fold.DRAINING:
                 self._cordoned_at.setdefault(changed, self.state.fleet.offset)
             else:
                 self._cordoned_at.pop(changed, None)
-        if worker is None:
-            for gone in self._cordoned_at.keys() - hosts.keys():
-                del self._cordoned_at[gone]
 
     # Evidence.
 
-    def _observe(self, now: float) -> None:
+    def _observe(self, now: float, log_time: float) -> None:
         """Joins the host list with the usage of the members."""
         if self._hosts_read == float("-inf"):
             return
-        time = self._hosts_read + max(self._clock_offsets)
+        time = log_time - (now - self._hosts_read)
         self.observe_usage(self.me, self.create_usage(), now)
         for gone in self._usage.keys() - self.state.members.keys():
             del self._usage[gone]
--- a/features/fleet_control.feature
+++ b/features/fleet_control.feature
@@ -31,6 +31,14 @@
     And the host is not rebooted while the platform reports a task on it
     And the host is rebooted once nothing runs on it
 
+  Scenario: A cordon behind a gap in the log is a new one
+    Evidence from the first of two cordons would end the second one's drain.
+    Given two fleet instances of which the first has cordoned a host
+    And the second has shown that it folded the cordon
+    When the host returns and is cordoned again
+    And the first learns of both by a snapshot alone
+    Then the first counts the second as one that may send work to the host
+
   Scenario: One round is in progress at a time
     Records planned on a state without the last round's would be stale.
     Given two fleet instances whose hosts are due
--- a/features/steps/fleet_control_steps.py
+++ b/features/steps/fleet_control_steps.py
@@ -248,6 +248,51 @@
     assert plan_after(context, 15) is not None
 
 
+@behave.given("the second has shown that it folded the cordon")
+def show_folded(context):
+    context.second.read()
+    context.world.share_evidence()
+    assert not context.first.control._count_running(context.worker)
+
+
+@behave.when("the host returns and is cordoned again")
+def cordon_again(context):
+    fleet = context.world.truth.state.fleet
+    for step in (Step.IN_SERVICE, Step.CORDONED):
+        host = fleet.hosts[context.worker]
+        context.world.append(
+            context.first.name,
+            fleet_record.MaintenanceStep(
+                context.worker,
+                step,
+                host.version,
+                9e9,
+                fleet_record.Purpose.MAINTENANCE,
+                pool_version=fleet.pool_versions[host.pool],
+            ),
+        )
+    assert fleet.hosts[context.worker].step is Step.CORDONED
+
+
+@behave.when("the first learns of both by a snapshot alone")
+def bridge_gap(context):
+    world = context.world
+    start = len(world.log)
+    world.append(
+        context.first.name, world.truth.state.create_snapshot_payload()
+    )
+    context.first.state.begin_gap(start)
+    context.first.read()
+    assert context.first.state.snapshot() == world.truth.state.snapshot()
+
+
+@behave.then(
+    "the first counts the second as one that may send work to the host"
+)
+def check_counted(context):
+    assert context.first.control._count_running(context.worker) == 2
+
+
 @behave.when("the first takes the lease and plans a round")
 def plan_round(context):
     take_lease(context)
