--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -37,7 +37,7 @@
     state,
     timer,
     transport,
-    upstream,
+    upstreams,
     verdict,
     web,
 )
@@ -57,15 +57,6 @@
 """Time for a member to write a due snapshot before the next one does, and
 pause before it tries again when none has landed."""
 
-_UPSTREAM_OUTCOMES: dict[type, retry.Outcome] = {
-    upstream.Answered: retry.Outcome.ANSWERED,
-    upstream.NotSent: retry.Outcome.NOT_SENT,
-    upstream.Refused: retry.Outcome.REFUSED,
-    upstream.Lost: retry.Outcome.LOST,
-    upstream.TimedOut: retry.Outcome.TIMED_OUT,
-    upstream.Invalid: retry.Outcome.INVALID,
-}
-
 
 def translate_claims(payload: record.Claims) -> claim.Batch:
     """Returns the claims of a record of the claims stream."""
@@ -117,91 +108,6 @@
     )
 
 
-class Upstreams:
-    """Connections to every minion in use.
-
-    Args:
-        sockets: Opens connections.
-        timers: Timer service.
-        meter: Counts requests by pool and host.
-    """
-
-    def __init__(
-        self,
-        sockets: transport.Transport,
-        timers: timer.TimerService,
-        meter: fleet_control.WorkMeter,
-    ) -> None:
-        self._sockets = sockets
-        self._meter = meter
-        self._timers = timers
-        self._upstreams: dict[
-            tuple[identifiers.MinionId, tuple[str, int]], upstream.Upstream
-        ] = {}
-
-    def send(
-        self,
-        target: router.Target,
-        request_id: identifiers.RequestId,
-        method: str,
-        path: str,
-        headers: Sequence[edge.Header],
-        body: bytes,
-        *,
-        idempotent: bool,
-        timeout: float,
-        run_limit: float,
-        start_before: float,
-        on_result: Callable[[retry.Outcome, httpclient.Answer | None], None],
-    ) -> None:
-        """Sends one attempt and reports its outcome once."""
-        worker = identifiers.WorkerId(target.minion)
-        started = self._timers.clock()
-        self._meter.start(worker, target.pool)
-
-        def report(outcome: upstream.Outcome) -> None:
-            self._meter.finish(
-                worker, target.pool, self._timers.clock() - started
-            )
-            if not isinstance(outcome, upstream.Answered):
-                on_result(_UPSTREAM_OUTCOMES[type(outcome)], None)
-                return
-            failed = outcome.answer.status >= 500
-            on_result(
-                retry.Outcome.FAILED if failed else retry.Outcome.ANSWERED,
-                outcome.answer,
-            )
-
-        self._find(target).send(
-            request_id,
-            method,
-            path,
-            headers,
-            body,
-            timeout=timeout,
-            on_outcome=report,
-            idempotent=idempotent,
-            run_limit=run_limit,
-            start_before=start_before,
-        )
-
-    def close_all(self) -> None:
-        """Closes every connection."""
-        for item in self._upstreams.values():
-            item.close()
-
-    def _find(self, target: router.Target) -> upstream.Upstream:
-        key = (target.minion, target.address)
-        found = self._upstreams.get(key)
-        if found is None:
-            client = httpclient.HttpClient(
-                self._sockets, self._timers, target.address
-            )
-            found = upstream.Upstream(target.minion, client)
-            self._upstreams[key] = found
-        return found
-
-
 class Entry:
     """One entry process.
 
@@ -296,7 +202,7 @@
 
     def _create_request_path(self) -> None:
         self._router = router.Router(self.config.zone, self._random)
-        self._upstreams = Upstreams(
+        self._upstreams = upstreams.Upstreams(
             self._sockets, self._timers, self.fleet.meter
         )
         self.gateway = gateway.Gateway(
--- a/clementinewood/snapshot.py
+++ b/clementinewood/snapshot.py
@@ -24,7 +24,8 @@
 def encode(content: control_data.Content) -> bytes:
     """Returns the content for `decode`; equal contents give equal bytes."""
     raw = utils.serialize(_create_image(content), record.CODEC)
-    return hashlib.sha256(raw).digest() + zlib.compress(raw)
+    packed = zlib.compress(raw)
+    return hashlib.sha256(packed).digest() + packed
 
 
 def decode(data: bytes, parser: bundle.BundleParser) -> control_data.Content:
@@ -187,15 +188,17 @@
     Raises:
         ValueError: The data is not a whole snapshot.
     """
+    size = hashlib.sha256().digest_size
+    packed = data[size:]
+    # Several packed forms hold the same content, so the digest is of this one.
+    if hashlib.sha256(packed).digest() != data[:size]:
+        raise ValueError("snapshot is not whole")
     inflater = zlib.decompressobj()
     try:
-        raw = inflater.decompress(
-            data[hashlib.sha256().digest_size :], record.MAX_PAYLOAD_BYTES
-        )
+        raw = inflater.decompress(packed, record.MAX_PAYLOAD_BYTES)
     except zlib.error as error:
         raise ValueError(str(error)) from None
-    digest = hashlib.sha256(raw).digest()
-    if not inflater.eof or not data.startswith(digest):
+    if not inflater.eof:
         raise ValueError("snapshot is not whole")
     return raw
 
