--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -13,6 +13,7 @@
     edge,
     event,
     fleet_control,
+    fleet_record,
     gateway,
     hostlist,
     httpclient,
@@ -336,13 +337,49 @@
         version = self.state.version
         author, payload = item.record.author, item.record.payload
         self.fleet.on_record(item.time, now)
-        self.state.apply(item.record, item.offset, item.time)
+        planned = self._holds_planner_lease()
+        outcome = self.state.apply(item.record, item.offset, item.time)
         self._tell_coordination(author, item.offset, now)
+        if outcome is state.Outcome.APPLIED:
+            self._note_fleet(payload, planned)
         if self.state.version != version:
             self._apply_bundle()
         if isinstance(payload, record.Joined | record.Left | record.Removed):
             self._on_members(payload)
 
+    def _holds_planner_lease(self) -> bool:
+        lease = self.state.planner_lease
+        return lease is not None and lease.holder == self.me
+
+    def _note_fleet(self, payload: record.Payload, planned: bool) -> None:
+        """Logs what an applied record did to the fleet.
+
+        Args:
+            payload: The record's payload.
+            planned: Whether this entry held the planner lease before it.
+        """
+        match payload:
+            case fleet_record.WorkerAssigned(worker=worker, pool=pool):
+                event.emit(
+                    event.Event.WORKER_ASSIGNED, worker=worker, pool=pool
+                )
+            case fleet_record.MaintenanceStep(worker=worker, step=step):
+                event.emit(
+                    event.Event.MAINTENANCE_STEP,
+                    worker=worker,
+                    step=step.value,
+                    purpose=payload.purpose.value,
+                )
+            case fleet_record.PlannerLease():
+                plans = self._holds_planner_lease()
+                if plans != planned:
+                    event.emit(
+                        event.Event.PLANNER_ACTIVE
+                        if plans
+                        else event.Event.PLANNER_PASSIVE,
+                        entry=self.config.entry,
+                    )
+
     def _tell_coordination(
         self, author: identifiers.Incarnation, offset: int, now: float
     ) -> None:
--- a/features/steps/fleet_control_steps.py
+++ b/features/steps/fleet_control_steps.py
@@ -454,7 +454,7 @@
     site.loop.run_until(lambda: site.site.platform.reboots)
     context.status = site.entries[1].view.describe_status()
     context.explained = {
-        worker: site.entries[1].explain(worker)
+        worker: site.entries[1].view.explain(worker)
         for worker in site.site.platform.reboots
     }
     site.loop.run_until(
