--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -341,7 +341,8 @@
                 item.execution = (
                     outcome.find_header(b"x-execution") or b""
                 ).decode()
-                if item.status in (503, 429, 500):
+                kind = outcome.find_header(b"content-type") or b""
+                if kind == b"application/problem+json":
                     reason = json.loads(outcome.body).get("reason", "")
                     item.execution += f" {reason}"
                 item.request_id = (
--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -518,6 +518,9 @@
     parser.add_argument("--settle", type=float, default=4.0)
     parser.add_argument("--rate", type=int, default=0)
     parser.add_argument("--open", type=int, default=200)
+    parser.add_argument(
+        "--run-ms", type=int, nargs="+", default=(5, 20, 50, 400)
+    )
     parser.add_argument("--changes", type=int, default=30)
     parser.add_argument("--change-rate", type=float, default=2.0)
     parser.add_argument("--log-delay", type=float, default=0.3)
--- a/clementinewood/admission.py
+++ b/clementinewood/admission.py
@@ -29,6 +29,8 @@
     @property
     def open(self) -> bool: ...  # noqa: D102
     @property
+    def closing(self) -> bool: ...  # noqa: D102
+    @property
     def priority(self) -> Any: ...  # noqa: D102
 
 
@@ -167,7 +169,13 @@
         team: identifiers.TeamId,
         customer: identifiers.CustomerId | None,
         key: identifiers.KeyId | None,
-    ) -> Grant:
+    ) -> Grant | verdict.Refusal:
+        if spec.closing:
+            # A queue is emptied before a later bundle may remove it.
+            return verdict.Refusal(
+                verdict.Reason.QUEUE_CLOSING,
+                detail="The queue takes no new requests.",
+            )
         return Grant(
             queue=queue,
             team=team,
--- a/clementinewood/verdict.py
+++ b/clementinewood/verdict.py
@@ -28,6 +28,7 @@
     KEY_REVOKED = "key-revoked"
     QUEUE_UNKNOWN = "queue-unknown"
     QUEUE_FORBIDDEN = "queue-forbidden"
+    QUEUE_CLOSING = "queue-closing"
     STALE_CONFIGURATION = "stale-configuration"
     QUEUE_FULL = "queue-full"
     DEADLINE = "deadline"
@@ -58,6 +59,7 @@
     Reason.KEY_REVOKED: 401,
     Reason.QUEUE_UNKNOWN: 404,
     Reason.QUEUE_FORBIDDEN: 403,
+    Reason.QUEUE_CLOSING: 410,
     Reason.STALE_CONFIGURATION: 503,
     Reason.QUEUE_FULL: 429,
     Reason.DEADLINE: 503,
--- a/features/admission.feature
+++ b/features/admission.feature
@@ -14,6 +14,8 @@
       | good.secret    | open   | team guild      |
       | good.secret    | stores | queue-forbidden |
       | good.secret    | none   | queue-unknown   |
+      | good.secret    | old    | queue-closing   |
+      | good.secre     | old    | key-unknown     |
       | good.secre     | quotes | key-unknown     |
       | good.          | quotes | key-unknown     |
       | good           | quotes | key-unknown     |
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -26,9 +26,12 @@
     )
 
 
-def build_queue(*teams, open=False):  # noqa: A002
+def build_queue(*teams, open=False, closing=False):  # noqa: A002
     return types.SimpleNamespace(
-        teams=frozenset(teams), open=open, priority=Priority.INTERACTIVE
+        teams=frozenset(teams),
+        open=open,
+        closing=closing,
+        priority=Priority.INTERACTIVE,
     )
 
 
@@ -42,6 +45,7 @@
                 "quotes": build_queue("guild", "gone"),
                 "stores": build_queue("other"),
                 "open": build_queue(open=True),
+                "old": build_queue("guild", closing=True),
             },
             keys={
                 "good": build_key("guild", customer="kiosk"),
