Map records with the struct mapper of the peer links

Cause: record.py had its own mapping between data classes and thrift structs, a twin of structmap.py (100 lines). Change: records use StructMap; Closed itself refuses negative amounts.

--- a/clementinewood/record.py
+++ b/clementinewood/record.py
@@ -3,10 +3,8 @@
 import dataclasses
 import enum
 import pathlib
-import types
-import typing
 import zlib
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 import thriftpy2
@@ -18,6 +16,7 @@
     fleet_record,
     identifiers,
     signature,
+    structmap,
     verdict,
 )
 from clementinewood.identifiers import (
@@ -33,6 +32,7 @@
     str(pathlib.Path(__file__).with_name("wire.thrift")),
     module_name="clementinewood_wire_thrift",
 )
+MAP = structmap.StructMap(wire)
 CODEC = protocol.TCyBinaryProtocolFactory()
 
 MAX_PAYLOAD_BYTES = 16 << 20
@@ -153,6 +153,13 @@
     given: Mapping[str, int]
     received: Mapping[str, int]
 
+    def __post_init__(self) -> None:
+        """Raises ValueError for a negative amount."""
+        for amounts in (self.given, self.received):
+            for name, amount in amounts.items():
+                if amount < 0:
+                    raise ValueError(f"{name!r}: {amount} is not an amount")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Left:
@@ -280,7 +287,7 @@
 
 def encode_record(record: Record, key: bytes) -> bytes:
     """Returns the bytes of `record`, authenticated with the cluster key."""
-    payload = utils.serialize(to_wire(record.payload), CODEC)
+    payload = utils.serialize(MAP.encode(record.payload), CODEC)
     if record.format is Format.DEFLATED:
         payload = zlib.compress(payload)
     envelope = wire.Record(
@@ -347,7 +354,7 @@
         if format_ is Format.DEFLATED:
             payload = _inflate(payload)
         struct = getattr(wire, kind.__name__)()
-        value = from_wire(kind, utils.deserialize(struct, payload, CODEC))
+        value = MAP.decode(kind, utils.deserialize(struct, payload, CODEC))
     except Exception as error:  # The codec documents no set of exceptions.
         return _refuse(fault.Code.RECORD_PAYLOAD, f"undecodable: {error}")
     return result.Success(
@@ -371,86 +378,6 @@
     return result.Failure(fault.Fault(code=code, detail=detail))
 
 
-def to_wire(value: Any) -> Any:
-    """Turns a data class, or a value in one, into its thrift form."""
-    match value:
-        case enum.Enum():
-            return value.value
-        case tuple():
-            return [to_wire(item) for item in value]
-        case Mapping():
-            return dict(value)
-        case _ if dataclasses.is_dataclass(value):
-            struct = getattr(wire, type(value).__name__)
-            return struct(
-                **{
-                    name: to_wire(getattr(value, name))
-                    for name in _readers_of(type(value))
-                }
-            )
-    return value
-
-
-def from_wire(kind: Any, struct: Any) -> Any:
-    """Turns a thrift struct into data class `kind`.
-
-    Raises:
-        ValueError: A field is missing or of a wrong type.
-    """
-    values = {}
-    for name, read in _readers_of(kind).items():
-        values[name] = read(getattr(struct, name))
-    return kind(**values)
-
-
-_READERS: dict[type, dict[str, Callable[[Any], Any]]] = {}
-
-
-def _readers_of(kind: type) -> dict[str, Callable[[Any], Any]]:
-    """Returns a checking reader for each field of a data class."""
-    readers = _READERS.get(kind)
-    if readers is None:
-        hints = typing.get_type_hints(kind)
-        readers = {name: _find_reader(hint) for name, hint in hints.items()}
-        _READERS[kind] = readers
-    return readers
-
-
-def _find_reader(hint: Any) -> Callable[[Any], Any]:
-    hint = getattr(hint, "__supertype__", hint)
-    origin = typing.get_origin(hint)
-    if origin is tuple:
-        item = _find_reader(typing.get_args(hint)[0])
-        return lambda value: tuple(item(part) for part in value)
-    # A union with a `NewType` is one of `typing`.
-    if origin in (types.UnionType, typing.Union):
-        (present,) = set(typing.get_args(hint)) - {types.NoneType}
-        read_present = _find_reader(present)
-        return lambda value: None if value is None else read_present(value)
-    if origin is not None and issubclass(origin, Mapping):
-        return _read_amounts
-    if isinstance(hint, type) and issubclass(hint, enum.Enum):
-        return hint
-    if dataclasses.is_dataclass(hint):
-        return lambda value: from_wire(hint, value)
-
-    def read(value: Any) -> Any:
-        # thriftpy2 hands out bytes for a string that is not UTF-8, and None
-        # for a field that is missing.
-        if type(value) is not hint:
-            raise ValueError(f"{value!r} is not of type {hint.__name__}")
-        return value
-
-    return read
-
-
-def _read_amounts(value: Any) -> Mapping[str, int]:
-    for name, amount in value.items():
-        if type(name) is not str or type(amount) is not int or amount < 0:
-            raise ValueError(f"{name!r}: {amount!r} is not an amount")
-    return types.MappingProxyType(dict(value))
-
-
 if __name__ == "__main__":
     example = create_record(
         Incarnation("entry-1/0"), Removed(Incarnation("entry-2/0"))
--- a/clementinewood/snapshot.py
+++ b/clementinewood/snapshot.py
@@ -221,7 +221,7 @@
         signed = signature.split_signed(image.bundle_text).unwrap()
         content.bundle = parser.parse(signed.text).unwrap()
     content.history = [
-        record.from_wire(control_data.Accepted, item) for item in image.history
+        record.MAP.decode(control_data.Accepted, item) for item in image.history
     ]
     for item in image.members:
         content.members[item.incarnation] = control_data.Member(
--- a/clementinewood/structmap.py
+++ b/clementinewood/structmap.py
@@ -72,7 +72,8 @@
         hint = getattr(hint, "__supertype__", hint)
         origin = typing.get_origin(hint)
         arguments = typing.get_args(hint)
-        if origin is types.UnionType:
+        # A union with a `NewType` is one of `typing`.
+        if origin in (types.UnionType, typing.Union):
             return self._read_optional(arguments)
         if origin is tuple:
             item = self._find_reader(arguments[0])
@@ -100,9 +101,9 @@
 
     def _read_mapping(self, key: Any, item: Any) -> Reader:
         read_key, read_item = self._find_reader(key), self._find_reader(item)
-        return lambda value: {
-            read_key(name): read_item(part) for name, part in value.items()
-        }
+        return lambda value: types.MappingProxyType(
+            {read_key(name): read_item(part) for name, part in value.items()}
+        )
 
 
 def _read_exact(hint: Any) -> Reader:
--- a/features/steps/membership_record_steps.py
+++ b/features/steps/membership_record_steps.py
@@ -51,5 +51,5 @@
         record.CODEC,
     )
     read = utils.deserialize(record.wire.Refuted(), raw, record.CODEC)
-    decoded = record.from_wire(record.Refuted, read)
+    decoded = record.MAP.decode(record.Refuted, read)
     assert decoded == record.Refuted(7, True, True, (), -1), decoded
