Measure a whole entry against the bare echo

Cause: bench/edge.py measured the edge with an upstream, without admission, scheduling, rights and routing. Change: series 'whole' runs a whole entry, with the minion in another process.

--- a/bench/edge.py
+++ b/bench/edge.py
@@ -5,6 +5,8 @@
   circuits   a bare circuits.web echo page
   edge       Edge with a trivial handler
   entry      Edge -> Upstream -> Minion, in two processes
+  whole      a whole entry (admission, scheduler, rights, router), the minion
+             in a process of its own; the stand-in log shares the entry's
   minion     the client straight to the minion
 """
 
@@ -23,7 +25,9 @@
 from hdrh import histogram
 
 from clementinewood import (
+    dev,
     edge,
+    event,
     httpclient,
     identifiers,
     minion,
@@ -128,6 +132,27 @@
     timers.run()
 
 
+def serve_whole(port, ready, minion_port):
+    event.configure_log(level="ERROR")
+    text = dev.read_example("guild")
+    site = dev.DevSite(text, entries=1)
+    for host in site.log.hosts:
+        host["address"] = f"127.0.0.1:{minion_port}"
+    (daemon,) = site.entries
+    site.start()
+
+    def look():
+        is_ready, _ = daemon.read_readiness()
+        if is_ready and daemon.hosts:
+            ready.send(daemon.config.callers[1])
+        else:
+            site.timers.subscribe_once(0.1, look)
+
+    site.timers.subscribe_once(1.0, lambda: site.post_bundle(text))
+    site.timers.subscribe_once(1.5, look)
+    site.timers.run()
+
+
 def start_server(function, *arguments):
     receiver, sender = multiprocessing.Pipe(False)
     with socket.socket() as probe:
@@ -158,6 +183,14 @@
 )
 
 
+def create_whole_request():
+    secret = dev.find_secrets(dev.read_example("guild"))[0].encode()
+    return REQUEST.replace(b"/work", b"/q/quotes/work", 1).replace(
+        b"X-Request-Id: 00000000000000000000000000000000",
+        b"Authorization: Bearer " + secret,
+    )
+
+
 def check_answer(data):
     """Checks one whole answer with h11, outside the timed part."""
     parser = h11.Connection(h11.CLIENT)
@@ -184,7 +217,7 @@
     return data
 
 
-def measure(port, connections, seconds):
+def measure(port, connections, seconds, request=REQUEST):
     """Returns requests a second and a histogram of microseconds."""
     import selectors
 
@@ -193,7 +226,7 @@
     for _ in range(connections):
         client = socket.create_connection(("127.0.0.1", port), 5.0)
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client.sendall(REQUEST)
+        client.sendall(request)
         check_answer(read_answer(client))
         poll.register(client, selectors.EVENT_READ)
     latencies = histogram.HdrHistogram(1, MAX_MICROSECONDS, 3)
@@ -203,7 +236,7 @@
     end = start + seconds
     for key in poll.get_map().values():
         sent[key.fileobj] = clock()
-        key.fileobj.sendall(REQUEST)
+        key.fileobj.sendall(request)
     while (now := clock()) < end:
         for key, _ in poll.select(1.0):
             client = key.fileobj
@@ -212,16 +245,16 @@
             if now >= start:
                 record(max(1, int((now - sent[client]) * 1e6)))
             sent[client] = clock()
-            client.sendall(REQUEST)
+            client.sendall(request)
     for key in list(poll.get_map().values()):
         key.fileobj.close()
     return latencies.get_total_count() / seconds, latencies
 
 
-def run_series(name, port, connections, seconds, rounds):
+def run_series(name, port, connections, seconds, rounds, request):
     rates, medians, tails = [], [], []
     for _ in range(rounds):
-        rate, latencies = measure(port, connections, seconds)
+        rate, latencies = measure(port, connections, seconds, request)
         rates.append(rate)
         medians.append(latencies.get_value_at_percentile(50) / 1000)
         tails.append(latencies.get_value_at_percentile(99) / 1000)
@@ -237,6 +270,24 @@
     return result
 
 
+def compare(results, name, busy):
+    """Returns a series against the echo and against the minion alone."""
+    echo, alone = results["circuits", busy], results["minion", busy]
+    return {
+        "throughput_over_circuits": round(
+            results[name, busy]["requests_per_second"]
+            / echo["requests_per_second"],
+            3,
+        ),
+        "added_p50_ms": round(
+            results[name, 1]["p50_ms"] - results["minion", 1]["p50_ms"], 3
+        ),
+        "added_p50_busy_ms": round(
+            results[name, busy]["p50_ms"] - alone["p50_ms"], 3
+        ),
+    }
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--connections", type=int, default=8)
@@ -263,15 +314,22 @@
             ("circuits", serve_circuits, ()),
             ("edge", serve_edge, ()),
             ("entry", serve_entry, (minion_port,)),
+            ("whole", serve_whole, (minion_port,)),
             ("minion", None, ()),
         ):
             port = minion_port
             if function is not None:
                 process, port = start_server(function, *arguments)
                 servers.append(process)
+            request = create_whole_request() if name == "whole" else REQUEST
             for connections in (1, options.connections):
                 results[name, connections] = run_series(
-                    name, port, connections, options.seconds, options.rounds
+                    name,
+                    port,
+                    connections,
+                    options.seconds,
+                    options.rounds,
+                    request,
                 )
     finally:
         for process in servers:
@@ -280,23 +338,7 @@
     busy = options.connections
     print(
         json.dumps(
-            {
-                "entry_over_circuits": round(
-                    results["entry", busy]["requests_per_second"]
-                    / results["circuits", busy]["requests_per_second"],
-                    3,
-                ),
-                "added_p50_ms": round(
-                    results["entry", 1]["p50_ms"]
-                    - results["minion", 1]["p50_ms"],
-                    3,
-                ),
-                "added_p50_busy_ms": round(
-                    results["entry", busy]["p50_ms"]
-                    - results["minion", busy]["p50_ms"],
-                    3,
-                ),
-            }
+            {name: compare(results, name, busy) for name in ("entry", "whole")}
         )
     )
 
