--- a/bench/fleet_bound.py
+++ b/bench/fleet_bound.py
@@ -71,6 +71,8 @@
         budget.create_reservation(site.fleet, site.planner.budget), site.now
     )
     weights = {q: max(0.2, need.processors / 32) for q, need in needs.items()}
+    if not weights:
+        return records
     scale = site.shape.hosts / sum(weights.values())
     goals = {queue: int(weight * scale) for queue, weight in weights.items()}
     counts = {
