Do not keep claim records that nobody asks for

Cause: the entry kept the newest 4,096 records of the claims stream in a relay buffer; claims are never relayed, since peers can't stand in for that stream, so nothing read them. Its offset check repeated what the log client guarantees: each record once and in order (features/logclient.feature). Change: the buffer and the check are gone.

--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -139,7 +139,6 @@
         )
         rate = logclient.AppendRate()
         self._relay = relay.RelayBuffer("control", config.cluster_key)
-        self._claims_relay = relay.RelayBuffer("claims", config.cluster_key)
         self._control = logclient.LogClient(
             http,
             self._timers,
@@ -465,10 +464,7 @@
                 self.coordination.membership.on_claims_missed(now)
         for item in entries:
             payload = item.record.payload
-            if item.offset < self._claims_relay.next_offset:
-                continue
             if isinstance(payload, record.Claims):
-                self._claims_relay.add(item)
                 self.coordination.on_claims(
                     claim_record.translate_claims(payload), item.time, now
                 )
