--- /dev/null
+++ b/clementinewood/activejob.py
@@ -0,0 +1,224 @@
+"""A dispatcher's working copy of one job: which tasks may start."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from clementinewood import catalog, identifiers, job, run
+
+
+@dataclasses.dataclass(slots=True)
+class StepWork:
+    """One step of one occurrence whose turn has come.
+
+    Attributes:
+        occurrence: Number of the occurrence.
+        number: Number of the step.
+        step: The step.
+        due: Unix time at which its turn came.
+        pending: Indices of tasks that neither run nor are done.
+        held: Its runs at each minion.
+    """
+
+    occurrence: int
+    number: int
+    step: job.Step
+    due: float
+    pending: list[int]
+    held: dict[identifiers.MinionId, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def change_held(self, minion_id: identifiers.MinionId, by: int) -> None:
+        """Counts runs of the step at a minion."""
+        count = self.held.get(minion_id, 0) + by
+        if count > 0:
+            self.held[minion_id] = count
+        else:
+            self.held.pop(minion_id, None)
+
+
+class ActiveJob:
+    """A job that is neither finished nor cancelled.
+
+    Args:
+        accepted: The job.
+        progress: Stored progress; changed in place.
+        numbers_from: Runs of this dispatcher are numbered above this.
+    """
+
+    __slots__ = (
+        "_opened",
+        "cancelled",
+        "checkpoints",
+        "job",
+        "last_numbers",
+        "live",
+        "numbers_from",
+        "progress",
+        "queue",
+        "work",
+    )
+
+    def __init__(
+        self, accepted: job.Job, progress: job.Progress, numbers_from: int
+    ) -> None:
+        self.job = accepted
+        self.progress = progress
+        self.numbers_from = numbers_from
+        self.cancelled = False
+        self.queue: catalog.Queue | None = None
+        self.live: dict[job.TaskId, run.Run] = {}
+        self.work: dict[tuple[int, int], StepWork] = {}
+        self.checkpoints: dict[job.TaskId, str] = {}
+        self.last_numbers: dict[job.TaskId, int] = {}
+        self._opened: set[tuple[int, int]] = set()
+
+    @property
+    def begun(self) -> bool:
+        """Whether a task has started."""
+        return self.progress.state is not job.JobState.QUEUED
+
+    def open_steps(self, wall: float, early: float = 0.0) -> None:
+        """Opens the steps whose turn has come.
+
+        Args:
+            wall: Unix time in seconds.
+            early: Seconds by which a due time may be anticipated.
+        """
+        for occurrence in range(self.job.occurrences):
+            due = self.job.due(occurrence)
+            if due > wall + early:
+                break
+            for number, step in enumerate(self.job.steps):
+                key = (occurrence, number)
+                if key not in self._opened and self._is_ready(occurrence, step):
+                    self._open(occurrence, number, step, max(due, wall))
+
+    def next_due(self, wall: float) -> float | None:
+        """Returns the Unix time at which the next occurrence is due."""
+        for occurrence in range(self.job.occurrences):
+            due = self.job.due(occurrence)
+            if due > wall:
+                return due
+        return None
+
+    def next_number(self, task: job.TaskId) -> int:
+        """Returns the number of the next start of `task`."""
+        number = max(self.last_numbers.get(task, 0) + 1, self.numbers_from + 1)
+        self.last_numbers[task] = number
+        return number
+
+    def add_run(self, item: run.Run) -> None:
+        """Notes that `item` may run."""
+        self.live[item.task] = item
+        self.last_numbers[item.task] = max(
+            item.number, self.last_numbers.get(item.task, 0)
+        )
+        work = self._find_work(item.task)
+        if work is None:
+            return
+        if item.task.position in work.pending:
+            work.pending.remove(item.task.position)
+        work.change_held(item.minion_id, 1)
+
+    def remove_run(self, item: run.Run, wall: float) -> None:
+        """Notes that `item` has surely ended; its task may start again."""
+        if self.live.get(item.task) is not item:
+            return
+        del self.live[item.task]
+        work = self._find_work(item.task)
+        if work is None:
+            return
+        work.change_held(item.minion_id, -1)
+        if not self.progress.is_done(item.task):
+            work.pending.append(item.task.position)
+            work.due = max(work.due, wall)
+
+    def note_done(self, task: job.TaskId) -> None:
+        """Notes a task that has ended well, and a gang as a whole."""
+        step = self.job.steps[task.step]
+        if step.gang:
+            self.progress.set_step_done(task.occurrence, task.step, step.count)
+        else:
+            self.progress.set_done(task)
+        work = self._find_work(task)
+        if work is not None:
+            work.pending = [
+                index
+                for index in work.pending
+                if not self.progress.is_done(task._replace(position=index))
+            ]
+            if not work.pending and self._is_step_done(task):
+                del self.work[task.occurrence, task.step]
+
+    def is_complete(self) -> bool:
+        """Whether every task of every occurrence has ended well."""
+        return all(
+            self.progress.is_step_done(occurrence, number, step.count)
+            for occurrence in range(self.job.occurrences)
+            for number, step in enumerate(self.job.steps)
+        )
+
+    def knows(self, task: job.TaskId) -> bool:
+        """Whether `task` is one of the job's tasks."""
+        return (
+            0 <= task.occurrence < self.job.occurrences
+            and 0 <= task.step < len(self.job.steps)
+            and 0 <= task.position < self.job.steps[task.step].count
+        )
+
+    def chain(self, seconds: Iterable[float]) -> tuple[float, float]:
+        """Returns the longest chain of steps, whole and left.
+
+        Args:
+            seconds: Expected run time of each step, in order.
+        """
+        whole: list[float] = []
+        left: list[float] = []
+        for number, (step, expected) in enumerate(
+            zip(self.job.steps, seconds, strict=True)
+        ):
+            done = self.progress.is_step_done(0, number, step.count)
+            before = [whole[earlier] for earlier in step.after]
+            before_left = [left[earlier] for earlier in step.after]
+            whole.append(max(before, default=0.0) + expected)
+            left.append(
+                max(before_left, default=0.0) + (0.0 if done else expected)
+            )
+        return max(whole, default=0.0), max(left, default=0.0)
+
+    def _find_work(self, task: job.TaskId) -> StepWork | None:
+        return self.work.get((task.occurrence, task.step))
+
+    def _is_step_done(self, task: job.TaskId) -> bool:
+        return self.progress.is_step_done(
+            task.occurrence, task.step, self.job.steps[task.step].count
+        )
+
+    def _is_ready(self, occurrence: int, step: job.Step) -> bool:
+        return all(
+            self.progress.is_step_done(
+                occurrence, earlier, self.job.steps[earlier].count
+            )
+            for earlier in step.after
+        )
+
+    def _open(
+        self, occurrence: int, number: int, step: job.Step, due: float
+    ) -> None:
+        self._opened.add((occurrence, number))
+        pending = []
+        held: dict[identifiers.MinionId, int] = {}
+        for index in range(step.count):
+            task = job.TaskId(self.job.job_id, occurrence, number, index)
+            if self.progress.is_done(task):
+                continue
+            item = self.live.get(task)
+            if item is None:
+                pending.append(index)
+            else:
+                held[item.minion_id] = held.get(item.minion_id, 0) + 1
+        if pending or held:
+            self.work[occurrence, number] = StepWork(
+                occurrence, number, step, due, pending, held
+            )
--- a/clementinewood/command_entry.py
+++ b/clementinewood/command_entry.py
@@ -2,6 +2,7 @@
 
 import argparse
 import sys
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -97,11 +98,14 @@
     the loop at once, which would cut requests.
 
     Args:
+        clock: Source of monotonic time in seconds.
+
+    Attributes:
         on_signal: Called on SIGINT and SIGTERM.
     """
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        super().__init__(clock=clock)
         self.on_signal: Callable[[], None] = lambda: None
 
     def _signal_handler(self, number: int, frame: object) -> None:
--- /dev/null
+++ b/clementinewood/dispatchdriver.py
@@ -0,0 +1,484 @@
+"""Carries out a dispatcher's decisions while it is in office."""
+
+import json
+from collections.abc import Callable, Sequence
+
+from clementinewood import (
+    catalog,
+    dispatcher,
+    event,
+    feed,
+    identifiers,
+    job,
+    jobtable,
+    machinecontrol,
+    ports,
+    run,
+    succession,
+    timer,
+)
+
+PLAN_SECONDS = 0.004
+"""Events within this time are planned for together."""
+
+TICK_SECONDS = 0.1
+"""Period of planning without events: leases, paces and repeated stops."""
+
+WORKING_WAIT_SECONDS = 1.0
+"""How long a look at a working minion waits for an end; four looks fit into a
+lease."""
+
+IDLE_WAIT_SECONDS = 2.0
+"""The same for a minion without runs; the longest wait that minions allow."""
+
+RELOOK_SECONDS = 0.15
+"""Pause after a look without an answer."""
+
+SILENT_RELOOK_SECONDS = 0.6
+"""Pause between looks at a minion that stays silent."""
+
+UNSAVED_LOOK_SECONDS = 0.5
+"""Pause between looks while ends wait to be stored: such looks return at once
+and only extend the lease."""
+
+STORE_RETRY_SECONDS = 0.1
+"""Pause before an append that failed is sent again."""
+
+FORGET_SECONDS = 1.0
+"""Period of dropping minions that are gone."""
+
+
+class DispatchDriver:
+    """One time in office.
+
+    Args:
+        term: Its number.
+        sequence: Number of the next append in this term.
+        holder: This process.
+        table: Jobs folded up to the claim at least.
+        store: The platform's store.
+        minions: Orders to minions.
+        machines: Orders about machines; None where there are none.
+        decoder: Reads the platform's records.
+        timers: Timer service.
+        wall: Source of Unix time.
+        on_stored: Called with records that were stored and their offset.
+        on_lost: Called once when the office is lost.
+        settled_after: Seconds before the first order about a machine.
+    """
+
+    def __init__(
+        self,
+        term: identifiers.Term,
+        sequence: int,
+        holder: identifiers.Incarnation,
+        *,
+        table: jobtable.JobTable,
+        store: ports.Store,
+        minions: ports.Minions,
+        machines: ports.Machines | None,
+        decoder: ports.Decoder,
+        timers: timer.TimerService,
+        wall: Callable[[], float],
+        on_stored: Callable[[Sequence[ports.Item], int], None],
+        on_lost: Callable[[str], None],
+        settled_after: float,
+    ) -> None:
+        self.term = term
+        self.dispatcher = dispatcher.Dispatcher(term, timers.clock())
+        self._sequence = sequence
+        self._holder = holder
+        self._table = table
+        self._store = store
+        self._minions = minions
+        self._decoder = decoder
+        self._timers = timers
+        self._wall = wall
+        self._on_stored = on_stored
+        self._on_lost = on_lost
+        self._active = True
+        self._planned = False
+        self._appending = False
+        self._extra: dict[str, bytes] = {}
+        self._release = False
+        self._looking: set[identifiers.MinionId] = set()
+        self._unlooked: set[identifiers.MinionId] = set()
+        self._listed: dict[identifiers.MinionId, catalog.Minion] = {}
+        self._subscriptions: list[timer.Subscription] = []
+        self._wake: timer.Subscription | None = None
+        self.machine_control = machinecontrol.MachineControl(
+            self.dispatcher,
+            table,
+            machines,
+            decoder,
+            store,
+            timers,
+            remember=self.put_record,
+            on_fenced=lambda: self.leave("a machine order was fenced"),
+            settled_after=settled_after,
+        )
+        self._feed = feed.Feed(
+            store,
+            ports.Stream.MINIONS,
+            timers,
+            on_snapshot=self._load_minions,
+            on_records=self._fold_minions,
+            gap=0.1,
+        )
+
+    def start(self, declared: ports.Declarations) -> None:
+        """Takes over all unfinished jobs and claims every minion."""
+        self.dispatcher.cursors.update(self._table.cursors)
+        for entry in self._table:
+            self.take_entry(entry)
+        self.apply_declarations(declared)
+        self._feed.start()
+        self.machine_control.start()
+        every = self._timers.subscribe_every
+        self._subscriptions += [
+            every(TICK_SECONDS, self._plan),
+            every(succession.RENEW_SECONDS, self._renew),
+            every(FORGET_SECONDS, self._forget_minions),
+        ]
+        event.emit(event.Event.OFFICE_HELD, term=self.term)
+
+    def leave(self, reason: str) -> None:
+        """Stops giving orders and tells the entry."""
+        if self._active:
+            self.stop()
+            self._on_lost(reason)
+
+    def stop(self) -> None:
+        """Stops giving orders."""
+        self._active = False
+        self._feed.stop()
+        self.machine_control.stop()
+        for subscription in self._subscriptions:
+            subscription.cancel()
+
+    def release(self) -> None:
+        """Gives the office up, so that another entry claims it at once."""
+        self._release = True
+        self._renew()
+
+    # Input from the entry.
+
+    def take_entry(self, entry: jobtable.Entry) -> None:
+        """Takes a job that was accepted or cancelled."""
+        accepted = entry.accepted
+        if accepted is None:
+            return
+        if entry.cancelled:
+            self.dispatcher.cancel_job(accepted.job_id)
+        elif entry.progress.state not in job.TERMINAL:
+            self.dispatcher.add_job(accepted, entry.progress.copy())
+        else:
+            return
+        self._schedule_plan()
+
+    def apply_declarations(self, declared: ports.Declarations) -> None:
+        """Takes what operators declare now."""
+        self.dispatcher.config = declared.configuration
+        self.dispatcher.evacuated = declared.evacuated
+        self.machine_control.set_waves(declared.waves)
+        self._schedule_plan()
+
+    def put_record(self, key: str, value: bytes) -> None:
+        """Stores a record of the dispatcher's own with the next append."""
+        self._extra[key] = value
+        self._flush()
+
+    # Minions.
+
+    def _load_minions(self, records: Sequence[jobtable.StoredRecord]) -> None:
+        self._listed.clear()
+        self._fold_minions(records)
+
+    def _fold_minions(self, records: Sequence[jobtable.StoredRecord]) -> None:
+        for record in records:
+            minion_id = identifiers.MinionId(record.key)
+            minion = self._decoder.decode_minion(record)
+            if minion is not None:
+                self._listed[minion_id] = minion
+            elif not record.value:
+                self._listed.pop(minion_id, None)
+        self.dispatcher.update_minions(
+            self._listed.values(), self._timers.clock(), self._wall()
+        )
+        for minion_id in self.dispatcher.views:
+            if minion_id not in self._looking:
+                self._look(minion_id)
+        self._schedule_plan()
+
+    def _forget_minions(self) -> None:
+        before = set(self.dispatcher.views)
+        self.dispatcher.forget_minions(self._timers.clock(), self._wall())
+        for minion_id in before - set(self.dispatcher.views):
+            self._minions.forget(minion_id)
+
+    def _look(self, minion_id: identifiers.MinionId) -> None:
+        view = self.dispatcher.views.get(minion_id)
+        if not self._active or view is None:
+            self._looking.discard(minion_id)
+            return
+        self._looking.add(minion_id)
+        now = self._timers.clock()
+        deadline = None
+        wait = 0.0
+        if view.claimed:
+            wait = WORKING_WAIT_SECONDS if view.runs else IDLE_WAIT_SECONDS
+            if view.runs:
+                deadline = view.lease_deadline(now)
+        if view.seen > view.acked or view.failed_looks:
+            wait = 0.0
+        if deadline is not None:
+            view.note_lease(now)
+        self._minions.look(
+            view.minion,
+            self.term,
+            acked=view.acked,
+            deadline=deadline,
+            wait=wait,
+            on_result=lambda outcome: self._on_look(minion_id, outcome, now),
+        )
+
+    def _on_look(
+        self,
+        minion_id: identifiers.MinionId,
+        outcome: ports.LookResult,
+        sent: float,
+    ) -> None:
+        view = self.dispatcher.views.get(minion_id)
+        if not self._active or view is None:
+            self._looking.discard(minion_id)
+            return
+        now, wall = self._timers.clock(), self._wall()
+        pause = 0.0
+        match outcome:
+            case run.Report():
+                if view.failed_looks > 1:
+                    event.emit(
+                        event.Event.MINION_ANSWERS,
+                        minion=minion_id,
+                        looks=view.failed_looks,
+                    )
+                self.dispatcher.note_report(
+                    minion_id, outcome, sent=sent, now=now, wall=wall
+                )
+                if view.seen > view.acked:
+                    self._flush()
+                    # The next look acknowledges these ends; it is sent once
+                    # they are stored.
+                    pause = UNSAVED_LOOK_SECONDS
+                    if view.seen <= view.acked:
+                        pause = 0.0
+            case ports.LookFenced():
+                self.leave(f"minion {minion_id} was given a higher token")
+                return
+            case ports.OtherLife():
+                self.dispatcher.note_other_life(minion_id, now, wall)
+                pause = SILENT_RELOOK_SECONDS
+            case ports.Failed():
+                self.dispatcher.note_look_failed(minion_id, now, wall)
+                pause = RELOOK_SECONDS
+                if view.failed_looks > 3:
+                    pause = SILENT_RELOOK_SECONDS
+                if view.failed_looks == 2:
+                    event.emit(
+                        event.Event.MINION_SILENT,
+                        minion=minion_id,
+                        detail=outcome.detail,
+                        runs=len(view.runs),
+                    )
+        if pause:
+            self._unlooked.add(minion_id)
+            self._timers.subscribe_once(
+                pause, lambda: self._look_again(minion_id)
+            )
+        else:
+            self._look(minion_id)
+        self._schedule_plan()
+
+    def _look_again(self, minion_id: identifiers.MinionId) -> None:
+        if minion_id in self._unlooked:
+            self._unlooked.discard(minion_id)
+            self._look(minion_id)
+
+    # Planning.
+
+    def _schedule_plan(self) -> None:
+        if self._planned or not self._active:
+            return
+        self._planned = True
+        self._timers.subscribe_once(PLAN_SECONDS, self._plan_scheduled)
+
+    def _plan_scheduled(self) -> None:
+        self._planned = False
+        self._plan()
+
+    def _plan(self) -> None:
+        if not self._active:
+            return
+        for order in self.dispatcher.plan(self._timers.clock(), self._wall()):
+            self._send(order)
+        self._flush()
+        self._schedule_wake()
+
+    def _schedule_wake(self) -> None:
+        """Plans again when the next timed job is due."""
+        if self._wake is not None:
+            self._wake.cancel()
+            self._wake = None
+        seconds = self.dispatcher.next_wake(self._wall())
+        if seconds < TICK_SECONDS:
+            self._wake = self._timers.subscribe_once(
+                max(0.0, seconds), self._plan
+            )
+
+    def _send(self, order: dispatcher.Order) -> None:
+        view = self.dispatcher.views.get(order.minion_id)
+        if view is None:
+            return
+        match order:
+            case dispatcher.StartRun():
+                self._minions.start(
+                    view.minion,
+                    self.term,
+                    order,
+                    "",
+                    lambda outcome: self._on_start(order, outcome),
+                )
+            case dispatcher.StopRun():
+                event.emit(
+                    event.Event.RUN_STOPPED,
+                    task=order.task.render(),
+                    run=order.number,
+                    minion=order.minion_id,
+                )
+                self._minions.stop(
+                    view.minion,
+                    self.term,
+                    order,
+                    lambda answered: self._on_stop(order, answered),
+                )
+            case dispatcher.PaceRun():
+                self._minions.pace(view.minion, self.term, order)
+
+    def _on_start(
+        self,
+        order: dispatcher.StartRun,
+        outcome: dispatcher.StartOutcome,
+    ) -> None:
+        if not self._active:
+            return
+        if outcome is dispatcher.StartOutcome.FENCED:
+            self.leave(f"minion {order.minion_id} was given a higher token")
+            return
+        if outcome is not dispatcher.StartOutcome.STARTED:
+            event.emit(
+                event.Event.START_REFUSED,
+                task=order.task.render(),
+                run=order.number,
+                minion=order.minion_id,
+                outcome=outcome.value,
+            )
+        self.dispatcher.note_start(
+            order, outcome, self._timers.clock(), self._wall()
+        )
+        if outcome is not dispatcher.StartOutcome.STARTED:
+            self._schedule_plan()
+
+    def _on_stop(self, order: dispatcher.StopRun, answered: bool) -> None:
+        if self._active:
+            self.dispatcher.note_stop(order, answered, self._timers.clock())
+
+    # Stored progress.
+
+    def _renew(self) -> None:
+        office = jobtable.Office(self.term, self._holder, self._release)
+        self.put_record(jobtable.OFFICE_KEY, jobtable.encode_office(office))
+
+    def _flush(self) -> None:
+        """Stores what has changed; one append is on its way at a time."""
+        if self._appending or not self._active:
+            return
+        if not self._extra and not self.dispatcher.has_changes():
+            return
+        batch = self.dispatcher.take_batch()
+        items = [
+            ports.Item(
+                jobtable.render_key(jobtable.RecordKind.PROGRESS, job_id),
+                job.encode_progress(progress),
+            )
+            for job_id, progress in batch.progress.items()
+        ]
+        if items:
+            items += [
+                ports.Item(
+                    jobtable.render_cursor_key(minion_id),
+                    json.dumps([cursor.incarnation, cursor.sequence]).encode(),
+                )
+                for minion_id, cursor in batch.cursors.items()
+            ]
+        items += [ports.Item(key, value) for key, value in self._extra.items()]
+        self._extra.clear()
+        if not items:
+            self._note_stored(batch)
+            return
+        self._appending = True
+        self._append(items, batch)
+
+    def _append(
+        self, items: Sequence[ports.Item], batch: dispatcher.Batch
+    ) -> None:
+        self._store.append(
+            ports.Stream.JOBS,
+            items,
+            lambda outcome: self._on_append(items, batch, outcome),
+            fence=ports.Fence(self.term, self._sequence),
+        )
+
+    def _on_append(
+        self,
+        items: Sequence[ports.Item],
+        batch: dispatcher.Batch,
+        outcome: ports.AppendResult,
+    ) -> None:
+        if not self._active:
+            return
+        match outcome:
+            case ports.Appended(offset):
+                self._on_stored(items, offset)
+                self._finish_append(batch)
+            case ports.OutOfOrder(expected) if expected == self._sequence + 1:
+                # An earlier try without an answer was carried out.
+                self._finish_append(batch)
+            case ports.Fenced() | ports.OutOfOrder():
+                self.leave("the store has seen a later term")
+            case ports.Failed(execution, detail):
+                event.emit(
+                    event.Event.STORE_REFUSES,
+                    detail=detail,
+                    execution=execution.value,
+                    records=len(items),
+                )
+                self._timers.subscribe_once(
+                    STORE_RETRY_SECONDS,
+                    lambda: (
+                        self._append(items, batch) if self._active else None
+                    ),
+                )
+
+    def _finish_append(self, batch: dispatcher.Batch) -> None:
+        self._sequence += 1
+        self._appending = False
+        self._note_stored(batch)
+        if self._release:
+            self.stop()
+            return
+        self._flush()
+
+    def _note_stored(self, batch: dispatcher.Batch) -> None:
+        self.dispatcher.note_stored(batch)
+        for minion_id in batch.cursors:
+            self._look_again(minion_id)
--- /dev/null
+++ b/clementinewood/dispatcher.py
@@ -0,0 +1,930 @@
+"""Decides which task runs where, from what minions and the store say.
+
+One dispatcher is in office at a time. Everything here is a function of its
+state and the time it is given; orders are carried out by `dispatchdriver`.
+"""
+
+import dataclasses
+import enum
+import math
+from collections.abc import Iterable, Mapping
+
+from clementinewood import (
+    activejob,
+    catalog,
+    event,
+    identifiers,
+    job,
+    joborder,
+    jobtable,
+    pacing,
+    placement,
+    run,
+)
+
+NUMBERS_PER_TERM = 1000
+"""Starts of one task that one dispatcher may number; a successor numbers above
+them, so that no two starts of a task share a number."""
+
+START_TRIES = 2
+"""Times a start without an answer is ordered before it is taken back."""
+
+STOP_RETRY_SECONDS = 0.5
+"""Pause before a stop without an answer is ordered again."""
+
+STOP_CONFIRMED_SECONDS = 2.0
+"""Pause before a confirmed stop whose end is not listed is ordered again."""
+
+FIRST_LEASE_SECONDS = 6.0 * (1 + run.CLOCK_DRIFT) + run.LEASE_MARGIN
+"""Longest time that a minion runs on for an earlier dispatcher."""
+
+
+class StartOutcome(enum.Enum):
+    """How a minion took the order to start a run."""
+
+    STARTED = "started"
+    NO_ROOM = "no-room"
+    SUPERSEDED = "superseded"
+    """A run with this or a higher number was there already."""
+
+    TOO_LATE = "too-late"
+    TICKET = "ticket"
+    INVALID = "invalid"
+    BUSY = "busy"
+    """Refused by an unhealthy minion; nothing was done."""
+
+    FENCED = "fenced"
+    """Another dispatcher has used a higher token."""
+
+    OTHER_LIFE = "other-life"
+    """Another incarnation answered."""
+
+    UNKNOWN = "unknown"
+    """No answer; it may be carried out, even later."""
+
+    NOT_SENT = "not-sent"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartRun:
+    """Order to start a run.
+
+    Attributes:
+        minion_id: Where.
+        task: The task.
+        number: Number of the start.
+        spec: What it runs.
+        checkpoint: Saved progress to go on from; empty for none.
+        deadline: End of the lease on the minion's clock, in seconds.
+    """
+
+    minion_id: identifiers.MinionId
+    task: job.TaskId
+    number: int
+    spec: str
+    checkpoint: str
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRun:
+    """Order to stop a run."""
+
+    minion_id: identifiers.MinionId
+    task: job.TaskId
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PaceRun:
+    """Order to let a run work at `percent` of its pace."""
+
+    minion_id: identifiers.MinionId
+    task: job.TaskId
+    number: int
+    percent: int
+
+
+Order = StartRun | StopRun | PaceRun
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Changes to be stored at once.
+
+    Attributes:
+        progress: Progress of each job that changed.
+        cursors: Ends that these changes reflect, by minion.
+    """
+
+    progress: Mapping[identifiers.JobId, job.Progress]
+    cursors: Mapping[identifiers.MinionId, jobtable.Cursor]
+
+
+class Dispatcher:
+    """State and decisions of the dispatcher in office.
+
+    Args:
+        term: Its time in office, which is its fencing token.
+        now: Monotonic time in seconds.
+
+    Attributes:
+        jobs: Jobs that are neither finished nor gone.
+        views: Minions, by id.
+        evacuated: Zones that get no new work.
+        config: Configuration in force, once known.
+        early: Seconds by which a due time may be anticipated.
+    """
+
+    def __init__(self, term: identifiers.Term, now: float) -> None:
+        self.term = term
+        self.jobs: dict[identifiers.JobId, activejob.ActiveJob] = {}
+        self.views: dict[identifiers.MinionId, run.MinionView] = {}
+        self.evacuated: frozenset[identifiers.ZoneId] = frozenset()
+        self.config: catalog.Configuration | None = None
+        self.early = 0.0
+        self.times = joborder.RunTimes()
+        self.cursors: dict[identifiers.MinionId, jobtable.Cursor] = {}
+        self._began = now
+        self._dirty: set[identifiers.JobId] = set()
+        self._usage: dict[identifiers.TeamId, job.Resources] = {}
+        self._stops: dict[job.TaskId, run.Run] = {}
+        self._starts: list[StartRun] = []
+        self._pacer = pacing.Pacer()
+
+    # Jobs.
+
+    def add_job(self, accepted: job.Job, progress: job.Progress) -> None:
+        """Takes over an accepted job that is not finished."""
+        if accepted.job_id in self.jobs:
+            return
+        numbers_from = (self.term - 1) * NUMBERS_PER_TERM
+        self.jobs[accepted.job_id] = activejob.ActiveJob(
+            accepted, progress, numbers_from
+        )
+
+    def cancel_job(self, job_id: identifiers.JobId) -> None:
+        """Stops everything that runs for a job."""
+        active = self.jobs.get(job_id)
+        if active is None or active.cancelled:
+            return
+        active.cancelled = True
+        active.work.clear()
+        for item in active.live.values():
+            self._stop(item)
+        self._drop_if_idle(active)
+
+    # Minions.
+
+    def update_minions(
+        self, minions: Iterable[catalog.Minion], now: float, wall: float
+    ) -> None:
+        """Takes the platform's list of minions."""
+        listed = {minion.minion_id: minion for minion in minions}
+        for minion_id, view in self.views.items():
+            view.listed = minion_id in listed
+        for minion_id, minion in listed.items():
+            known = self.views.get(minion_id)
+            if known is None:
+                self.views[minion_id] = self._create_view(minion)
+                continue
+            reborn = (
+                minion.incarnation > known.minion.incarnation
+                and known.minion.incarnation > 0
+            )
+            if minion.incarnation < known.minion.incarnation:
+                continue
+            if reborn:
+                self._lose_runs(known, now, wall)
+                self._reset_life(known)
+            known.minion = minion
+
+    def _create_view(self, minion: catalog.Minion) -> run.MinionView:
+        view = run.MinionView(minion)
+        view.quiet_after = self._began + FIRST_LEASE_SECONDS
+        cursor = self.cursors.get(minion.minion_id)
+        if cursor is not None and cursor.incarnation == minion.incarnation:
+            view.seen = view.acked = cursor.sequence
+        return view
+
+    def _reset_life(self, view: run.MinionView) -> None:
+        view.claimed = False
+        view.clock_offset = None
+        view.seen = view.acked = 0
+        view.failed_looks = 0
+        view.bad_starts = 0.0
+        view.reserved = False
+
+    def note_report(
+        self,
+        minion_id: identifiers.MinionId,
+        report: run.Report,
+        *,
+        sent: float,
+        now: float,
+        wall: float,
+    ) -> None:
+        """Takes a minion's answer to a look.
+
+        Args:
+            minion_id: The minion.
+            report: What it answered.
+            sent: When the look was sent.
+            now: Monotonic time in seconds.
+            wall: Unix time in seconds.
+        """
+        view = self.views[minion_id]
+        life = view.minion.incarnation
+        if report.incarnation and report.incarnation != life:
+            if report.incarnation < life:
+                return
+            self._lose_runs(view, now, wall)
+            self._reset_life(view)
+            view.minion = dataclasses.replace(
+                view.minion, incarnation=report.incarnation
+            )
+        view.claimed = True
+        view.failed_looks = 0
+        view.last_answer = now
+        view.clock_offset = report.clock - now
+        for row in report.ended:
+            if row.sequence > view.seen:
+                self._apply_end(view, row, now, wall)
+                view.seen = row.sequence
+        self._apply_running(view, report, sent, now, wall)
+        self._pacer.observe(view, now)
+
+    def note_look_failed(
+        self, minion_id: identifiers.MinionId, now: float, wall: float
+    ) -> None:
+        """Notes that a minion did not answer a look."""
+        view = self.views[minion_id]
+        view.failed_looks += 1
+        self.expire_silent(view, now, wall)
+
+    def note_other_life(
+        self, minion_id: identifiers.MinionId, now: float, wall: float
+    ) -> None:
+        """Notes that another incarnation answers at a minion's address."""
+        view = self.views[minion_id]
+        self._lose_runs(view, now, wall)
+        self._reset_life(view)
+        view.listed = False
+
+    def expire_silent(
+        self, view: run.MinionView, now: float, wall: float
+    ) -> None:
+        """Gives up the runs of a minion whose leases must have ended."""
+        if now >= view.quiet_after and view.failed_looks:
+            self._lose_runs(view, now, wall)
+            view.claimed = False
+
+    def forget_minions(self, now: float, wall: float) -> None:
+        """Drops minions that are gone and can't run anything any more."""
+        for minion_id, view in list(self.views.items()):
+            if not view.listed and now >= view.quiet_after:
+                self._lose_runs(view, now, wall)
+                del self.views[minion_id]
+
+    # Outcomes of orders.
+
+    def note_start(
+        self,
+        order: StartRun,
+        outcome: StartOutcome,
+        now: float,
+        wall: float,
+    ) -> None:
+        """Takes the outcome of an order to start a run."""
+        item = self._find_run(order.minion_id, order.task, order.number)
+        view = self.views.get(order.minion_id)
+        if item is None or view is None:
+            return
+        match outcome:
+            case StartOutcome.STARTED:
+                if item.state is run.RunState.STARTING:
+                    item.state = run.RunState.RUNNING
+                item.since = now
+            case StartOutcome.UNKNOWN:
+                self._note_bad(view, now, "no answer to a start")
+                if item.state is not run.RunState.STARTING:
+                    return
+                if item.tries < START_TRIES:
+                    item.tries += 1
+                    self._starts.append(self._create_start(view, item, now))
+                else:
+                    self._stop(item)
+            case StartOutcome.NOT_SENT if item.tries > 1:
+                # An earlier try may have arrived.
+                self._stop(item)
+            case StartOutcome.SUPERSEDED if item.tries > 1:
+                self._stop(item)
+            case StartOutcome.OTHER_LIFE | StartOutcome.FENCED:
+                pass
+            case _:
+                if outcome is not StartOutcome.NO_ROOM:
+                    self._note_bad(view, now, outcome.value)
+                elif item.state is run.RunState.STARTING:
+                    # The minion knows its room better than this count.
+                    view.unfit_until = max(view.unfit_until, now + 0.1)
+                if item.state is run.RunState.STARTING and item.tries <= 1:
+                    self._remove_run(view, item, wall)
+
+    def note_stop(self, order: StopRun, answered: bool, now: float) -> None:
+        """Takes the outcome of an order to stop a run."""
+        item = self._find_run(order.minion_id, order.task, order.number)
+        if item is None or item.state is not run.RunState.STOPPING:
+            return
+        if answered:
+            item.stop_confirmed = True
+            item.since = now
+
+    # Planning.
+
+    def plan(self, now: float, wall: float) -> list[Order]:
+        """Returns the orders to be given now."""
+        orders: list[Order] = [*self._starts]
+        self._starts = []
+        for view in self.views.values():
+            self.expire_silent(view, now, wall)
+        orders.extend(self._plan_stops(now))
+        orders.extend(self._plan_starts(now, wall))
+        for paced in self._pacer.plan(self.views.values(), now):
+            orders.append(
+                PaceRun(
+                    paced.run.minion_id,
+                    paced.run.task,
+                    paced.run.number,
+                    paced.percent,
+                )
+            )
+        return orders
+
+    def _plan_stops(self, now: float) -> list[Order]:
+        orders: list[Order] = []
+        for item in list(self._stops.values()):
+            if item.state is not run.RunState.STOPPING:
+                continue
+            pause = STOP_RETRY_SECONDS
+            if item.stop_confirmed:
+                pause = STOP_CONFIRMED_SECONDS
+            if item.tries and now - item.since < pause:
+                continue
+            item.tries += 1
+            item.since = now
+            orders.append(StopRun(item.minion_id, item.task, item.number))
+        return orders
+
+    def _plan_starts(self, now: float, wall: float) -> list[Order]:
+        config = self.config
+        if config is None:
+            return []
+        ranked = []
+        pools = self._list_settled_pools(now)
+        for active in self.jobs.values():
+            if active.cancelled:
+                continue
+            queue = config.queues.get(active.job.queue)
+            active.queue = queue
+            active.open_steps(wall, self.early)
+            if queue is None or queue.pool not in pools:
+                continue
+            if any(work.pending for work in active.work.values()):
+                ranked.append((self._rank(active, queue, wall), active))
+        if not ranked:
+            return []
+        candidates = placement.list_candidates(
+            self.views.values(), now, self.evacuated
+        )
+        orders: list[Order] = []
+        for _, active in sorted(ranked, key=lambda pair: pair[0]):
+            assert active.queue is not None
+            options = candidates.get(active.queue.pool)
+            if options:
+                orders.extend(self._start_job(active, options, now))
+        return orders
+
+    def _list_settled_pools(self, now: float) -> set[identifiers.PoolId]:
+        """Returns the pools in which every earlier run is known.
+
+        A minion that has not answered yet may run anything for an earlier
+        dispatcher, until the leases of that time must have ended.
+        """
+        assert self.config is not None
+        unsettled = {
+            view.minion.pool
+            for view in self.views.values()
+            if not view.claimed
+            and now < view.quiet_after
+            and view.quiet_after <= self._began + FIRST_LEASE_SECONDS
+        }
+        return set(self.config.pools) - unsettled
+
+    def _rank(
+        self,
+        active: activejob.ActiveJob,
+        queue: catalog.Queue,
+        wall: float,
+    ) -> tuple[float, ...]:
+        accepted = active.job
+        whole, left = active.chain(
+            self.times.expect(queue.name, step.estimate)
+            for step in accepted.steps
+        )
+        return joborder.rank(
+            joborder.Waiting(
+                queue=queue,
+                arrived=max(accepted.accepted, accepted.start),
+                chain=whole,
+                chain_left=left,
+                begun=active.begun,
+                long_running=accepted.long_running,
+                team_load=self._team_load(accepted.team),
+            ),
+            wall,
+        )
+
+    def _team_load(self, team_id: identifiers.TeamId) -> float:
+        """Returns cores in use by a team per unit of its weight."""
+        assert self.config is not None
+        team = self.config.teams.get(team_id)
+        if team is None or team.weight <= 0:
+            return 0.0
+        used = self._usage.get(team_id, job.Resources())
+        return used.cpu / 1000.0 / team.weight
+
+    def _start_job(
+        self,
+        active: activejob.ActiveJob,
+        options: list[placement.Candidate],
+        now: float,
+    ) -> list[Order]:
+        orders: list[Order] = []
+        for work in list(active.work.values()):
+            if not work.pending:
+                continue
+            if work.step.gang:
+                chosen = self._place_gang(active, work, options)
+            else:
+                chosen = self._place_tasks(active, work, options)
+            for index, candidate in chosen:
+                orders.append(
+                    self._start_task(active, work, index, candidate, now)
+                )
+        return orders
+
+    def _place_tasks(
+        self,
+        active: activejob.ActiveJob,
+        work: activejob.StepWork,
+        options: list[placement.Candidate],
+    ) -> list[tuple[int, placement.Candidate]]:
+        chosen = []
+        held = dict(work.held)
+        for index in list(work.pending):
+            if not self._has_cap(active.job.team, work.step.need):
+                break
+            found = placement.choose_minion(work.step, options, held)
+            if found is None:
+                break
+            placement.take_room(found, work.step)
+            minion_id = found.view.minion_id
+            held[minion_id] = held.get(minion_id, 0) + 1
+            self._count_usage(active.job.team, work.step.need, 1)
+            chosen.append((index, found))
+        return chosen
+
+    def _place_gang(
+        self,
+        active: activejob.ActiveJob,
+        work: activejob.StepWork,
+        options: list[placement.Candidate],
+    ) -> list[tuple[int, placement.Candidate]]:
+        step = work.step
+        if len(work.pending) != step.count:
+            # The last run of the gang has not ended everywhere.
+            return []
+        need = step.need
+        total = job.Resources(
+            need.cpu * step.count,
+            need.memory * step.count,
+            need.gpu * step.count,
+        )
+        if not self._has_cap(active.job.team, total):
+            return []
+        found = placement.choose_gang(step, step.count, options, work.held)
+        for candidate in found:
+            placement.take_room(candidate, step)
+            self._count_usage(active.job.team, need, 1)
+        return list(zip(sorted(work.pending), found, strict=False))
+
+    def _start_task(
+        self,
+        active: activejob.ActiveJob,
+        work: activejob.StepWork,
+        index: int,
+        candidate: placement.Candidate,
+        now: float,
+    ) -> Order:
+        step = work.step
+        task = job.TaskId(
+            active.job.job_id, work.occurrence, work.number, index
+        )
+        number = active.next_number(task)
+        if step.gang:
+            # Members of one run of a gang share a number.
+            number = max(
+                active.last_numbers.get(task._replace(position=member), 0)
+                for member in range(step.count)
+            )
+        item = self._create_run(active, task, number, candidate.view.minion_id)
+        item.since = now
+        item.tries = 1
+        active.add_run(item)
+        candidate.view.runs[task] = item
+        if active.progress.state is job.JobState.QUEUED:
+            active.progress.state = job.JobState.RUNNING
+            self._dirty.add(active.job.job_id)
+        return self._create_start(candidate.view, item, now)
+
+    def _create_start(
+        self, view: run.MinionView, item: run.Run, now: float
+    ) -> StartRun:
+        active = self.jobs[item.task.job]
+        checkpoint = active.checkpoints.get(item.task, "")
+        step = active.job.steps[item.task.step]
+        if step.gang:
+            first = item.task._replace(position=0)
+            checkpoint = active.checkpoints.get(first, "")
+        deadline = view.lease_deadline(now)
+        view.note_lease(now)
+        return StartRun(
+            view.minion_id,
+            item.task,
+            item.number,
+            active.job.spec,
+            checkpoint,
+            deadline or 0.0,
+        )
+
+    def _create_run(
+        self,
+        active: activejob.ActiveJob,
+        task: job.TaskId,
+        number: int,
+        minion_id: identifiers.MinionId,
+    ) -> run.Run:
+        step = active.job.steps[task.step]
+        return run.Run(
+            task=task,
+            number=number,
+            minion_id=minion_id,
+            team=active.job.team,
+            queue=active.job.queue,
+            room=step.room,
+            need=step.need,
+            long_running=step.long_running,
+            fills=step.fills,
+            tail_target=step.tail_target,
+            max_unavailable=step.max_unavailable,
+            image=step.image,
+        )
+
+    # Stored progress.
+
+    def take_batch(self) -> Batch:
+        """Returns what has changed since the last batch."""
+        progress = {
+            job_id: self.jobs[job_id].progress
+            for job_id in self._dirty
+            if job_id in self.jobs
+        }
+        self._dirty.clear()
+        cursors = {
+            view.minion_id: jobtable.Cursor(view.minion.incarnation, view.seen)
+            for view in self.views.values()
+            if view.seen > view.acked
+        }
+        return Batch(progress, cursors)
+
+    def note_stored(self, batch: Batch) -> None:
+        """Notes that `batch` is stored: its ends may be acknowledged."""
+        for minion_id, cursor in batch.cursors.items():
+            view = self.views.get(minion_id)
+            if (
+                view is not None
+                and view.minion.incarnation == cursor.incarnation
+            ):
+                view.acked = max(view.acked, cursor.sequence)
+        for job_id, progress in batch.progress.items():
+            active = self.jobs.get(job_id)
+            if active is not None and progress.state in job.TERMINAL:
+                self._drop_if_idle(active)
+
+    def has_changes(self) -> bool:
+        """Whether there is anything to be stored or acknowledged."""
+        return bool(self._dirty) or any(
+            view.seen > view.acked for view in self.views.values()
+        )
+
+    # Stops ordered by other parts.
+
+    def stop_task(self, task: job.TaskId) -> None:
+        """Stops the run of `task`, which will start again elsewhere."""
+        active = self.jobs.get(task.job)
+        if active is not None and task in active.live:
+            self._stop(active.live[task])
+
+    def note_minion_ended(self, minion_id: identifiers.MinionId) -> None:
+        """Notes that an accepted order has ended a minion and all its runs."""
+        view = self.views.get(minion_id)
+        if view is not None:
+            self._lose_runs(view, view.last_answer, 0.0)
+            view.claimed = False
+            view.quiet_after = 0.0
+
+    def count_unavailable(self) -> dict[tuple[identifiers.JobId, int], int]:
+        """Returns the tasks not at work of each step that has a budget."""
+        counts: dict[tuple[identifiers.JobId, int], int] = {}
+        for active in self.jobs.values():
+            if active.cancelled or not active.job.long_running:
+                continue
+            for number, step in enumerate(active.job.steps):
+                if step.max_unavailable is None:
+                    continue
+                working = sum(
+                    1
+                    for item in active.live.values()
+                    if item.task.step == number and item.at_work
+                )
+                counts[active.job.job_id, number] = step.count - working
+        return counts
+
+    def measure_demand(self, pool: identifiers.PoolId) -> tuple[float, int]:
+        """Returns what a pool's work needs.
+
+        Returns:
+            Cores that running and waiting tasks take, and the least number of
+            minions that steps with a limit on one minion need.
+        """
+        assert self.config is not None
+        cpu = 0
+        least = 0
+        for active in self.jobs.values():
+            queue = self.config.queues.get(active.job.queue)
+            if queue is None or queue.pool != pool or active.cancelled:
+                continue
+            for work in active.work.values():
+                tasks = len(work.pending) + sum(work.held.values())
+                cpu += tasks * work.step.room.cpu
+                if work.step.max_per_minion:
+                    least = max(least, -(-tasks // work.step.max_per_minion))
+        return cpu / 1000.0, least
+
+    def next_wake(self, wall: float) -> float:
+        """Returns seconds until a timed job is due, or infinity."""
+        soonest = math.inf
+        for active in self.jobs.values():
+            if active.job.start and not active.cancelled:
+                due = active.next_due(wall + self.early)
+                if due is not None:
+                    soonest = min(soonest, due - self.early - wall)
+        return soonest
+
+    # Helpers.
+
+    def _apply_end(
+        self, view: run.MinionView, row: run.EndRow, now: float, wall: float
+    ) -> None:
+        active = self.jobs.get(row.task.job)
+        if active is None or not active.knows(row.task):
+            return
+        task = row.task
+        item = active.live.get(task)
+        known = (
+            item is not None
+            and item.minion_id == view.minion_id
+            and item.number == row.number
+        )
+        if row.checkpoint:
+            active.checkpoints[task] = row.checkpoint
+        step = active.job.steps[task.step]
+        if row.end is run.End.DONE and not step.long_running:
+            if not active.progress.is_done(task):
+                active.note_done(task)
+                self._dirty.add(task.job)
+            placement.note_good_run(view)
+            if item is not None and known and item.since:
+                self.times.observe(
+                    active.job.queue, step.estimate, now - item.since
+                )
+            if not known and item is not None:
+                # Another run of the task goes on for nothing.
+                self._stop(item)
+        elif row.end is run.End.FAILED:
+            self._note_bad(view, now, "a run failed")
+            self._apply_failure(active, task, step)
+        if known:
+            assert item is not None
+            self._remove_run(view, item, wall)
+        if active.is_complete():
+            self._finish(active, job.JobState.COMPLETED)
+
+    def _apply_failure(
+        self, active: activejob.ActiveJob, task: job.TaskId, step: job.Step
+    ) -> None:
+        if step.long_running or active.progress.is_done(task):
+            return
+        if step.gang:
+            task = task._replace(position=0)
+        count = active.progress.add_failure(task)
+        self._dirty.add(task.job)
+        if active.queue is not None and count >= active.queue.max_attempts:
+            self._finish(active, job.JobState.FAILED)
+
+    def _finish(self, active: activejob.ActiveJob, state: job.JobState) -> None:
+        if active.progress.state in job.TERMINAL or active.cancelled:
+            return
+        active.progress.state = state
+        self._dirty.add(active.job.job_id)
+        active.work.clear()
+        for item in active.live.values():
+            self._stop(item)
+        event.emit(
+            event.Event.JOB_ENDED,
+            job=active.job.job_id,
+            queue=active.job.queue,
+            state=state.value,
+            term=self.term,
+        )
+
+    def _drop_if_idle(self, active: activejob.ActiveJob) -> None:
+        stored = active.job.job_id not in self._dirty
+        if not active.live and (stored or active.cancelled):
+            self.jobs.pop(active.job.job_id, None)
+
+    def _apply_running(
+        self,
+        view: run.MinionView,
+        report: run.Report,
+        sent: float,
+        now: float,
+        wall: float,
+    ) -> None:
+        listed: set[tuple[job.TaskId, int]] = set()
+        for row in report.running:
+            listed.add((row.task, row.number))
+            item = self._find_run(view.minion_id, row.task, row.number)
+            if item is None:
+                item = self._adopt(view, row, now)
+                if item is None:
+                    continue
+            if item.state is run.RunState.STARTING:
+                item.state = run.RunState.RUNNING
+                item.since = now
+            item.percent = row.percent
+            item.usage = row.usage
+            if row.checkpoint:
+                self.jobs[row.task.job].checkpoints[row.task] = row.checkpoint
+        if report.truncated:
+            return
+        for item in list(view.runs.values()):
+            if (item.task, item.number) in listed:
+                continue
+            gone = (
+                item.state is run.RunState.RUNNING
+                or (item.state is run.RunState.STOPPING and item.stop_confirmed)
+            ) and item.since < sent
+            if gone:
+                self._remove_run(view, item, wall)
+
+    def _adopt(
+        self, view: run.MinionView, row: run.RunningRow, now: float
+    ) -> run.Run | None:
+        """Takes over a run that an earlier dispatcher has started."""
+        active = self.jobs.get(row.task.job)
+        unwanted = (
+            active is None
+            or not active.knows(row.task)
+            or active.cancelled
+            or active.progress.state in job.TERMINAL
+            or active.progress.is_done(row.task)
+        )
+        if unwanted or active is None:
+            item = run.Run(
+                task=row.task,
+                number=row.number,
+                minion_id=view.minion_id,
+                team=identifiers.TeamId(""),
+                queue=identifiers.QueueId(""),
+                room=job.Resources(),
+                need=job.Resources(),
+            )
+            view.runs[row.task] = item
+            self._stop(item)
+            return None
+        item = self._create_run(active, row.task, row.number, view.minion_id)
+        item.state = run.RunState.RUNNING
+        item.since = now
+        other = active.live.get(row.task)
+        if other is not None:
+            # The one started by this dispatcher is the one to keep.
+            view.runs[row.task] = item
+            self._stop(item)
+            return None
+        view.runs[row.task] = item
+        active.add_run(item)
+        self._count_usage(item.team, item.need, 1)
+        if active.progress.state is job.JobState.QUEUED:
+            active.progress.state = job.JobState.RUNNING
+            self._dirty.add(active.job.job_id)
+        return item
+
+    def _find_run(
+        self,
+        minion_id: identifiers.MinionId,
+        task: job.TaskId,
+        number: int,
+    ) -> run.Run | None:
+        view = self.views.get(minion_id)
+        item = view.runs.get(task) if view is not None else None
+        return item if item is not None and item.number == number else None
+
+    def _stop(self, item: run.Run) -> None:
+        if item.state is run.RunState.STOPPING:
+            return
+        item.state = run.RunState.STOPPING
+        item.tries = 0
+        item.since = 0.0
+        self._stops[item.task] = item
+
+    def _remove_run(
+        self, view: run.MinionView, item: run.Run, wall: float
+    ) -> None:
+        if view.runs.get(item.task) is item:
+            del view.runs[item.task]
+        if self._stops.get(item.task) is item:
+            del self._stops[item.task]
+        active = self.jobs.get(item.task.job)
+        if active is None or active.live.get(item.task) is not item:
+            return
+        self._count_usage(item.team, item.need, -1)
+        active.remove_run(item, wall)
+        if active.cancelled or active.progress.state in job.TERMINAL:
+            self._drop_if_idle(active)
+
+    def _lose_runs(self, view: run.MinionView, now: float, wall: float) -> None:
+        """Gives up everything at a minion that surely runs nothing."""
+        if view.runs:
+            event.emit(
+                event.Event.RUNS_LOST,
+                minion=view.minion_id,
+                runs=len(view.runs),
+                silent=round(now - view.last_answer, 3),
+            )
+        for item in list(view.runs.values()):
+            self._remove_run(view, item, wall)
+
+    def _note_bad(self, view: run.MinionView, now: float, why: str) -> None:
+        if placement.note_bad_start(view, now):
+            event.emit(
+                event.Event.MINION_UNFIT,
+                minion=view.minion_id,
+                reason=why,
+                seconds=round(view.unfit_until - now, 1),
+            )
+
+    def _has_cap(
+        self, team_id: identifiers.TeamId, need: job.Resources
+    ) -> bool:
+        team = self.config.teams.get(team_id) if self.config else None
+        if team is None:
+            return True
+        after = self._usage.get(team_id, job.Resources()).plus(need)
+        cap = team.cap
+        return (
+            (not cap.cpu or after.cpu <= cap.cpu)
+            and (not cap.memory or after.memory <= cap.memory)
+            and (not cap.gpu or after.gpu <= cap.gpu)
+        )
+
+    def _count_usage(
+        self, team: identifiers.TeamId, need: job.Resources, sign: int
+    ) -> None:
+        used = self._usage.get(team, job.Resources())
+        self._usage[team] = used.plus(need) if sign > 0 else used.minus(need)
+
+
+def may_stop(
+    item: run.Run, away: Mapping[tuple[identifiers.JobId, int], int]
+) -> bool:
+    """Whether a long-running task may be stopped within its step's budget.
+
+    Args:
+        item: Its run.
+        away: Tasks not at work of each step that has a budget.
+    """
+    if item.state is run.RunState.STOPPING or item.max_unavailable is None:
+        return True
+    count = away.get((item.task.job, item.task.step), 0)
+    return count + int(item.at_work) <= item.max_unavailable
--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -54,6 +54,31 @@
     WORKER_ASSIGNED = (1503, "INFO", "worker assigned to a pool")
     MAINTENANCE_STEP = (1504, "INFO", "maintenance step of a worker")
 
+    JOB_ACCEPTED = (1601, "INFO", "job accepted")
+    JOB_REFUSED = (1602, "INFO", "request about a job refused")
+    JOB_CANCELLED = (1603, "INFO", "job cancelled")
+    JOB_ENDED = (1604, "INFO", "job ended")
+    JOB_STARTED = (1605, "INFO", "first task of a job started")
+    RUN_STOPPED = (1606, "INFO", "run ordered to stop")
+    RUNS_LOST = (1607, "WARNING", "runs of a silent minion given up")
+    RUN_FAILED = (1608, "INFO", "run ended without success")
+    START_REFUSED = (1609, "INFO", "minion did not start a run")
+    OFFICE_CLAIMED = (1701, "INFO", "dispatcher's office claimed")
+    OFFICE_HELD = (1702, "INFO", "dispatching")
+    OFFICE_LEFT = (1703, "WARNING", "dispatcher's office left")
+    MINION_UNFIT = (1704, "WARNING", "minion gets no new work for a while")
+    MINION_SILENT = (1705, "WARNING", "minion does not answer")
+    MINION_ANSWERS = (1706, "INFO", "minion answers again")
+    STORE_REFUSES = (1707, "WARNING", "store does not take an append")
+    DECLARATION_REFUSED = (1708, "WARNING", "platform record is malformed")
+    CONFIGURATION_IN_FORCE = (1709, "INFO", "configuration is in force")
+    MACHINE_ORDERED = (1801, "INFO", "machine ordered to move or to upkeep")
+    MACHINE_REFUSED = (1802, "WARNING", "order about a machine refused")
+    MACHINES_UNREACHABLE = (1803, "WARNING", "machines can't be listed")
+    WAVE_COMPLETED = (1804, "INFO", "wave of upkeep completed")
+    SETTINGS_REFUSED = (1901, "ERROR", "settings are malformed")
+    SETTINGS_READ = (1902, "INFO", "settings read")
+
     @property
     def number(self) -> int:
         """Catalogue number, shown as CW and four digits."""
--- a/clementinewood/identifiers.py
+++ b/clementinewood/identifiers.py
@@ -23,6 +23,15 @@
 ResourceId = NewType("ResourceId", str)
 """A limited resource: `team:T` or `slot:M`."""
 
+JobId = NewType("JobId", str)
+"""Chosen by the submitter: 16 hexadecimal digits."""
+
+MachineId = NewType("MachineId", str)
+"""A machine; a minion is one life of it."""
+
+Term = NewType("Term", int)
+"""Number of a dispatcher's time in office; also its fencing token."""
+
 RequestId = NewType("RequestId", str)
 RecordId = NewType("RecordId", bytes)
 
--- /dev/null
+++ b/clementinewood/job.py
@@ -0,0 +1,361 @@
+"""Jobs of steps of tasks, and their stored form."""
+
+import dataclasses
+import enum
+import json
+import re
+from typing import Any, NamedTuple
+
+from returns import result
+
+from clementinewood import identifiers
+
+MAX_SPEC_BYTES = 4000
+MAX_STEPS = 64
+"""Steps accepted in one job; each costs memory at every entry."""
+
+MAX_TASKS = 4096
+"""Tasks accepted in one step, so that one job can't fill the memory."""
+
+_JOB_ID = re.compile(r"[0-9a-f]{16}")
+
+
+class JobState(enum.Enum):
+    """State of a job as callers see it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+TERMINAL = frozenset((JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED))
+"""States that a job never leaves."""
+
+
+class TaskId(NamedTuple):
+    """One task of one occurrence of a job.
+
+    Attributes:
+        job: The job.
+        occurrence: Number of the repetition, from 0.
+        step: Number of the step, from 0.
+        position: Number of the task in its step, from 0.
+    """
+
+    job: identifiers.JobId
+    occurrence: int
+    step: int
+    position: int
+
+    def render(self) -> str:
+        """Returns the name that minions know the task by."""
+        return f"{self.job}.{self.occurrence}.{self.step}.{self.position}"
+
+
+def parse_task_id(name: str) -> TaskId | None:
+    """Returns the task named `name`, or None if it is malformed."""
+    parts = name.split(".")
+    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+        return None
+    return TaskId(
+        identifiers.JobId(parts[0]), int(parts[1]), int(parts[2]), int(parts[3])
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resources:
+    """Room that a task takes or a minion has.
+
+    Attributes:
+        cpu: Thousandths of a core.
+        memory: Megabytes.
+        gpu: Accelerators.
+    """
+
+    cpu: int = 0
+    memory: int = 0
+    gpu: int = 0
+
+    def fits(self, room: "Resources") -> bool:
+        """Whether this much fits into `room`."""
+        return (
+            self.cpu <= room.cpu
+            and self.memory <= room.memory
+            and self.gpu <= room.gpu
+        )
+
+    def plus(self, other: "Resources") -> "Resources":
+        """Returns the sum."""
+        return Resources(
+            self.cpu + other.cpu,
+            self.memory + other.memory,
+            self.gpu + other.gpu,
+        )
+
+    def minus(self, other: "Resources") -> "Resources":
+        """Returns the difference, which may be negative."""
+        return Resources(
+            self.cpu - other.cpu,
+            self.memory - other.memory,
+            self.gpu - other.gpu,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Step:
+    """Tasks of one job that are alike.
+
+    Attributes:
+        count: Number of tasks.
+        need: Room of one task.
+        estimate: Declared run time in seconds; often far off.
+        after: Earlier steps whose tasks must all be done first.
+        checkpoints: Whether runs save their progress.
+        gang: Whether the tasks work only all together.
+        same_rack: Whether the tasks are slower on more than one rack.
+        label: Label that the minion must have; empty for any.
+        rack: Rack of the data; empty for any.
+        max_per_minion: Tasks of the step on one minion; 0 for no limit.
+        duplicates: Whether copies of a task may run at the same time.
+        long_running: Whether the tasks run until the job is cancelled.
+        image: What the tasks run; tasks of one image behave alike.
+        tail_target: Seconds below which the tail of a serving task's response
+            times must stay; 0 if it serves no users.
+        fills: Whether the tasks use capacity that others leave unused.
+        max_unavailable: Tasks of the step that orders may make unavailable at
+            the same time; None for no limit.
+    """
+
+    count: int
+    need: Resources = Resources()
+    estimate: float = 1.0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    rack: str = ""
+    max_per_minion: int = 0
+    duplicates: bool = False
+    long_running: bool = False
+    image: str = ""
+    tail_target: float = 0.0
+    fills: bool = False
+    max_unavailable: int | None = None
+
+    @property
+    def room(self) -> Resources:
+        """Room counted against a minion; filling tasks bring only memory."""
+        if self.fills:
+            return Resources(0, self.need.memory, self.need.gpu)
+        return self.need
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Job:
+    """An accepted job.
+
+    Attributes:
+        job_id: Id chosen by the submitter.
+        queue: Queue that it was submitted to.
+        team: Team whose key came with it; empty on queues open to all.
+        spec: What the tasks run, passed on unread.
+        steps: Its steps, in order.
+        accepted: Unix time of acceptance in seconds.
+        start: Unix time at which the first occurrence is due; 0 for at once.
+        interval: Seconds between occurrences.
+        occurrences: How often the steps run.
+    """
+
+    job_id: identifiers.JobId
+    queue: identifiers.QueueId
+    team: identifiers.TeamId
+    spec: str
+    steps: tuple[Step, ...]
+    accepted: float
+    start: float = 0.0
+    interval: float = 0.0
+    occurrences: int = 1
+
+    @property
+    def long_running(self) -> bool:
+        """Whether it runs until it is cancelled."""
+        return any(step.long_running for step in self.steps)
+
+    def due(self, occurrence: int) -> float:
+        """Returns the Unix time at which `occurrence` is due."""
+        return self.start + occurrence * self.interval
+
+
+def is_job_id(text: str) -> bool:
+    """Whether `text` is a well-formed job id."""
+    return _JOB_ID.fullmatch(text) is not None
+
+
+def check_steps(steps: tuple[Step, ...]) -> str:
+    """Returns what makes `steps` unusable, or an empty string."""
+    if not 1 <= len(steps) <= MAX_STEPS:
+        return f"a job has 1 to {MAX_STEPS} steps"
+    for number, step in enumerate(steps):
+        if not 1 <= step.count <= MAX_TASKS:
+            return f"step {number} must have 1 to {MAX_TASKS} tasks"
+        if any(not 0 <= earlier < number for earlier in step.after):
+            return f"step {number} may only come after earlier steps"
+    return ""
+
+
+_STEP_FIELDS = {
+    field.name: field.default
+    for field in dataclasses.fields(Step)
+    if field.name not in ("count", "need")
+}
+
+
+def encode_job(job: Job) -> bytes:
+    """Returns the stored form of `job`."""
+    steps = []
+    for step in job.steps:
+        fields: dict[str, Any] = {
+            name: getattr(step, name)
+            for name, default in _STEP_FIELDS.items()
+            if getattr(step, name) != default
+        }
+        fields["count"] = step.count
+        fields["need"] = [step.need.cpu, step.need.memory, step.need.gpu]
+        steps.append(fields)
+    document: dict[str, Any] = {
+        "queue": job.queue,
+        "team": job.team,
+        "spec": job.spec,
+        "accepted": round(job.accepted, 3),
+        "steps": steps,
+    }
+    if job.start or job.occurrences != 1:
+        document["times"] = [job.start, job.interval, job.occurrences]
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def decode_job(
+    job_id: identifiers.JobId, data: bytes
+) -> result.Result[Job, str]:
+    """Reads the stored form of a job."""
+    try:
+        document = json.loads(data)
+        steps = tuple(
+            Step(
+                **{
+                    **fields,
+                    "need": Resources(*fields["need"]),
+                    "after": tuple(fields.get("after", ())),
+                }
+            )
+            for fields in document["steps"]
+        )
+        start, interval, occurrences = document.get("times", (0.0, 0.0, 1))
+        job = Job(
+            job_id=job_id,
+            queue=identifiers.QueueId(document["queue"]),
+            team=identifiers.TeamId(document["team"]),
+            spec=document["spec"],
+            steps=steps,
+            accepted=float(document["accepted"]),
+            start=start,
+            interval=interval,
+            occurrences=occurrences,
+        )
+    except (ValueError, TypeError, KeyError) as error:
+        return result.Failure(f"stored job {job_id} is malformed: {error!r}")
+    return result.Success(job)
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How far a job is, as stored.
+
+    Attributes:
+        state: State shown to callers.
+        done: Bit set of the ended tasks of each occurrence and step.
+        failed: Failed runs of each task that is not done.
+    """
+
+    state: JobState = JobState.QUEUED
+    done: dict[tuple[int, int], int] = dataclasses.field(default_factory=dict)
+    failed: dict[tuple[int, int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def copy(self) -> "Progress":
+        """Returns an independent copy."""
+        return Progress(self.state, dict(self.done), dict(self.failed))
+
+    def is_done(self, task: TaskId) -> bool:
+        """Whether `task` has ended well."""
+        bits = self.done.get((task.occurrence, task.step), 0)
+        return bool(bits >> task.position & 1)
+
+    def set_done(self, task: TaskId) -> None:
+        """Notes that `task` has ended well."""
+        key = (task.occurrence, task.step)
+        self.done[key] = self.done.get(key, 0) | 1 << task.position
+        self.failed.pop((task.occurrence, task.step, task.position), None)
+
+    def set_step_done(self, occurrence: int, step: int, count: int) -> None:
+        """Notes that all `count` tasks of a step have ended well."""
+        self.done[occurrence, step] = (1 << count) - 1
+
+    def is_step_done(self, occurrence: int, step: int, count: int) -> bool:
+        """Whether all `count` tasks of a step have ended well."""
+        return self.done.get((occurrence, step), 0) == (1 << count) - 1
+
+    def add_failure(self, task: TaskId) -> int:
+        """Counts a failed run of `task` and returns the new count."""
+        key = (task.occurrence, task.step, task.position)
+        self.failed[key] = self.failed.get(key, 0) + 1
+        return self.failed[key]
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Returns the stored form of `progress`."""
+    document: dict[str, Any] = {"state": progress.state.value}
+    if progress.state not in TERMINAL:
+        document["done"] = [
+            [*key, f"{bits:x}"] for key, bits in progress.done.items()
+        ]
+        document["failed"] = [
+            [*key, count] for key, count in progress.failed.items()
+        ]
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def decode_progress(data: bytes) -> result.Result[Progress, str]:
+    """Reads the stored form of a job's progress."""
+    try:
+        document = json.loads(data)
+        progress = Progress(
+            JobState(document["state"]),
+            {
+                (occurrence, step): int(bits, 16)
+                for occurrence, step, bits in document.get("done", ())
+            },
+            {
+                (occurrence, step, index): count
+                for occurrence, step, index, count in document.get("failed", ())
+            },
+        )
+    except (ValueError, TypeError, KeyError) as error:
+        return result.Failure(f"stored progress is malformed: {error!r}")
+    return result.Success(progress)
+
+
+if __name__ == "__main__":
+    example = Job(
+        job_id=identifiers.JobId("5c0e7a21d94b36f8"),
+        queue=identifiers.QueueId("quotes"),
+        team=identifiers.TeamId("canvas"),
+        spec="",
+        steps=(Step(count=4, need=Resources(500, 256)),),
+        accepted=0.0,
+    )
+    print(decode_job(example.job_id, encode_job(example)))
--- /dev/null
+++ b/clementinewood/jobservice.py
@@ -0,0 +1,665 @@
+"""One entry of the job service: takes jobs, tells their state, cancels them.
+
+Every entry folds the same log and can answer any caller; one of them at a
+time is the dispatcher.
+"""
+
+import dataclasses
+import enum
+import secrets
+import time
+from collections.abc import Callable, Sequence
+
+from clementinewood import (
+    catalog,
+    dispatchdriver,
+    event,
+    feed,
+    identifiers,
+    job,
+    jobtable,
+    metric,
+    ports,
+    succession,
+    timer,
+    verdict,
+)
+
+KEY_STALE_SECONDS = 3.0
+"""Age of the configuration from which no key is accepted any more: a key must
+stop working within five seconds of its withdrawal."""
+
+TABLE_STALE_SECONDS = 2.0
+"""Age of the job table from which an unknown job may be known elsewhere."""
+
+FOLLOWER_GAP_SECONDS = 0.1
+"""Least time between two reads of the job log by an entry that does not
+dispatch; each read is paid for."""
+
+ACCEPT_TRY_SECONDS = 0.15
+"""Pause before the append of a job is tried again after a lost answer."""
+
+DEADLINE_MARGIN_SECONDS = 0.15
+"""Time before a caller's deadline at which it gets its answer."""
+
+REFRESH_SECONDS = 0.02
+"""How long a question about a job waits for a newer reading of the log."""
+
+STORE_RETRY_AFTER_SECONDS = 1.0
+"""What callers are told while the store does not take their job: outages last
+seconds, and another entry may reach it."""
+
+OFFICE_PERIOD_SECONDS = 0.1
+"""Period of checking whether the dispatcher's office is vacant."""
+
+
+class Kind(enum.Enum):
+    """What callers ask for."""
+
+    SUBMIT = "submit"
+    DESCRIBE = "describe"
+    CANCEL = "cancel"
+    COUNT = "count"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ask:
+    """One caller's request.
+
+    Attributes:
+        kind: What is asked for.
+        host: Host that was addressed.
+        path: Path that was addressed.
+        credentials: Key that came with it, if any.
+        patience: Seconds that the caller waits for an answer.
+    """
+
+    kind: Kind
+    host: str
+    path: str
+    credentials: str | None
+    patience: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The job is stored, or was before."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Described:
+    """How a job stands."""
+
+    state: job.JobState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancelled:
+    """The job is cancelled or has ended."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counted:
+    """Jobs of the queue that have not begun."""
+
+    pending: int
+
+
+Answer = Accepted | Described | Cancelled | Counted | verdict.Refusal
+OnAnswer = Callable[[Answer], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Where an admitted request goes.
+
+    Attributes:
+        queue: The queue.
+        team: Team of the key; empty on queues open to all.
+        rest: The path after the queue's prefix.
+    """
+
+    queue: catalog.Queue
+    team: identifiers.TeamId
+    rest: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """A job or a cancelling that is being stored.
+
+    Attributes:
+        items: What is appended.
+        deadline: When the callers get their answer at the latest.
+        waiting: Callers that wait for the outcome.
+        maybe_stored: Whether a try may have taken effect.
+    """
+
+    items: Sequence[ports.Item]
+    deadline: float
+    waiting: list[Callable[[ports.AppendResult], None]]
+    maybe_stored: bool = False
+
+
+class JobService:
+    """One entry.
+
+    Args:
+        entry_id: Name of this host.
+        store: The platform's store.
+        minions: Orders to minions.
+        machines: Orders about machines; None where there are none.
+        decoder: Reads the platform's records.
+        timers: Timer service.
+        metrics: Instruments.
+        lease_seconds: Least time between machine orders of two dispatchers.
+        early_seconds: Time by which a timed start may be anticipated.
+        wall: Source of Unix time.
+
+    Attributes:
+        declared: What operators declare now.
+        draining: Whether the entry is stopping.
+        table: Every job of the site.
+    """
+
+    def __init__(
+        self,
+        entry_id: identifiers.EntryId,
+        *,
+        store: ports.Store,
+        minions: ports.Minions,
+        machines: ports.Machines | None,
+        decoder: ports.Decoder,
+        timers: timer.TimerService,
+        metrics: metric.Metrics,
+        lease_seconds: float = 3.0,
+        early_seconds: float = 0.0,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.declared = ports.Declarations(None, frozenset(), ())
+        self.draining = False
+        self.table = jobtable.JobTable()
+        self.incarnation = identifiers.create_incarnation(entry_id)
+        self._store = store
+        self._minions = minions
+        self._machines = machines
+        self._decoder = decoder
+        self._timers = timers
+        self._metrics = metrics
+        self._lease_seconds = lease_seconds
+        self._early_seconds = early_seconds
+        self._wall = wall
+        self._driver: dispatchdriver.DispatchDriver | None = None
+        self._claim_head = -1
+        self._claim_sequence = 0
+        self._pending: dict[str, _Pending] = {}
+        self._refreshing: list[Callable[[], None]] = []
+        self._succession = succession.Succession(
+            self.incarnation, secrets.randbelow(1000) / 1000.0
+        )
+        self._jobs_feed = feed.Feed(
+            store,
+            ports.Stream.JOBS,
+            timers,
+            on_snapshot=self._fold,
+            on_records=self._fold,
+            on_fresh=self._note_fresh,
+            gap=FOLLOWER_GAP_SECONDS,
+        )
+        self._declarations_feed = feed.Feed(
+            store,
+            ports.Stream.DECLARATIONS,
+            timers,
+            on_snapshot=self._load_declarations,
+            on_records=self._fold_declarations,
+        )
+
+    def start(self) -> None:
+        """Starts to follow the store."""
+        self._jobs_feed.start()
+        self._declarations_feed.start()
+        self._timers.subscribe_every(OFFICE_PERIOD_SECONDS, self._check_office)
+
+    def stop(self) -> None:
+        """Leaves the office; callers are served until their last request."""
+        self.draining = True
+        if self._driver is not None:
+            self._driver.release()
+
+    @property
+    def dispatching(self) -> bool:
+        """Whether this entry is the dispatcher."""
+        return self._driver is not None
+
+    def read_readiness(self) -> tuple[bool, str]:
+        """Returns whether callers should be sent here, and why not."""
+        if self.draining:
+            return False, "stopping"
+        if self.declared.configuration is None:
+            return False, "no configuration yet"
+        if self._declarations_feed.age() > KEY_STALE_SECONDS:
+            return False, "configuration is stale"
+        if self._jobs_feed.age() > TABLE_STALE_SECONDS:
+            return False, "job log is stale"
+        return True, "ready"
+
+    # Callers.
+
+    def admit(self, ask: Ask) -> Target | verdict.Refusal:
+        """Finds the queue of a request and checks its key."""
+        config = self.declared.configuration
+        if config is None:
+            return _refuse(
+                verdict.Reason.STALE_CONFIGURATION,
+                "This entry has no configuration yet.",
+            )
+        stale = self._declarations_feed.age() > KEY_STALE_SECONDS
+        queue = config.find_queue(ask.host, ask.path)
+        if queue is None:
+            if stale:
+                return _refuse(
+                    verdict.Reason.STALE_CONFIGURATION,
+                    "The configuration may be out of date.",
+                )
+            return verdict.Refusal(
+                verdict.Reason.QUEUE_UNKNOWN, detail="No such queue."
+            )
+        team = identifiers.TeamId("")
+        if ask.credentials is not None:
+            team = config.keys.get(ask.credentials, team)
+        if not queue.open_to_all:
+            if stale:
+                return _refuse(
+                    verdict.Reason.STALE_CONFIGURATION,
+                    "Keys can't be checked: the configuration may be out of"
+                    " date.",
+                )
+            if ask.credentials is None:
+                return verdict.Refusal(
+                    verdict.Reason.KEY_MISSING, detail="A key is required."
+                )
+            if not team:
+                return verdict.Refusal(
+                    verdict.Reason.KEY_UNKNOWN, detail="The key is not valid."
+                )
+        return Target(queue, team, ask.path[len(queue.prefix) :])
+
+    def submit(
+        self, accepted: job.Job, patience: float, on_answer: OnAnswer
+    ) -> None:
+        """Stores a job; it is accepted once the store has it.
+
+        Args:
+            accepted: The job.
+            patience: Seconds that the caller waits.
+            on_answer: Called once.
+        """
+        if self.table.find(accepted.job_id) is not None:
+            on_answer(Accepted())
+            return
+        key = jobtable.render_key(jobtable.RecordKind.JOB, accepted.job_id)
+
+        def answer(outcome: ports.AppendResult) -> None:
+            match outcome:
+                case ports.Appended():
+                    event.emit(
+                        event.Event.JOB_ACCEPTED,
+                        job=accepted.job_id,
+                        queue=accepted.queue,
+                        team=accepted.team,
+                        tasks=sum(step.count for step in accepted.steps),
+                        version=self._version(),
+                    )
+                    on_answer(Accepted())
+                case _:
+                    on_answer(self._refuse_append(outcome))
+
+        items = [ports.Item(key, job.encode_job(accepted))]
+        self._append(key, items, patience, answer)
+
+    def cancel(
+        self,
+        job_id: identifiers.JobId,
+        patience: float,
+        on_answer: OnAnswer,
+    ) -> None:
+        """Stores that a job is cancelled."""
+        self._find(
+            job_id,
+            lambda entry: self._cancel_found(
+                job_id, entry, patience, on_answer
+            ),
+            fresh=False,
+        )
+
+    def _cancel_found(
+        self,
+        job_id: identifiers.JobId,
+        entry: jobtable.Entry | None,
+        patience: float,
+        on_answer: OnAnswer,
+    ) -> None:
+        if entry is None:
+            on_answer(self._refuse_unknown())
+            return
+        if entry.state in job.TERMINAL:
+            on_answer(Cancelled())
+            return
+        key = jobtable.render_key(jobtable.RecordKind.CANCEL, job_id)
+
+        def answer(outcome: ports.AppendResult) -> None:
+            match outcome:
+                case ports.Appended():
+                    event.emit(event.Event.JOB_CANCELLED, job=job_id)
+                    on_answer(Cancelled())
+                case _:
+                    on_answer(self._refuse_append(outcome))
+
+        self._append(key, [ports.Item(key, b"1")], patience, answer)
+
+    def describe(self, job_id: identifiers.JobId, on_answer: OnAnswer) -> None:
+        """Tells how a job stands, by a reading made after the question."""
+
+        def answer(entry: jobtable.Entry | None) -> None:
+            on_answer(
+                self._refuse_unknown()
+                if entry is None
+                else Described(entry.state)
+            )
+
+        self._find(job_id, answer, fresh=True)
+
+    def count_pending(self, queue: catalog.Queue, on_answer: OnAnswer) -> None:
+        """Tells how many jobs of a queue have not begun."""
+        if self._jobs_feed.age() > TABLE_STALE_SECONDS:
+            on_answer(
+                _refuse(
+                    verdict.Reason.STORE_UNAVAILABLE,
+                    "The job log can't be read.",
+                )
+            )
+            return
+        on_answer(Counted(self.table.count_pending(queue.name)))
+
+    def _find(
+        self,
+        job_id: identifiers.JobId,
+        on_found: Callable[[jobtable.Entry | None], None],
+        *,
+        fresh: bool,
+    ) -> None:
+        entry = self.table.find(job_id)
+        settled = entry is not None and (
+            not fresh or entry.state in job.TERMINAL
+        )
+        if settled or self._driver is not None:
+            # The dispatcher is the one whose records end jobs.
+            on_found(entry)
+            return
+        self._refresh(lambda: on_found(self.table.find(job_id)))
+
+    def _refresh(self, callback: Callable[[], None]) -> None:
+        """Calls back after the log was read once more, or soon anyway."""
+        done = [False]
+
+        def finish() -> None:
+            if not done[0]:
+                done[0] = True
+                callback()
+
+        self._refreshing.append(finish)
+        self._jobs_feed.hasten()
+        self._timers.subscribe_once(REFRESH_SECONDS, finish)
+
+    def _refuse_unknown(self) -> verdict.Refusal:
+        if self._jobs_feed.age() > TABLE_STALE_SECONDS:
+            return _refuse(
+                verdict.Reason.STORE_UNAVAILABLE, "The job log can't be read."
+            )
+        return verdict.Refusal(
+            verdict.Reason.JOB_UNKNOWN, detail="No such job."
+        )
+
+    # Appends of jobs and cancels.
+
+    def _append(
+        self,
+        key: str,
+        items: Sequence[ports.Item],
+        patience: float,
+        on_result: Callable[[ports.AppendResult], None],
+    ) -> None:
+        """Appends until the outcome is certain or the caller's time is over.
+
+        Records are idempotent, so that one may be stored twice.
+        """
+        deadline = self._timers.clock() + max(
+            0.0, patience - DEADLINE_MARGIN_SECONDS
+        )
+        known = self._pending.get(key)
+        if known is not None:
+            known.waiting.append(on_result)
+            known.deadline = max(known.deadline, deadline)
+            return
+        pending = _Pending(items, deadline, [on_result])
+        self._pending[key] = pending
+        self._try_append(key, pending)
+
+    def _try_append(self, key: str, pending: _Pending) -> None:
+        if self._pending.get(key) is not pending:
+            return
+        self._store.append(
+            ports.Stream.JOBS,
+            pending.items,
+            lambda outcome: self._on_append(key, pending, outcome),
+        )
+
+    def _on_append(
+        self, key: str, pending: _Pending, outcome: ports.AppendResult
+    ) -> None:
+        if self._pending.get(key) is not pending:
+            return
+        match outcome:
+            case ports.Appended(offset):
+                self._apply_own(pending.items, offset)
+                self._finish(key, pending, outcome)
+            case ports.Failed(execution, detail):
+                if execution is not verdict.Execution.NOT_RUN:
+                    pending.maybe_stored = True
+                if not pending.maybe_stored:
+                    # The store said that nothing was done: so can the caller
+                    # be told, at once.
+                    self._finish(key, pending, outcome)
+                elif self._timers.clock() >= pending.deadline:
+                    self._finish(
+                        key,
+                        pending,
+                        ports.Failed(verdict.Execution.MAY_HAVE_RUN, detail),
+                    )
+                else:
+                    self._timers.subscribe_once(
+                        ACCEPT_TRY_SECONDS,
+                        lambda: self._try_append(key, pending),
+                    )
+            case _:
+                self._finish(key, pending, outcome)
+
+    def _apply_own(self, items: Sequence[ports.Item], offset: int) -> None:
+        records = [
+            jobtable.StoredRecord(item.key, item.value, offset + place)
+            for place, item in enumerate(items)
+        ]
+        # The head stays where the feed has read to.
+        head = self.table.head
+        self._fold(records)
+        self.table.head = head
+
+    def _finish(
+        self, key: str, pending: _Pending, outcome: ports.AppendResult
+    ) -> None:
+        del self._pending[key]
+        for on_result in pending.waiting:
+            on_result(outcome)
+
+    def _refuse_append(self, outcome: ports.AppendResult) -> verdict.Refusal:
+        match outcome:
+            case ports.Failed(verdict.Execution.NOT_RUN, detail):
+                return _refuse(
+                    verdict.Reason.STORE_UNAVAILABLE,
+                    f"The store did not take it: {detail}.",
+                )
+            case _:
+                return verdict.Refusal(
+                    verdict.Reason.ACCEPTANCE_UNKNOWN,
+                    verdict.Execution.MAY_HAVE_RUN,
+                    "The store did not answer in time.",
+                )
+
+    # What the store says.
+
+    def _fold(self, records: Sequence[jobtable.StoredRecord]) -> None:
+        for record in records:
+            match self.table.apply(record):
+                case jobtable.Office() as office:
+                    self._note_office(office)
+                case jobtable.Entry() as entry:
+                    self._note_entry(entry)
+        for key in [key for key in self._pending if self._is_folded(key)]:
+            # The answer to the append was lost, but the record is there.
+            self._finish(key, self._pending[key], ports.Appended(0))
+
+    def _is_folded(self, key: str) -> bool:
+        prefix, _, name = key.partition("/")
+        entry = self.table.find(identifiers.JobId(name))
+        if entry is None:
+            return False
+        return prefix == jobtable.RecordKind.JOB.value or entry.cancelled
+
+    def _note_entry(self, entry: jobtable.Entry) -> None:
+        if self._driver is not None:
+            self._driver.take_entry(entry)
+
+    def _note_fresh(self) -> None:
+        now = self._timers.clock()
+        self._succession.note_fresh(now, 0.0)
+        waiting, self._refreshing = self._refreshing, []
+        for callback in waiting:
+            callback()
+        self._check_claim()
+
+    def _load_declarations(
+        self, records: Sequence[jobtable.StoredRecord]
+    ) -> None:
+        self._decoder.replace_declarations(records)
+        self._take_declarations()
+
+    def _fold_declarations(
+        self, records: Sequence[jobtable.StoredRecord]
+    ) -> None:
+        for record in records:
+            self._decoder.apply_declaration(record)
+        self._take_declarations()
+
+    def _take_declarations(self) -> None:
+        before = self._version()
+        self.declared = self._decoder.read_declarations()
+        if self._version() != before:
+            event.emit(
+                event.Event.CONFIGURATION_IN_FORCE,
+                version=self._version(),
+                was=before,
+            )
+        if self._driver is not None:
+            self._driver.apply_declarations(self.declared)
+
+    def _version(self) -> int:
+        config = self.declared.configuration
+        return -1 if config is None else config.version
+
+    # The dispatcher's office.
+
+    def _note_office(self, office: jobtable.Office) -> None:
+        if self._succession.note_office(office, self._timers.clock()):
+            self._leave_office(f"term {office.term} has begun")
+
+    def _check_office(self) -> None:
+        now = self._timers.clock()
+        if self._jobs_feed.age() > TABLE_STALE_SECONDS:
+            self._succession.note_unreadable()
+        if self.draining or not self._succession.is_vacant(now):
+            return
+        term = self._succession.begin_claim(now)
+        # Two claims of one term differ in their numbers, so that the store
+        # refuses the later one.
+        self._claim_sequence = secrets.randbelow(1 << 30) + 1
+        event.emit(event.Event.OFFICE_CLAIMED, term=term)
+        office = jobtable.Office(term, self.incarnation)
+        self._store.append(
+            ports.Stream.JOBS,
+            [ports.Item(jobtable.OFFICE_KEY, jobtable.encode_office(office))],
+            lambda outcome: self._on_claim(term, outcome),
+            fence=ports.Fence(term, self._claim_sequence),
+        )
+
+    def _on_claim(
+        self, term: identifiers.Term, outcome: ports.AppendResult
+    ) -> None:
+        claiming = self._succession.standing is succession.Standing.CLAIMING
+        if not claiming or self._succession.term != term:
+            return
+        match outcome:
+            case ports.Appended(offset):
+                self._claim_head = offset + 1
+                self._check_claim()
+            case _:
+                event.emit(
+                    event.Event.STORE_REFUSES, detail=str(outcome), term=term
+                )
+                self._succession.leave(self._timers.clock())
+
+    def _check_claim(self) -> None:
+        """Starts to dispatch once every record before the claim is folded."""
+        if (
+            self._succession.standing is not succession.Standing.CLAIMING
+            or self._claim_head < 0
+            or self.table.head < self._claim_head
+            or self.draining
+        ):
+            return
+        self._claim_head = -1
+        self._succession.note_claimed()
+        self._jobs_feed.gap = 0.0
+        term = self._succession.term
+        self._driver = dispatchdriver.DispatchDriver(
+            term,
+            self._claim_sequence + 1,
+            self.incarnation,
+            table=self.table,
+            store=self._store,
+            minions=self._minions,
+            machines=self._machines,
+            decoder=self._decoder,
+            timers=self._timers,
+            wall=self._wall,
+            on_stored=self._apply_own,
+            on_lost=self._leave_office,
+            settled_after=self._lease_seconds if term > 1 else 0.0,
+        )
+        self._driver.dispatcher.early = self._early_seconds
+        self._driver.start(self.declared)
+
+    def _leave_office(self, reason: str) -> None:
+        driver, self._driver = self._driver, None
+        if driver is None:
+            return
+        driver.stop()
+        self._succession.leave(self._timers.clock())
+        self._jobs_feed.gap = FOLLOWER_GAP_SECONDS
+        event.emit(event.Event.OFFICE_LEFT, term=driver.term, reason=reason)
+
+
+def _refuse(reason: verdict.Reason, detail: str) -> verdict.Refusal:
+    """Returns a refusal that tells when to come back."""
+    return verdict.Refusal(
+        reason, detail=detail, retry_after=STORE_RETRY_AFTER_SECONDS
+    )
--- /dev/null
+++ b/clementinewood/jobtable.py
@@ -0,0 +1,263 @@
+"""Folds stored records into the jobs that every entry knows."""
+
+import dataclasses
+import enum
+import json
+from collections.abc import Iterator
+
+from returns import result
+
+from clementinewood import event, identifiers, job
+
+
+class RecordKind(enum.Enum):
+    """Kinds of records in the job log; the value starts the record's key."""
+
+    JOB = "j"
+    CANCEL = "c"
+    PROGRESS = "p"
+    CURSOR = "m"
+    WAVE = "w"
+    OFFICE = "office"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """One keyed record as the log returns it.
+
+    Attributes:
+        key: Key; the newest record of each key is kept for good.
+        value: Value, or empty when the key was dropped.
+        offset: Position in the log.
+    """
+
+    key: str
+    value: bytes
+    offset: int
+
+
+def render_key(kind: RecordKind, job_id: identifiers.JobId) -> str:
+    """Returns the key of a record about `job_id`."""
+    return f"{kind.value}/{job_id}"
+
+
+def render_cursor_key(minion_id: identifiers.MinionId) -> str:
+    """Returns the key of a minion's cursor."""
+    return f"{RecordKind.CURSOR.value}/{minion_id}"
+
+
+def render_wave_key(number: int) -> str:
+    """Returns the key of the machines that a wave has reached."""
+    return f"{RecordKind.WAVE.value}/{number}"
+
+
+OFFICE_KEY = RecordKind.OFFICE.value
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Office:
+    """Who dispatches, as stored.
+
+    Attributes:
+        term: Number of its time in office.
+        holder: Process that holds it.
+        released: Whether the holder gave it up.
+    """
+
+    term: identifiers.Term
+    holder: identifiers.Incarnation
+    released: bool = False
+
+
+def encode_office(office: Office) -> bytes:
+    """Returns the stored form of `office`."""
+    return json.dumps([office.term, office.holder, office.released]).encode()
+
+
+def decode_office(data: bytes) -> result.Result[Office, str]:
+    """Reads who dispatches."""
+    try:
+        term, holder, released = json.loads(data)
+        return result.Success(
+            Office(
+                identifiers.Term(int(term)),
+                identifiers.Incarnation(str(holder)),
+                bool(released),
+            )
+        )
+    except (ValueError, TypeError) as error:
+        return result.Failure(f"office record is malformed: {error!r}")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cursor:
+    """Ends of one life of a minion that are reflected in stored progress.
+
+    Attributes:
+        incarnation: Start of that life.
+        sequence: Number of the last such end.
+    """
+
+    incarnation: int
+    sequence: int
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """What is known of one job.
+
+    Attributes:
+        accepted: The job; None while only later records were seen.
+        progress: How far it is.
+        cancelled: Whether its cancelling is stored.
+    """
+
+    accepted: job.Job | None = None
+    progress: job.Progress = dataclasses.field(default_factory=job.Progress)
+    cancelled: bool = False
+
+    @property
+    def state(self) -> job.JobState:
+        """State as callers see it."""
+        if self.progress.state in job.TERMINAL:
+            return self.progress.state
+        if self.cancelled:
+            return job.JobState.CANCELLED
+        return self.progress.state
+
+
+class JobTable:
+    """Every job of the site, folded from the job log.
+
+    Records may be applied twice and, after a snapshot, out of order; the
+    newest offset of each key decides.
+
+    Attributes:
+        office: Who dispatches, by the newest record.
+        head: Offset after the last record applied.
+        cursors: Ends that stored progress reflects, by minion.
+        waves: Machines that have had their upkeep, by wave.
+    """
+
+    def __init__(self) -> None:
+        self.office: Office | None = None
+        self.head = 0
+        self.cursors: dict[identifiers.MinionId, Cursor] = {}
+        self.waves: dict[int, frozenset[identifiers.MachineId]] = {}
+        self._entries: dict[identifiers.JobId, Entry] = {}
+        self._offsets: dict[str, int] = {}
+
+    def __iter__(self) -> Iterator[Entry]:
+        return iter(self._entries.values())
+
+    def find(self, job_id: identifiers.JobId) -> Entry | None:
+        """Returns what is known of an accepted job."""
+        entry = self._entries.get(job_id)
+        return (
+            entry if entry is not None and entry.accepted is not None else None
+        )
+
+    def apply(self, record: StoredRecord) -> Entry | Office | None:
+        """Folds one record.
+
+        Returns:
+            What it changed, or None when it changed nothing.
+        """
+        self.head = max(self.head, record.offset + 1)
+        if self._offsets.get(record.key, -1) >= record.offset:
+            return None
+        self._offsets[record.key] = record.offset
+        if record.key == OFFICE_KEY:
+            return self._apply_office(record)
+        prefix, _, name = record.key.partition("/")
+        try:
+            kind = RecordKind(prefix)
+        except ValueError:
+            _drop(record, "its kind is unknown")
+            return None
+        if kind is RecordKind.CURSOR or kind is RecordKind.WAVE:
+            self._apply_mark(kind, name, record)
+            return None
+        job_id = identifiers.JobId(name)
+        entry = self._entries.setdefault(job_id, Entry())
+        match kind:
+            case RecordKind.JOB:
+                if entry.accepted is None:
+                    self._apply_job(entry, job_id, record)
+            case RecordKind.CANCEL:
+                entry.cancelled = True
+            case RecordKind.PROGRESS:
+                self._apply_progress(entry, record)
+        return entry if entry.accepted is not None else None
+
+    def count_pending(self, queue: identifiers.QueueId) -> int:
+        """Returns the accepted jobs of `queue` that have not begun."""
+        return sum(
+            1
+            for entry in self._entries.values()
+            if entry.accepted is not None
+            and entry.accepted.queue == queue
+            and entry.state is job.JobState.QUEUED
+        )
+
+    def _apply_office(self, record: StoredRecord) -> Office | None:
+        match decode_office(record.value):
+            case result.Success(office):
+                if self.office is None or office.term >= self.office.term:
+                    self.office = office
+                    return office
+            case result.Failure(reason):
+                _drop(record, reason)
+        return None
+
+    def _apply_mark(
+        self, kind: RecordKind, name: str, record: StoredRecord
+    ) -> None:
+        try:
+            values = json.loads(record.value)
+            if kind is RecordKind.CURSOR:
+                incarnation, sequence = values
+                self.cursors[identifiers.MinionId(name)] = Cursor(
+                    int(incarnation), int(sequence)
+                )
+            else:
+                self.waves[int(name)] = frozenset(
+                    identifiers.MachineId(str(value)) for value in values
+                )
+        except (ValueError, TypeError) as error:
+            _drop(record, repr(error))
+
+    def _apply_job(
+        self,
+        entry: Entry,
+        job_id: identifiers.JobId,
+        record: StoredRecord,
+    ) -> None:
+        match job.decode_job(job_id, record.value):
+            case result.Success(accepted):
+                entry.accepted = accepted
+            case result.Failure(reason):
+                _drop(record, reason)
+
+    def _apply_progress(self, entry: Entry, record: StoredRecord) -> None:
+        match job.decode_progress(record.value):
+            case result.Success(progress):
+                if entry.progress.state not in job.TERMINAL:
+                    entry.progress = progress
+            case result.Failure(reason):
+                _drop(record, reason)
+
+
+def _drop(record: StoredRecord, reason: str) -> None:
+    event.emit(
+        event.Event.RECORD_REFUSED,
+        key=record.key,
+        offset=record.offset,
+        reason=reason,
+    )
+
+
+if __name__ == "__main__":
+    table = JobTable()
+    office = Office(identifiers.Term(1), identifiers.Incarnation("e/1"))
+    print(table.apply(StoredRecord(OFFICE_KEY, encode_office(office), 0)))
--- /dev/null
+++ b/clementinewood/machinecontrol.py
@@ -0,0 +1,459 @@
+"""Carries out upkeep and moves of machines for the dispatcher in office."""
+
+import json
+from collections.abc import Callable, Sequence
+
+from clementinewood import (
+    catalog,
+    dispatcher,
+    elasticity,
+    event,
+    identifiers,
+    jobtable,
+    ports,
+    run,
+    timer,
+    upkeep,
+)
+
+LIST_SECONDS = 0.5
+"""Period of reading the list of machines; a move takes three times as long."""
+
+DOWN_LEAST_SECONDS = 0.4
+"""Age of an order from which the list is believed to show its effect."""
+
+
+class MachineControl:
+    """Orders about machines during one time in office.
+
+    Args:
+        decisions: The dispatcher whose work the machines carry.
+        table: Jobs, and the machines that waves have reached.
+        machines: The platform's machine service; None where there is none.
+        decoder: Renders what operators are told.
+        store: The platform's store.
+        timers: Timer service.
+        remember: Stores a record of the dispatcher's own.
+        on_fenced: Called when another holder has used a higher token.
+        settled_after: Seconds before the first order, so that orders of two
+            holders are apart.
+    """
+
+    def __init__(
+        self,
+        decisions: dispatcher.Dispatcher,
+        table: jobtable.JobTable,
+        machines: ports.Machines | None,
+        decoder: ports.Decoder,
+        store: ports.Store,
+        timers: timer.TimerService,
+        *,
+        remember: Callable[[str, bytes], None],
+        on_fenced: Callable[[], None],
+        settled_after: float,
+    ) -> None:
+        self._decisions = decisions
+        self._table = table
+        self._service = machines
+        self._decoder = decoder
+        self._store = store
+        self._timers = timers
+        self._remember = remember
+        self._on_fenced = on_fenced
+        self._first_order = timers.clock() + settled_after
+        self._active = False
+        self._reading = False
+        self._read_failures = 0
+        self._waves: dict[int, upkeep.WaveState] = {}
+        self._machines: dict[identifiers.MachineId, catalog.Machine] = {}
+        self._ordered: dict[identifiers.MachineId, float] = {}
+        self._moving_to: dict[identifiers.MachineId, identifiers.PoolId] = {}
+        self._refused: set[tuple[str, str]] = set()
+        self._elasticity = elasticity.Elasticity()
+        self._subscription: timer.Subscription | None = None
+
+    def start(self) -> None:
+        """Starts to read the list of machines."""
+        if self._service is None:
+            return
+        self._active = True
+        self._subscription = self._timers.subscribe_every(
+            LIST_SECONDS, self._read
+        )
+        self._read()
+
+    def stop(self) -> None:
+        """Gives no more orders."""
+        self._active = False
+        if self._subscription is not None:
+            self._subscription.cancel()
+
+    def set_waves(self, waves: Sequence[catalog.Wave]) -> None:
+        """Takes the waves that operators have declared."""
+        known = {wave.number for wave in waves}
+        for number in list(self._waves):
+            if number not in known:
+                self._end_wave(self._waves.pop(number))
+        for wave in waves:
+            state = self._waves.get(wave.number)
+            if state is None:
+                state = upkeep.WaveState(wave, self._timers.clock())
+                state.done |= self._table.waves.get(wave.number, frozenset())
+                self._waves[wave.number] = state
+            state.wave = wave
+
+    def _end_wave(self, state: upkeep.WaveState) -> None:
+        for machine_id in state.chosen:
+            self._reserve(machine_id, reserved=False)
+
+    # Reading.
+
+    def _read(self) -> None:
+        if self._reading or self._service is None:
+            return
+        self._reading = True
+        sent = self._timers.clock()
+        self._service.list_machines(
+            lambda outcome: self._on_list(outcome, sent)
+        )
+
+    def _on_list(
+        self, outcome: tuple[catalog.Machine, ...] | ports.Failed, sent: float
+    ) -> None:
+        self._reading = False
+        if not self._active:
+            return
+        match outcome:
+            case ports.Failed(detail=detail):
+                self._read_failures += 1
+                if self._read_failures == 1:
+                    event.emit(event.Event.MACHINES_UNREACHABLE, detail=detail)
+                return
+            case _:
+                self._read_failures = 0
+                self._machines = {item.machine_id: item for item in outcome}
+        for machine_id, ordered in list(self._ordered.items()):
+            machine = self._machines.get(machine_id)
+            if ordered + DOWN_LEAST_SECONDS > sent:
+                continue
+            if machine is None or machine.state is catalog.MachineState.UP:
+                del self._ordered[machine_id]
+                self._moving_to.pop(machine_id, None)
+                for state in self._waves.values():
+                    state.down.pop(machine_id, None)
+                if not self._is_chosen(machine_id):
+                    self._reserve(machine_id, reserved=False)
+        self._plan()
+
+    def _is_chosen(self, machine_id: identifiers.MachineId) -> bool:
+        return any(machine_id in state.chosen for state in self._waves.values())
+
+    # Planning.
+
+    def _plan(self) -> None:
+        now = self._timers.clock()
+        if now < self._first_order:
+            return
+        loads = self._read_loads()
+        for state in self._waves.values():
+            for action in upkeep.plan_wave(state, self._machines, loads, now):
+                self._carry_out(state, action)
+            self._report_wave(state)
+        self._plan_moves(now)
+
+    def _read_loads(self) -> dict[identifiers.MachineId, upkeep.Load]:
+        used: dict[identifiers.PoolId, list[float]] = {}
+        shares: dict[identifiers.MachineId, float] = {}
+        for machine in self._machines.values():
+            view = self._find_view(machine)
+            share = 0.0
+            if view is not None and view.minion.capacity.cpu:
+                share = view.used().cpu / view.minion.capacity.cpu
+                used.setdefault(machine.pool, []).append(share)
+            shares[machine.machine_id] = share
+        away = self._decisions.count_unavailable()
+        loads = {}
+        for machine in self._machines.values():
+            view = self._find_view(machine)
+            runs = list(view.runs.values()) if view is not None else []
+            lasting = [item for item in runs if item.long_running]
+            pool = used.get(machine.pool, [0.0])
+            loads[machine.machine_id] = upkeep.Load(
+                runs=len(runs) - len(lasting),
+                lasting=len(lasting),
+                movable=all(
+                    dispatcher.may_stop(item, away) for item in lasting
+                ),
+                used=shares[machine.machine_id],
+                pool_used=sum(pool) / len(pool),
+            )
+        return loads
+
+    def _find_view(self, machine: catalog.Machine) -> run.MinionView | None:
+        view = self._decisions.views.get(machine.minion_id)
+        if view is None or view.minion.pool != machine.pool:
+            return None
+        return view
+
+    def _carry_out(
+        self, state: upkeep.WaveState, action: upkeep.Action
+    ) -> None:
+        machine = self._machines[action.machine_id]
+        if action.machine_id in self._ordered:
+            return
+        match action.step:
+            case upkeep.Step.EMPTY:
+                state.chosen.add(action.machine_id)
+                self._empty(machine)
+            case upkeep.Step.BEGIN:
+                self._order_upkeep(state, machine)
+        for machine_id in state.chosen:
+            chosen = self._machines.get(machine_id)
+            if chosen is not None:
+                self._empty(chosen)
+
+    def _empty(self, machine: catalog.Machine) -> None:
+        """Moves long-running tasks away, as their budgets allow."""
+        view = self._find_view(machine)
+        if view is None:
+            return
+        view.reserved = True
+        for item in list(view.runs.values()):
+            if not item.long_running:
+                continue
+            away = self._decisions.count_unavailable()
+            if dispatcher.may_stop(item, away):
+                self._decisions.stop_task(item.task)
+
+    def _reserve(
+        self, machine_id: identifiers.MachineId, *, reserved: bool
+    ) -> None:
+        machine = self._machines.get(machine_id)
+        view = self._find_view(machine) if machine is not None else None
+        if view is not None:
+            view.reserved = reserved
+
+    def _order_upkeep(
+        self, state: upkeep.WaveState, machine: catalog.Machine
+    ) -> None:
+        assert self._service is not None
+        now = self._timers.clock()
+        machine_id = machine.machine_id
+        self._ordered[machine_id] = now
+        state.down[machine_id] = now
+        event.emit(
+            event.Event.MACHINE_ORDERED,
+            machine=machine_id,
+            wave=state.wave.number,
+            pool=machine.pool,
+            term=self._decisions.term,
+        )
+        self._service.upkeep(
+            machine_id,
+            state.wave.number,
+            self._decisions.term,
+            lambda outcome: self._on_upkeep(state, machine, outcome),
+        )
+
+    def _on_upkeep(
+        self,
+        state: upkeep.WaveState,
+        machine: catalog.Machine,
+        outcome: ports.MachineOutcome,
+    ) -> None:
+        if not self._active:
+            return
+        machine_id = machine.machine_id
+        match outcome:
+            case ports.MachineOutcome.ACCEPTED:
+                state.done.add(machine_id)
+                state.chosen.discard(machine_id)
+                self._ordered[machine_id] = self._timers.clock()
+                self._remember(
+                    jobtable.render_wave_key(state.wave.number),
+                    json.dumps(sorted(state.done)).encode(),
+                )
+                self._note_ended(machine)
+                self._report_wave(state)
+                return
+            case ports.MachineOutcome.NOT_IN_WAVE:
+                state.done.add(machine_id)
+                state.chosen.discard(machine_id)
+                self._reserve(machine_id, reserved=False)
+            case ports.MachineOutcome.UNKNOWN:
+                # It may yet begin: it keeps its place under the cap, and the
+                # order is repeated once the list shows the machine up.
+                return
+            case ports.MachineOutcome.FENCED:
+                self._on_fenced()
+            case _:
+                pass
+        self._refuse(machine_id, outcome)
+        self._ordered.pop(machine_id, None)
+        state.down.pop(machine_id, None)
+
+    def _refuse(
+        self, machine_id: identifiers.MachineId, outcome: ports.MachineOutcome
+    ) -> None:
+        event.emit(
+            event.Event.MACHINE_REFUSED,
+            machine=machine_id,
+            outcome=outcome.value,
+            term=self._decisions.term,
+        )
+
+    def _note_ended(self, machine: catalog.Machine) -> None:
+        """Gives up what ran on a machine whose minion has ended."""
+        view = self._find_view(machine)
+        if view is not None:
+            self._decisions.note_minion_ended(view.minion_id)
+
+    def _report_wave(self, state: upkeep.WaveState) -> None:
+        completed = upkeep.is_completed(state, self._machines)
+        stage = "completed" if completed else "running"
+        if state.reported == stage or not self._machines:
+            return
+        state.reported = stage
+        if completed:
+            event.emit(
+                event.Event.WAVE_COMPLETED,
+                wave=state.wave.number,
+                machines=len(state.done),
+            )
+        self._write_status(state, completed=completed)
+
+    def _write_status(
+        self, state: upkeep.WaveState, *, completed: bool
+    ) -> None:
+        number = state.wave.number
+
+        def check(outcome: ports.AppendResult) -> None:
+            if not isinstance(outcome, ports.Appended) and self._active:
+                state.reported = ""
+
+        self._store.append(
+            ports.Stream.STATUS,
+            [self._decoder.encode_wave_status(number, completed=completed)],
+            check,
+        )
+
+    # Moves.
+
+    def _plan_moves(self, now: float) -> None:
+        config = self._decisions.config
+        if config is None:
+            return
+        spare_pools = [
+            pool.name for pool in config.pools.values() if pool.spare
+        ]
+        if not spare_pools:
+            return
+        due = {
+            machine_id
+            for state in self._waves.values()
+            for machine_id in state.chosen
+        }
+        spare = [
+            machine.machine_id
+            for machine in self._machines.values()
+            if machine.pool == spare_pools[0]
+            and machine.state is catalog.MachineState.UP
+            and machine.machine_id not in self._ordered
+            and machine.machine_id not in due
+            and machine.zone not in self._decisions.evacuated
+        ]
+        loads = [
+            self._read_pool(pool.name, due)
+            for pool in config.pools.values()
+            if not pool.spare
+        ]
+        for move in self._elasticity.plan(loads, spare, spare_pools[0], now):
+            self._order_move(move)
+
+    def _read_pool(
+        self,
+        pool: identifiers.PoolId,
+        due: set[identifiers.MachineId],
+    ) -> elasticity.PoolLoad:
+        machines = 0
+        idle = []
+        cores = 0.0
+        for machine in self._machines.values():
+            target = self._moving_to.get(machine.machine_id, machine.pool)
+            if target != pool:
+                continue
+            if machine.state is catalog.MachineState.DOWN:
+                continue
+            if machine.zone in self._decisions.evacuated:
+                continue
+            machines += 1
+            cores = max(cores, machine.capacity.cpu / 1000.0)
+            view = self._find_view(machine)
+            if (
+                view is not None
+                and view.claimed
+                and not view.runs
+                and machine.machine_id not in due
+                and machine.machine_id not in self._ordered
+                and machine.state is catalog.MachineState.UP
+            ):
+                idle.append(machine.machine_id)
+        demand, least = self._decisions.measure_demand(pool)
+        return elasticity.PoolLoad(
+            pool=pool,
+            demand=demand,
+            cores=cores,
+            machines=machines,
+            idle=tuple(idle),
+            least=max(elasticity.LEAST_MACHINES, least),
+        )
+
+    def _order_move(self, move: elasticity.Move) -> None:
+        assert self._service is not None
+        machine = self._machines[move.machine_id]
+        if (move.machine_id, move.pool) in self._refused:
+            return
+        view = self._find_view(machine)
+        if view is not None:
+            view.reserved = True
+        self._ordered[move.machine_id] = self._timers.clock()
+        self._moving_to[move.machine_id] = move.pool
+        event.emit(
+            event.Event.MACHINE_ORDERED,
+            machine=move.machine_id,
+            pool=move.pool,
+            was=machine.pool,
+            term=self._decisions.term,
+        )
+        self._service.move(
+            move.machine_id,
+            move.pool,
+            self._decisions.term,
+            lambda outcome: self._on_move(move, machine, outcome),
+        )
+
+    def _on_move(
+        self,
+        move: elasticity.Move,
+        machine: catalog.Machine,
+        outcome: ports.MachineOutcome,
+    ) -> None:
+        if not self._active:
+            return
+        match outcome:
+            case ports.MachineOutcome.ACCEPTED:
+                self._ordered[move.machine_id] = self._timers.clock()
+                self._note_ended(machine)
+                return
+            case ports.MachineOutcome.UNKNOWN:
+                return
+            case ports.MachineOutcome.FENCED:
+                self._on_fenced()
+            case ports.MachineOutcome.INVALID:
+                self._refused.add((move.machine_id, move.pool))
+            case _:
+                pass
+        self._refuse(move.machine_id, outcome)
+        self._ordered.pop(move.machine_id, None)
+        self._moving_to.pop(move.machine_id, None)
+        self._reserve(move.machine_id, reserved=False)
--- /dev/null
+++ b/clementinewood/placement.py
@@ -0,0 +1,207 @@
+"""Chooses the minions that tasks start on.
+
+Load pattern: a queue asks several times its mean for seconds, so that its pool
+is full while long-running tasks share the same minions. Long-running tasks
+are packed onto few minions, which keeps the others free for waves of short
+tasks, upkeep and moves; short tasks go where most is free.
+"""
+
+import dataclasses
+from collections.abc import Iterable, Mapping, Sequence
+
+from clementinewood import catalog, identifiers, job, run
+
+UNFIT_SECONDS = 2.0
+"""First pause of a minion whose starts go wrong."""
+
+UNFIT_AFTER = 3.0
+"""Weighted number of bad starts after which a minion gets no new work."""
+
+REMOTE_PENALTY = 1.5
+"""Run time on a rack without the data, as a multiple, if none is declared."""
+
+
+@dataclasses.dataclass(slots=True)
+class Candidate:
+    """A minion that may get tasks in one round of planning.
+
+    Attributes:
+        view: The minion.
+        free: Room left, less what this round has placed there.
+        anchored: Whether long-running tasks are there.
+    """
+
+    view: run.MinionView
+    free: job.Resources
+    anchored: bool
+
+    @property
+    def rack(self) -> str:
+        """The rack of the machine: its last label."""
+        labels = self.view.minion.labels
+        return labels[-1] if labels else ""
+
+
+def is_open(
+    view: run.MinionView,
+    now: float,
+    evacuated: frozenset[identifiers.ZoneId],
+) -> bool:
+    """Whether `view` may get new work."""
+    return (
+        view.claimed
+        and view.listed
+        and not view.draining
+        and not view.reserved
+        and view.failed_looks == 0
+        and view.unfit_until <= now
+        and view.clock_offset is not None
+        and view.minion.zone not in evacuated
+    )
+
+
+def list_candidates(
+    views: Iterable[run.MinionView],
+    now: float,
+    evacuated: frozenset[identifiers.ZoneId],
+) -> dict[identifiers.PoolId, list[Candidate]]:
+    """Returns the minions that may get work, by pool."""
+    found: dict[identifiers.PoolId, list[Candidate]] = {}
+    for view in views:
+        if not is_open(view, now, evacuated):
+            continue
+        anchored = any(item.long_running for item in view.runs.values())
+        found.setdefault(view.minion.pool, []).append(
+            Candidate(view, view.free(), anchored)
+        )
+    return found
+
+
+def choose_minion(
+    step: job.Step,
+    candidates: Sequence[Candidate],
+    held: Mapping[identifiers.MinionId, int],
+    *,
+    rack: str = "",
+) -> Candidate | None:
+    """Returns the best minion for one task of `step`, or None.
+
+    Args:
+        step: The step.
+        candidates: Minions of the queue's pool that may get work.
+        held: Tasks of the step at each minion, for its limit on them.
+        rack: Rack that is better than others; empty for none.
+    """
+    best: Candidate | None = None
+    best_rank: tuple[float, ...] = ()
+    wanted = rack or step.rack
+    for candidate in candidates:
+        if not step.room.fits(candidate.free):
+            continue
+        minion = candidate.view.minion
+        if step.label and step.label not in minion.labels:
+            continue
+        here = held.get(minion.minion_id, 0)
+        if step.max_per_minion and here >= step.max_per_minion:
+            continue
+        near = not wanted or wanted in minion.labels
+        rank: tuple[float, ...]
+        if step.long_running:
+            rank = (
+                near,
+                candidate.anchored and not step.fills,
+                -here,
+                -candidate.free.cpu if not step.fills else candidate.free.cpu,
+            )
+        else:
+            rank = (
+                near,
+                -round(candidate.view.bad_starts),
+                candidate.free.cpu,
+            )
+        if best is None or rank > best_rank:
+            best, best_rank = candidate, rank
+    return best
+
+
+def take_room(candidate: Candidate, step: job.Step) -> None:
+    """Counts one more task of `step` against `candidate`."""
+    candidate.free = candidate.free.minus(step.room)
+    if step.long_running:
+        candidate.anchored = True
+
+
+def choose_gang(
+    step: job.Step,
+    count: int,
+    candidates: Sequence[Candidate],
+    held: Mapping[identifiers.MinionId, int],
+) -> list[Candidate]:
+    """Returns minions for all `count` tasks of a gang, or an empty list."""
+    racks: list[str] = [""]
+    if step.same_rack:
+        racks = sorted({candidate.rack for candidate in candidates}) + [""]
+    for rack in racks:
+        chosen = _fit_gang(step, count, candidates, held, rack)
+        if chosen:
+            return chosen
+    return []
+
+
+def _fit_gang(
+    step: job.Step,
+    count: int,
+    candidates: Sequence[Candidate],
+    held: Mapping[identifiers.MinionId, int],
+    rack: str,
+) -> list[Candidate]:
+    trial = [
+        dataclasses.replace(candidate)
+        for candidate in candidates
+        if not rack or candidate.rack == rack
+    ]
+    originals = {item.view.minion_id: item for item in candidates}
+    counts = dict(held)
+    chosen = []
+    for _ in range(count):
+        found = choose_minion(step, trial, counts)
+        if found is None:
+            return []
+        take_room(found, step)
+        minion_id = found.view.minion_id
+        counts[minion_id] = counts.get(minion_id, 0) + 1
+        chosen.append(originals[minion_id])
+    return chosen
+
+
+def note_bad_start(view: run.MinionView, now: float) -> bool:
+    """Counts a start or run that went wrong at `view`.
+
+    Returns:
+        Whether the minion gets no new work for a while from now on.
+    """
+    view.bad_starts += 1.0
+    if view.bad_starts < UNFIT_AFTER or view.unfit_until > now:
+        return False
+    # A minion that stays bad is tried less and less often.
+    view.unfit_until = now + UNFIT_SECONDS * min(view.bad_starts, 8.0) / 3.0
+    return True
+
+
+def note_good_run(view: run.MinionView) -> None:
+    """Notes that a run at `view` ended well."""
+    view.bad_starts *= 0.5
+
+
+if __name__ == "__main__":
+    minion = catalog.Minion(
+        minion_id=identifiers.MinionId("m1"),
+        incarnation=1,
+        pool=identifiers.PoolId("quotes"),
+        address=("127.0.0.1", 1),
+        zone=identifiers.ZoneId("hobart"),
+        state=catalog.MinionState.READY,
+        capacity=job.Resources(32000, 65536),
+    )
+    example = Candidate(run.MinionView(minion), minion.capacity, anchored=False)
+    print(choose_minion(job.Step(count=1), [example], {}))
--- /dev/null
+++ b/clementinewood/run.py
@@ -0,0 +1,224 @@
+"""Runs of tasks, and a dispatcher's view of the minions that hold them."""
+
+import dataclasses
+import enum
+
+from clementinewood import catalog, identifiers, job
+
+LEASE_SECONDS = 4.0
+"""How far ahead a minion may go on without hearing from its dispatcher; three
+looks fit into it, so that one lost answer ends nothing."""
+
+CLOCK_DRIFT = 0.02
+"""A minion's clock may be this much slow or fast."""
+
+LEASE_MARGIN = 0.3
+"""Seconds added for rounding and for the age of the clock reading."""
+
+
+class RunState(enum.Enum):
+    """What is known of a run."""
+
+    STARTING = "starting"
+    """Ordered; it may or may not be there."""
+
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class End(enum.Enum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    """Its lease ran out."""
+
+    BROKEN = "broken"
+    """Another member of its gang ended."""
+
+    ALONE = "alone"
+    """The other members of its gang did not come."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Run:
+    """One start of one task at one minion.
+
+    Attributes:
+        task: The task.
+        number: Number of the start; rises for each task.
+        minion_id: Where it runs.
+        team: Team that it counts for.
+        queue: Queue of its job.
+        room: Room counted against the minion.
+        need: Room counted against the team's cap.
+        state: What is known of it.
+        since: Time of the last change of state.
+        tries: Orders sent in this state.
+        stop_confirmed: Whether the minion has answered the order to stop.
+        long_running: Whether it never ends by itself.
+        fills: Whether it uses what others leave.
+        tail_target: Seconds below which its tail must stay; 0 if it has none.
+        max_unavailable: Budget of its step, or None.
+        image: What it runs.
+        percent: How much of its work is done; 100 is at work if long-running.
+        usage: Tail in milliseconds if it serves, else thousandths of a core.
+        pace: Share at which it may work, in percent.
+        over_since: Time since which its tail is over its target, or None.
+    """
+
+    task: job.TaskId
+    number: int
+    minion_id: identifiers.MinionId
+    team: identifiers.TeamId
+    queue: identifiers.QueueId
+    room: job.Resources
+    need: job.Resources
+    state: RunState = RunState.STARTING
+    since: float = 0.0
+    tries: int = 0
+    stop_confirmed: bool = False
+    long_running: bool = False
+    fills: bool = False
+    tail_target: float = 0.0
+    max_unavailable: int | None = None
+    image: str = ""
+    percent: int = 0
+    usage: int = 0
+    pace: int = 100
+    over_since: float | None = None
+
+    @property
+    def at_work(self) -> bool:
+        """Whether a long-running task does its work now."""
+        return self.state is RunState.RUNNING and self.percent >= 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RunningRow:
+    """One run that a minion lists.
+
+    Attributes:
+        task: The task.
+        number: Number of the start.
+        checkpoint: Newest saved progress; empty if there is none.
+        percent: How much of its work is done.
+        usage: Tail in milliseconds if it serves, else thousandths of a core.
+    """
+
+    task: job.TaskId
+    number: int
+    checkpoint: str
+    percent: int
+    usage: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EndRow:
+    """One end that a minion lists.
+
+    Attributes:
+        sequence: Number of the end in this life of the minion.
+        task: The task.
+        number: Number of the start.
+        end: How it ended.
+        checkpoint: Saved progress; empty if there is none.
+    """
+
+    sequence: int
+    task: job.TaskId
+    number: int
+    end: End
+    checkpoint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Report:
+    """What a minion answers to a look.
+
+    Attributes:
+        incarnation: Start of this life; 0 if it was not said.
+        clock: Its own clock in seconds.
+        running: Everything that runs there.
+        ended: Ends not acknowledged yet, oldest first.
+        truncated: Whether further ends may follow.
+    """
+
+    incarnation: int
+    clock: float
+    running: tuple[RunningRow, ...]
+    ended: tuple[EndRow, ...]
+    truncated: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class MinionView:
+    """A dispatcher's view of one minion.
+
+    Attributes:
+        minion: What it reports of itself.
+        listed: Whether it is in the platform's list now.
+        claimed: Whether it has accepted this dispatcher's token.
+        quiet_after: Time after which nothing of an earlier lease can run.
+        clock_offset: Its clock less ours in seconds; None while unknown.
+        last_answer: Time of its last answer to a look.
+        failed_looks: Looks without an answer since.
+        seen: Number of the last end applied here.
+        acked: Number of the last end that is stored and may be acknowledged.
+        runs: Everything that may run there.
+        reserved: Whether it gets no new work, since an order will empty it.
+        unfit_until: Time until which it gets no new work after bad starts.
+        bad_starts: Starts and runs that went wrong lately; halves with time.
+    """
+
+    minion: catalog.Minion
+    listed: bool = True
+    claimed: bool = False
+    quiet_after: float = 0.0
+    clock_offset: float | None = None
+    last_answer: float = 0.0
+    failed_looks: int = 0
+    seen: int = 0
+    acked: int = 0
+    runs: dict[job.TaskId, Run] = dataclasses.field(default_factory=dict)
+    reserved: bool = False
+    unfit_until: float = 0.0
+    bad_starts: float = 0.0
+
+    @property
+    def minion_id(self) -> identifiers.MinionId:
+        """Id of the minion."""
+        return self.minion.minion_id
+
+    @property
+    def draining(self) -> bool:
+        """Whether it is leaving."""
+        return self.minion.state is catalog.MinionState.DRAINING
+
+    def used(self) -> job.Resources:
+        """Returns the room that its runs may take."""
+        total = job.Resources()
+        for item in self.runs.values():
+            total = total.plus(item.room)
+        return total
+
+    def free(self) -> job.Resources:
+        """Returns the room that is left."""
+        return self.minion.capacity.minus(self.used())
+
+    def lease_deadline(self, now: float) -> float | None:
+        """Returns the end of a lease granted now, on the minion's clock."""
+        if self.clock_offset is None:
+            return None
+        return now + self.clock_offset + LEASE_SECONDS
+
+    def note_lease(self, now: float) -> None:
+        """Notes that a lease was granted now and may have been received."""
+        end = now + LEASE_SECONDS * (1 + CLOCK_DRIFT) + LEASE_MARGIN
+        self.quiet_after = max(self.quiet_after, end)
+
+
+if __name__ == "__main__":
+    print(End("done"), RunState.STARTING)
--- /dev/null
+++ b/clementinewood/upkeep.py
@@ -0,0 +1,144 @@
+"""Decides when the machines of a wave have their upkeep.
+
+Load pattern: a wave names up to half of all machines while queues peak in
+turn. A machine gets no new work before its upkeep, so that nearly nothing is
+interrupted; idle machines go first, and busy ones are forced only when the
+time left would not suffice otherwise.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Mapping, Sequence
+
+from clementinewood import catalog, identifiers
+
+ROUND_SECONDS = 5.0
+"""Time that one machine's turn takes: emptying it, upkeep and its return."""
+
+FORCE_FACTOR = 2.0
+"""Work is interrupted once the time left is below this multiple of the time
+that the remaining turns take."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Load:
+    """What a machine does.
+
+    Attributes:
+        runs: Runs that end by themselves.
+        lasting: Long-running tasks.
+        movable: Whether all its long-running tasks may be stopped now.
+        used: Share of its processors in use.
+        pool_used: The same of its pool.
+    """
+
+    runs: int = 0
+    lasting: int = 0
+    movable: bool = True
+    used: float = 0.0
+    pool_used: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class WaveState:
+    """How far a wave is.
+
+    Attributes:
+        wave: The wave.
+        began: Monotonic time at which it became known.
+        done: Machines whose upkeep has begun.
+        chosen: Machines that are being emptied.
+        down: Machines that may be down, with the time of the order.
+        reported: The state last written for operators.
+    """
+
+    wave: catalog.Wave
+    began: float
+    done: set[identifiers.MachineId] = dataclasses.field(default_factory=set)
+    chosen: set[identifiers.MachineId] = dataclasses.field(default_factory=set)
+    down: dict[identifiers.MachineId, float] = dataclasses.field(
+        default_factory=dict
+    )
+    reported: str = ""
+
+
+class Step(enum.Enum):
+    """What happens to a machine of a wave now."""
+
+    EMPTY = "empty"
+    """It gets no new work; its long-running tasks are moved."""
+
+    BEGIN = "begin"
+    """Its upkeep begins."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Action:
+    """One step for one machine."""
+
+    machine_id: identifiers.MachineId
+    step: Step
+
+
+def plan_wave(
+    state: WaveState,
+    machines: Mapping[identifiers.MachineId, catalog.Machine],
+    loads: Mapping[identifiers.MachineId, Load],
+    now: float,
+) -> list[Action]:
+    """Returns the steps of a wave that are to be taken now."""
+    wave = state.wave
+    left = [
+        machine_id
+        for machine_id in wave.machines
+        if machine_id not in state.done
+        and machine_id in machines
+        and machines[machine_id].state is catalog.MachineState.UP
+    ]
+    slots = max(1, wave.cap)
+    turns = -(-len(left) // slots)
+    time_left = state.began + wave.seconds - now
+    forced = time_left < turns * ROUND_SECONDS * FORCE_FACTOR
+    actions = []
+    free = slots - len(state.down)
+    for machine_id in sorted(state.chosen):
+        load = loads.get(machine_id, Load())
+        ready = not load.lasting and (not load.runs or forced)
+        if machine_id in left and ready and free > 0:
+            free -= 1
+            actions.append(Action(machine_id, Step.BEGIN))
+    room = slots - len(state.down) - len(state.chosen)
+    waiting = [item for item in left if item not in state.chosen]
+    for machine_id in _order_machines(waiting, loads):
+        if room <= 0:
+            break
+        load = loads.get(machine_id, Load())
+        if not load.movable or (load.pool_used > 0.7 and not forced):
+            continue
+        room -= 1
+        actions.append(Action(machine_id, Step.EMPTY))
+    return actions
+
+
+def is_completed(
+    state: WaveState,
+    machines: Mapping[identifiers.MachineId, catalog.Machine],
+) -> bool:
+    """Whether every machine of the wave that stays has begun its upkeep."""
+    return all(
+        machine_id in state.done or machine_id not in machines
+        for machine_id in state.wave.machines
+    )
+
+
+def _order_machines(
+    machine_ids: Sequence[identifiers.MachineId],
+    loads: Mapping[identifiers.MachineId, Load],
+) -> list[identifiers.MachineId]:
+    """Returns idle machines first, then those with the least to move."""
+
+    def weigh(machine_id: identifiers.MachineId) -> tuple[float, ...]:
+        load = loads.get(machine_id, Load())
+        return (load.lasting, load.pool_used, load.used)
+
+    return sorted(machine_ids, key=weigh)
--- a/clementinewood/verdict.py
+++ b/clementinewood/verdict.py
@@ -45,6 +45,9 @@
     MINION_TIMEOUT = "minion-timeout"
     MINION_LOST = "minion-connection-lost"
     MINION_ANSWER = "minion-answer-invalid"
+    JOB_UNKNOWN = "job-unknown"
+    STORE_UNAVAILABLE = "store-unavailable"
+    ACCEPTANCE_UNKNOWN = "acceptance-unknown"
     INTERNAL = "internal-error"
 
 
@@ -76,6 +79,9 @@
     Reason.MINION_TIMEOUT: 504,
     Reason.MINION_LOST: 502,
     Reason.MINION_ANSWER: 502,
+    Reason.JOB_UNKNOWN: 410,
+    Reason.STORE_UNAVAILABLE: 503,
+    Reason.ACCEPTANCE_UNKNOWN: 504,
     Reason.INTERNAL: 500,
 }
 """HTTP status of each refusal."""
