Store places before starts, follow demand with idle machines, empty machines for upkeep

Cause: each succession blocked pools with a silent minion for a whole lease; a released office was not stored; peaks waited while other pools were idle; chosen machines were emptied only when another order was given.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -218,7 +218,7 @@
 
     def _look(self, minion_id: identifiers.MinionId) -> None:
         view = self.dispatcher.views.get(minion_id)
-        if not self._active or view is None:
+        if not self._active or view is None or not view.minion.address[1]:
             self._looking.discard(minion_id)
             return
         self._looking.add(minion_id)
@@ -395,8 +395,12 @@
     # Stored progress.
 
     def _renew(self) -> None:
-        office = jobtable.Office(self.term, self._holder, self._release)
-        self.put_record(jobtable.OFFICE_KEY, jobtable.encode_office(office))
+        self.put_record(jobtable.OFFICE_KEY, self._render_office())
+
+    def _render_office(self) -> bytes:
+        return jobtable.encode_office(
+            jobtable.Office(self.term, self._holder, self._release)
+        )
 
     def _flush(self) -> None:
         """Stores what has changed; one append is on its way at a time."""
@@ -449,10 +453,10 @@
         match outcome:
             case ports.Appended(offset):
                 self._on_stored(items, offset)
-                self._finish_append(batch)
+                self._finish_append(items, batch)
             case ports.OutOfOrder(expected) if expected == self._sequence + 1:
                 # An earlier try without an answer was carried out.
-                self._finish_append(batch)
+                self._finish_append(items, batch)
             case ports.Fenced() | ports.OutOfOrder():
                 self.leave("the store has seen a later term")
             case ports.Failed(execution, detail):
@@ -469,16 +473,23 @@
                     ),
                 )
 
-    def _finish_append(self, batch: dispatcher.Batch) -> None:
+    def _finish_append(
+        self, items: Sequence[ports.Item], batch: dispatcher.Batch
+    ) -> None:
+        released = self._release and any(
+            item.value == self._render_office() for item in items
+        )
         self._sequence += 1
         self._appending = False
-        self._note_stored(batch)
-        if self._release:
+        if released:
             self.stop()
             return
+        self._note_stored(batch)
         self._flush()
 
     def _note_stored(self, batch: dispatcher.Batch) -> None:
-        self.dispatcher.note_stored(batch)
+        now = self._timers.clock()
+        for order in self.dispatcher.note_stored(batch, now):
+            self._send(order)
         for minion_id in batch.cursors:
             self._look_again(minion_id)
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -29,6 +29,9 @@
 START_TRIES = 2
 """Times a start without an answer is ordered before it is taken back."""
 
+ARRIVAL_SECONDS = 1.0
+"""Span over which arriving work is measured; a queue's peak lasts seconds."""
+
 STOP_RETRY_SECONDS = 0.5
 """Pause before a stop without an answer is ordered again."""
 
@@ -115,10 +118,12 @@
     Attributes:
         progress: Progress of each job that changed.
         cursors: Ends that these changes reflect, by minion.
+        planned: Runs whose places are among these changes.
     """
 
     progress: Mapping[identifiers.JobId, job.Progress]
     cursors: Mapping[identifiers.MinionId, jobtable.Cursor]
+    planned: tuple[run.Run, ...] = ()
 
 
 class Dispatcher:
@@ -150,6 +155,7 @@
         self._usage: dict[identifiers.TeamId, job.Resources] = {}
         self._stops: dict[job.TaskId, run.Run] = {}
         self._starts: list[StartRun] = []
+        self._planned: list[run.Run] = []
         self._pacer = pacing.Pacer()
 
     # Jobs.
@@ -159,9 +165,34 @@
         if accepted.job_id in self.jobs:
             return
         numbers_from = (self.term - 1) * NUMBERS_PER_TERM
-        self.jobs[accepted.job_id] = activejob.ActiveJob(
-            accepted, progress, numbers_from
-        )
+        active = activejob.ActiveJob(accepted, progress, numbers_from)
+        self.jobs[accepted.job_id] = active
+        for place, (number, minion_id) in progress.placed.items():
+            task = job.TaskId(accepted.job_id, *place)
+            if active.knows(task) and not progress.is_done(task):
+                self._recover(active, task, number, minion_id)
+
+    def _recover(
+        self,
+        active: activejob.ActiveJob,
+        task: job.TaskId,
+        number: int,
+        minion_id: identifiers.MinionId,
+    ) -> None:
+        """Notes where an earlier dispatcher has placed a task."""
+        view = self.views.get(minion_id)
+        if view is None:
+            view = self._create_view(_create_unlisted(minion_id))
+            view.listed = False
+            self.views[minion_id] = view
+        item = self._create_run(active, task, number, minion_id)
+        item.state = run.RunState.STARTING
+        item.since = self._began
+        item.tries = START_TRIES
+        item.recovered = True
+        view.runs[task] = item
+        active.add_run(item)
+        self._count_usage(item.team, item.need, 1)
 
     def cancel_job(self, job_id: identifiers.JobId) -> None:
         """Stops everything that runs for a job."""
@@ -170,7 +201,7 @@
             return
         active.cancelled = True
         active.work.clear()
-        for item in active.live.values():
+        for item in list(active.live.values()):
             self._stop(item)
         self._drop_if_idle(active)
 
@@ -348,7 +379,7 @@
         for view in self.views.values():
             self.expire_silent(view, now, wall)
         orders.extend(self._plan_stops(now))
-        orders.extend(self._plan_starts(now, wall))
+        self._plan_starts(now, wall)
         for paced in self._pacer.plan(self.views.values(), now):
             orders.append(
                 PaceRun(
@@ -375,50 +406,31 @@
             orders.append(StopRun(item.minion_id, item.task, item.number))
         return orders
 
-    def _plan_starts(self, now: float, wall: float) -> list[Order]:
+    def _plan_starts(self, now: float, wall: float) -> None:
         config = self.config
         if config is None:
-            return []
+            return
         ranked = []
-        pools = self._list_settled_pools(now)
         for active in self.jobs.values():
             if active.cancelled:
                 continue
             queue = config.queues.get(active.job.queue)
             active.queue = queue
             active.open_steps(wall, self.early)
-            if queue is None or queue.pool not in pools:
+            if queue is None:
                 continue
             if any(work.pending for work in active.work.values()):
                 ranked.append((self._rank(active, queue, wall), active))
         if not ranked:
-            return []
+            return
         candidates = placement.list_candidates(
             self.views.values(), now, self.evacuated
         )
-        orders: list[Order] = []
         for _, active in sorted(ranked, key=lambda pair: pair[0]):
             assert active.queue is not None
             options = candidates.get(active.queue.pool)
             if options:
-                orders.extend(self._start_job(active, options, now))
-        return orders
-
-    def _list_settled_pools(self, now: float) -> set[identifiers.PoolId]:
-        """Returns the pools in which every earlier run is known.
-
-        A minion that has not answered yet may run anything for an earlier
-        dispatcher, until the leases of that time must have ended.
-        """
-        assert self.config is not None
-        unsettled = {
-            view.minion.pool
-            for view in self.views.values()
-            if not view.claimed
-            and now < view.quiet_after
-            and view.quiet_after <= self._began + FIRST_LEASE_SECONDS
-        }
-        return set(self.config.pools) - unsettled
+                self._place_job(active, options)
 
     def _rank(
         self,
@@ -453,13 +465,11 @@
         used = self._usage.get(team_id, job.Resources())
         return used.cpu / 1000.0 / team.weight
 
-    def _start_job(
+    def _place_job(
         self,
         active: activejob.ActiveJob,
         options: list[placement.Candidate],
-        now: float,
-    ) -> list[Order]:
-        orders: list[Order] = []
+    ) -> None:
         for work in list(active.work.values()):
             if not work.pending:
                 continue
@@ -468,10 +478,7 @@
             else:
                 chosen = self._place_tasks(active, work, options)
             for index, candidate in chosen:
-                orders.append(
-                    self._start_task(active, work, index, candidate, now)
-                )
-        return orders
+                self._plan_run(active, work, index, candidate)
 
     def _place_tasks(
         self,
@@ -518,14 +525,14 @@
             self._count_usage(active.job.team, need, 1)
         return list(zip(sorted(work.pending), found, strict=False))
 
-    def _start_task(
+    def _plan_run(
         self,
         active: activejob.ActiveJob,
         work: activejob.StepWork,
         index: int,
         candidate: placement.Candidate,
-        now: float,
-    ) -> Order:
+    ) -> None:
+        """Plans a run; it is ordered once its place is stored."""
         step = work.step
         task = job.TaskId(
             active.job.job_id, work.occurrence, work.number, index
@@ -538,14 +545,28 @@
                 for member in range(step.count)
             )
         item = self._create_run(active, task, number, candidate.view.minion_id)
-        item.since = now
-        item.tries = 1
         active.add_run(item)
         candidate.view.runs[task] = item
-        if active.progress.state is job.JobState.QUEUED:
-            active.progress.state = job.JobState.RUNNING
-            self._dirty.add(active.job.job_id)
-        return self._create_start(candidate.view, item, now)
+        place = (task.occurrence, task.step, task.position)
+        active.progress.placed[place] = (number, item.minion_id)
+        active.progress.state = job.JobState.RUNNING
+        self._dirty.add(active.job.job_id)
+        self._planned.append(item)
+
+    def _order_planned(self, item: run.Run, now: float) -> StartRun | None:
+        """Returns the order for a run whose place is stored."""
+        view = self.views.get(item.minion_id)
+        if view is None or view.runs.get(item.task) is not item:
+            return None
+        if item.state is not run.RunState.PLANNED:
+            return None
+        if not placement.is_open(view, now, self.evacuated):
+            self._remove_run(view, item, 0.0)
+            return None
+        item.state = run.RunState.STARTING
+        item.since = now
+        item.tries = 1
+        return self._create_start(view, item, now)
 
     def _create_start(
         self, view: run.MinionView, item: run.Run, now: float
@@ -605,10 +626,15 @@
             for view in self.views.values()
             if view.seen > view.acked
         }
-        return Batch(progress, cursors)
+        planned, self._planned = tuple(self._planned), []
+        return Batch(progress, cursors, planned)
 
-    def note_stored(self, batch: Batch) -> None:
-        """Notes that `batch` is stored: its ends may be acknowledged."""
+    def note_stored(self, batch: Batch, now: float) -> list[StartRun]:
+        """Notes that `batch` is stored: its ends may be acknowledged.
+
+        Returns:
+            Orders for the runs whose places are stored now.
+        """
         for minion_id, cursor in batch.cursors.items():
             view = self.views.get(minion_id)
             if (
@@ -620,6 +646,8 @@
             active = self.jobs.get(job_id)
             if active is not None and progress.state in job.TERMINAL:
                 self._drop_if_idle(active)
+        orders = [self._order_planned(item, now) for item in batch.planned]
+        return [order for order in orders if order is not None]
 
     def has_changes(self) -> bool:
         """Whether there is anything to be stored or acknowledged."""
@@ -644,7 +672,15 @@
             view.quiet_after = 0.0
 
     def count_unavailable(self) -> dict[tuple[identifiers.JobId, int], int]:
-        """Returns the tasks not at work of each step that has a budget."""
+        """Returns the tasks not at work of each step that has a budget.
+
+        What a silent minion runs is not known to be at work.
+        """
+        silent = {
+            view.minion_id
+            for view in self.views.values()
+            if view.failed_looks or not view.claimed
+        }
         counts: dict[tuple[identifiers.JobId, int], int] = {}
         for active in self.jobs.values():
             if active.cancelled or not active.job.long_running:
@@ -655,31 +691,51 @@
                 working = sum(
                     1
                     for item in active.live.values()
-                    if item.task.step == number and item.at_work
+                    if item.task.step == number
+                    and item.at_work
+                    and item.minion_id not in silent
                 )
                 counts[active.job.job_id, number] = step.count - working
         return counts
 
-    def measure_demand(self, pool: identifiers.PoolId) -> tuple[float, int]:
+    def measure_demand(
+        self, pool: identifiers.PoolId, wall: float
+    ) -> tuple[float, int]:
         """Returns what a pool's work needs.
 
+        The work that arrived a moment ago tells of a peak before its tasks
+        have piled up.
+
         Returns:
             Cores that running and waiting tasks take, and the least number of
             minions that steps with a limit on one minion need.
         """
         assert self.config is not None
         cpu = 0
+        work = 0.0
         least = 0
         for active in self.jobs.values():
             queue = self.config.queues.get(active.job.queue)
             if queue is None or queue.pool != pool or active.cancelled:
                 continue
-            for work in active.work.values():
-                tasks = len(work.pending) + sum(work.held.values())
-                cpu += tasks * work.step.room.cpu
-                if work.step.max_per_minion:
-                    least = max(least, -(-tasks // work.step.max_per_minion))
-        return cpu / 1000.0, least
+            for part in active.work.values():
+                tasks = len(part.pending) + sum(part.held.values())
+                cpu += tasks * part.step.room.cpu
+                if part.step.max_per_minion:
+                    least = max(least, -(-tasks // part.step.max_per_minion))
+            recent = wall - active.job.accepted < ARRIVAL_SECONDS
+            if recent and not active.job.long_running:
+                work += self._measure_work(active)
+        return max(cpu, work / ARRIVAL_SECONDS) / 1000.0, least
+
+    def _measure_work(self, active: activejob.ActiveJob) -> float:
+        """Returns a job's work in thousandths of a core, times seconds."""
+        return sum(
+            step.count
+            * step.room.cpu
+            * self.times.expect(active.job.queue, step.estimate)
+            for step in active.job.steps
+        )
 
     def next_wake(self, wall: float) -> float:
         """Returns seconds until a timed job is due, or infinity."""
@@ -748,7 +804,7 @@
         active.progress.state = state
         self._dirty.add(active.job.job_id)
         active.work.clear()
-        for item in active.live.values():
+        for item in list(active.live.values()):
             self._stop(item)
         event.emit(
             event.Event.JOB_ENDED,
@@ -782,6 +838,7 @@
             if item.state is run.RunState.STARTING:
                 item.state = run.RunState.RUNNING
                 item.since = now
+            item.recovered = False
             item.percent = row.percent
             item.usage = row.usage
             if row.checkpoint:
@@ -791,10 +848,12 @@
         for item in list(view.runs.values()):
             if (item.task, item.number) in listed:
                 continue
-            gone = (
-                item.state is run.RunState.RUNNING
+            settled = (
+                item.recovered
+                or item.state is run.RunState.RUNNING
                 or (item.state is run.RunState.STOPPING and item.stop_confirmed)
-            ) and item.since < sent
+            )
+            gone = settled and item.since < sent
             if gone:
                 self._remove_run(view, item, wall)
 
@@ -853,6 +912,9 @@
     def _stop(self, item: run.Run) -> None:
         if item.state is run.RunState.STOPPING:
             return
+        if item.state is run.RunState.PLANNED:
+            self._remove_run(self.views[item.minion_id], item, 0.0)
+            return
         item.state = run.RunState.STOPPING
         item.tries = 0
         item.since = 0.0
@@ -928,3 +990,16 @@
         return True
     count = away.get((item.task.job, item.task.step), 0)
     return count + int(item.at_work) <= item.max_unavailable
+
+
+def _create_unlisted(minion_id: identifiers.MinionId) -> catalog.Minion:
+    """Returns a minion that the store names and the platform does not list."""
+    return catalog.Minion(
+        minion_id=minion_id,
+        incarnation=0,
+        pool=identifiers.PoolId(""),
+        address=("", 0),
+        zone=identifiers.ZoneId(""),
+        state=catalog.MinionState.DRAINING,
+        capacity=job.Resources(),
+    )
--- a/clementinewood/elasticity.py
+++ b/clementinewood/elasticity.py
@@ -3,13 +3,14 @@
 Load pattern: queues peak in turn, each for some seconds at several times its
 mean and far below it in between. A machine in a pool costs by the second, a
 move costs about as much as a machine does in a second and ends what runs on
-the machine. Pools grow as soon as work waits, from the spare pool, and give
-back machines that have stood idle.
+the machine. A pool that is short takes machines from the spare pool at once,
+then idle ones from pools that do not need them; what stands idle for a while
+goes back to the spare pool.
 """
 
 import dataclasses
 import math
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 from clementinewood import identifiers
 
@@ -19,11 +20,11 @@
 LEAST_MACHINES = 3
 """Machines that a pool keeps: one for each zone of the usual site."""
 
-IDLE_SECONDS = 2.5
+IDLE_SECONDS = 3.0
 """Time without need for it after which a machine is given back; two moves
 cost about as much as keeping the machine this long."""
 
-MOVES_AT_ONCE = 6
+MOVES_AT_ONCE = 8
 """Moves ordered in one round, so that one wrong reading costs little."""
 
 
@@ -33,7 +34,7 @@
 
     Attributes:
         pool: The pool.
-        demand: Cores that running and waiting tasks take.
+        demand: Cores that its work takes.
         cores: Cores of one of its machines.
         machines: Machines that are up or on their way in.
         idle: Machines among them that run nothing.
@@ -58,17 +59,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Move:
-    """A machine that is to go to another pool."""
+    """A machine that is to go to another pool.
+
+    Attributes:
+        machine_id: The machine.
+        pool: Where it goes.
+        cause: The load that decided it.
+    """
 
     machine_id: identifiers.MachineId
     pool: identifiers.PoolId
+    cause: PoolLoad
 
 
 class Elasticity:
     """Decides moves between pools and the spare pool."""
 
     def __init__(self) -> None:
-        self._needed: dict[identifiers.PoolId, tuple[float, int]] = {}
+        self._needed_at: dict[identifiers.PoolId, dict[int, float]] = {}
 
     def plan(
         self,
@@ -86,34 +94,48 @@
             now: Monotonic time in seconds.
         """
         moves: list[Move] = []
-        free = list(spare)
-        short = sorted(loads, key=lambda load: load.machines - load.wanted)
-        for load in short:
-            missing = load.wanted - load.machines
-            for _ in range(missing):
-                if not free or len(moves) >= MOVES_AT_ONCE:
+        taken: set[identifiers.MachineId] = set()
+        donors = _list_donors(loads, spare)
+        by_shortage = sorted(
+            loads, key=lambda load: load.machines - load.wanted
+        )
+        for load in by_shortage:
+            for _ in range(load.wanted - load.machines):
+                machine_id = next(donors, None)
+                if machine_id is None or len(moves) >= MOVES_AT_ONCE:
                     break
-                moves.append(Move(free.pop(0), load.pool))
+                taken.add(machine_id)
+                moves.append(Move(machine_id, load.pool, load))
         for load in loads:
-            for machine_id in self._find_surplus(load, now):
-                if len(moves) < MOVES_AT_ONCE:
-                    moves.append(Move(machine_id, spare_pool))
+            for machine_id in self._find_unneeded(load, now):
+                if machine_id not in taken and len(moves) < MOVES_AT_ONCE:
+                    moves.append(Move(machine_id, spare_pool, load))
         return moves
 
-    def _find_surplus(
+    def _find_unneeded(
         self, load: PoolLoad, now: float
     ) -> Sequence[identifiers.MachineId]:
         """Returns idle machines that were not needed for a while."""
-        since, most = self._needed.get(load.pool, (now, load.machines))
-        if load.wanted >= most or load.wanted >= load.machines:
-            self._needed[load.pool] = (now, load.wanted)
-            return ()
-        if now - since < IDLE_SECONDS:
-            self._needed[load.pool] = (since, most)
-            return ()
-        surplus = load.machines - load.wanted
-        self._needed[load.pool] = (since, load.wanted)
-        return load.idle[:surplus]
+        needed_at = self._needed_at.setdefault(load.pool, {})
+        for count in range(1, load.wanted + 1):
+            needed_at[count] = now
+        unneeded = [
+            count
+            for count in range(load.wanted + 1, load.machines + 1)
+            if now - needed_at.setdefault(count, now) >= IDLE_SECONDS
+        ]
+        return load.idle[: len(unneeded)]
+
+
+def _list_donors(
+    loads: Sequence[PoolLoad], spare: Sequence[identifiers.MachineId]
+) -> Iterator[identifiers.MachineId]:
+    """Yields machines that may go to a pool that is short."""
+    yield from spare
+    by_surplus = sorted(loads, key=lambda load: load.wanted - load.machines)
+    for load in by_surplus:
+        surplus = max(0, load.machines - load.wanted)
+        yield from load.idle[:surplus]
 
 
 if __name__ == "__main__":
--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -71,6 +71,7 @@
         self._failures = 0
         self._pages: list[jobtable.StoredRecord] = []
         self._first_end = 0
+        self._load_sent = 0.0
         self._run = 0
         self._paused: timer.Subscription | None = None
 
@@ -103,6 +104,7 @@
         self.state = State.LOADING
         self._pages = []
         self._first_end = -1
+        self._load_sent = self._timers.clock()
         self._load_page("")
 
     def _load_page(self, after: str) -> None:
@@ -129,7 +131,9 @@
                 # are read again from the stream.
                 self.next = self._first_end
                 self.state = State.FOLLOWING
+                self.fresh_at = self._load_sent
                 self._on_snapshot(pages)
+                self._on_fresh()
                 self._read()
             case _:
                 self._note_failure(outcome)
--- a/clementinewood/job.py
+++ b/clementinewood/job.py
@@ -278,6 +278,9 @@
         state: State shown to callers.
         done: Bit set of the ended tasks of each occurrence and step.
         failed: Failed runs of each task that is not done.
+        placed: Number and minion of the newest start of each task. Stored
+            before the start is ordered, so that a successor knows where a
+            task may run.
     """
 
     state: JobState = JobState.QUEUED
@@ -285,10 +288,18 @@
     failed: dict[tuple[int, int, int], int] = dataclasses.field(
         default_factory=dict
     )
+    placed: dict[tuple[int, int, int], tuple[int, identifiers.MinionId]] = (
+        dataclasses.field(default_factory=dict)
+    )
 
     def copy(self) -> "Progress":
         """Returns an independent copy."""
-        return Progress(self.state, dict(self.done), dict(self.failed))
+        return Progress(
+            self.state,
+            dict(self.done),
+            dict(self.failed),
+            dict(self.placed),
+        )
 
     def is_done(self, task: TaskId) -> bool:
         """Whether `task` has ended well."""
@@ -326,6 +337,9 @@
         document["failed"] = [
             [*key, count] for key, count in progress.failed.items()
         ]
+        document["placed"] = [
+            [*key, *place] for key, place in progress.placed.items()
+        ]
     return json.dumps(document, separators=(",", ":")).encode()
 
 
@@ -343,6 +357,15 @@
                 (occurrence, step, index): count
                 for occurrence, step, index, count in document.get("failed", ())
             },
+            {
+                (occurrence, step, index): (
+                    number,
+                    identifiers.MinionId(minion),
+                )
+                for occurrence, step, index, number, minion in document.get(
+                    "placed", ()
+                )
+            },
         )
     except (ValueError, TypeError, KeyError) as error:
         return result.Failure(f"stored progress is malformed: {error!r}")
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -461,8 +461,8 @@
             return
         match outcome:
             case ports.Appended(offset):
-                self._apply_own(pending.items, offset)
                 self._finish(key, pending, outcome)
+                self._apply_own(pending.items, offset)
             case ports.Failed(execution, detail):
                 if execution is not verdict.Execution.NOT_RUN:
                     pending.maybe_stored = True
@@ -497,7 +497,7 @@
     def _finish(
         self, key: str, pending: _Pending, outcome: ports.AppendResult
     ) -> None:
-        del self._pending[key]
+        self._pending.pop(key, None)
         for on_result in pending.waiting:
             on_result(outcome)
 
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -1,6 +1,7 @@
 """Carries out upkeep and moves of machines for the dispatcher in office."""
 
 import json
+import time
 from collections.abc import Callable, Sequence
 
 from clementinewood import (
@@ -19,6 +20,12 @@
 LIST_SECONDS = 0.5
 """Period of reading the list of machines; a move takes three times as long."""
 
+PLAN_SECONDS = 0.1
+"""Period of planning; a queue's peak lasts some seconds."""
+
+LIST_STALE_SECONDS = 3.0
+"""Age of the list from which no machine is ordered by it."""
+
 DOWN_LEAST_SECONDS = 0.4
 """Age of an order from which the list is believed to show its effect."""
 
@@ -70,23 +77,26 @@
         self._moving_to: dict[identifiers.MachineId, identifiers.PoolId] = {}
         self._refused: set[tuple[str, str]] = set()
         self._elasticity = elasticity.Elasticity()
-        self._subscription: timer.Subscription | None = None
+        self._listed_at = float("-inf")
+        self._subscriptions: list[timer.Subscription] = []
 
     def start(self) -> None:
         """Starts to read the list of machines."""
         if self._service is None:
             return
         self._active = True
-        self._subscription = self._timers.subscribe_every(
-            LIST_SECONDS, self._read
-        )
+        every = self._timers.subscribe_every
+        self._subscriptions = [
+            every(LIST_SECONDS, self._read),
+            every(PLAN_SECONDS, self._plan),
+        ]
         self._read()
 
     def stop(self) -> None:
         """Gives no more orders."""
         self._active = False
-        if self._subscription is not None:
-            self._subscription.cancel()
+        for subscription in self._subscriptions:
+            subscription.cancel()
 
     def set_waves(self, waves: Sequence[catalog.Wave]) -> None:
         """Takes the waves that operators have declared."""
@@ -131,6 +141,7 @@
                 return
             case _:
                 self._read_failures = 0
+                self._listed_at = sent
                 self._machines = {item.machine_id: item for item in outcome}
         for machine_id, ordered in list(self._ordered.items()):
             machine = self._machines.get(machine_id)
@@ -154,41 +165,67 @@
         now = self._timers.clock()
         if now < self._first_order:
             return
+        if now - self._listed_at > LIST_STALE_SECONDS:
+            return
         loads = self._read_loads()
+        self._mark_due()
         for state in self._waves.values():
             for action in upkeep.plan_wave(state, self._machines, loads, now):
                 self._carry_out(state, action)
+            self._empty_chosen(state)
             self._report_wave(state)
         self._plan_moves(now)
 
+    def _mark_due(self) -> None:
+        due = {
+            machine_id
+            for state in self._waves.values()
+            for machine_id in state.wave.machines
+            if machine_id not in state.done
+        }
+        for machine in self._machines.values():
+            view = self._find_view(machine)
+            if view is not None:
+                view.due = machine.machine_id in due
+
     def _read_loads(self) -> dict[identifiers.MachineId, upkeep.Load]:
-        used: dict[identifiers.PoolId, list[float]] = {}
+        used = self._read_pools()
         shares: dict[identifiers.MachineId, float] = {}
         for machine in self._machines.values():
             view = self._find_view(machine)
             share = 0.0
             if view is not None and view.minion.capacity.cpu:
                 share = view.used().cpu / view.minion.capacity.cpu
-                used.setdefault(machine.pool, []).append(share)
             shares[machine.machine_id] = share
-        away = self._decisions.count_unavailable()
         loads = {}
         for machine in self._machines.values():
             view = self._find_view(machine)
             runs = list(view.runs.values()) if view is not None else []
             lasting = [item for item in runs if item.long_running]
-            pool = used.get(machine.pool, [0.0])
             loads[machine.machine_id] = upkeep.Load(
                 runs=len(runs) - len(lasting),
                 lasting=len(lasting),
-                movable=all(
-                    dispatcher.may_stop(item, away) for item in lasting
-                ),
                 used=shares[machine.machine_id],
-                pool_used=sum(pool) / len(pool),
+                pool_used=used.get(machine.pool, 0.0),
             )
         return loads
 
+    def _read_pools(self) -> dict[identifiers.PoolId, float]:
+        """Returns the share of each pool that its work takes."""
+        config = self._decisions.config
+        if config is None:
+            return {}
+        room: dict[identifiers.PoolId, float] = {}
+        for machine in self._machines.values():
+            if machine.state is catalog.MachineState.UP:
+                cores = machine.capacity.cpu / 1000.0
+                room[machine.pool] = room.get(machine.pool, 0.0) + cores
+        return {
+            pool: self._decisions.measure_demand(pool, time.time())[0] / cores
+            for pool, cores in room.items()
+            if cores and pool in config.pools
+        }
+
     def _find_view(self, machine: catalog.Machine) -> run.MinionView | None:
         view = self._decisions.views.get(machine.minion_id)
         if view is None or view.minion.pool != machine.pool:
@@ -204,13 +241,15 @@
         match action.step:
             case upkeep.Step.EMPTY:
                 state.chosen.add(action.machine_id)
-                self._empty(machine)
             case upkeep.Step.BEGIN:
                 self._order_upkeep(state, machine)
+
+    def _empty_chosen(self, state: upkeep.WaveState) -> None:
+        """Goes on emptying machines, as budgets become free again."""
         for machine_id in state.chosen:
-            chosen = self._machines.get(machine_id)
-            if chosen is not None:
-                self._empty(chosen)
+            machine = self._machines.get(machine_id)
+            if machine is not None and machine_id not in self._ordered:
+                self._empty(machine)
 
     def _empty(self, machine: catalog.Machine) -> None:
         """Moves long-running tasks away, as their budgets allow."""
@@ -398,7 +437,7 @@
                 and machine.state is catalog.MachineState.UP
             ):
                 idle.append(machine.machine_id)
-        demand, least = self._decisions.measure_demand(pool)
+        demand, least = self._decisions.measure_demand(pool, time.time())
         return elasticity.PoolLoad(
             pool=pool,
             demand=demand,
@@ -423,6 +462,9 @@
             machine=move.machine_id,
             pool=move.pool,
             was=machine.pool,
+            demand=round(move.cause.demand, 1),
+            wanted=move.cause.wanted,
+            machines=move.cause.machines,
             term=self._decisions.term,
         )
         self._service.move(
--- a/clementinewood/placement.py
+++ b/clementinewood/placement.py
@@ -109,6 +109,7 @@
         if step.long_running:
             rank = (
                 near,
+                not candidate.view.due,
                 candidate.anchored and not step.fills,
                 -here,
                 -candidate.free.cpu if not step.fills else candidate.free.cpu,
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -19,6 +19,9 @@
 class RunState(enum.Enum):
     """What is known of a run."""
 
+    PLANNED = "planned"
+    """Its place is being stored; it is not ordered yet."""
+
     STARTING = "starting"
     """Ordered; it may or may not be there."""
 
@@ -58,6 +61,8 @@
         since: Time of the last change of state.
         tries: Orders sent in this state.
         stop_confirmed: Whether the minion has answered the order to stop.
+        recovered: Whether it is known from the store only: the next report
+            of the minion tells whether it is there.
         long_running: Whether it never ends by itself.
         fills: Whether it uses what others leave.
         tail_target: Seconds below which its tail must stay; 0 if it has none.
@@ -76,10 +81,11 @@
     queue: identifiers.QueueId
     room: job.Resources
     need: job.Resources
-    state: RunState = RunState.STARTING
+    state: RunState = RunState.PLANNED
     since: float = 0.0
     tries: int = 0
     stop_confirmed: bool = False
+    recovered: bool = False
     long_running: bool = False
     fills: bool = False
     tail_target: float = 0.0
@@ -169,6 +175,7 @@
         acked: Number of the last end that is stored and may be acknowledged.
         runs: Everything that may run there.
         reserved: Whether it gets no new work, since an order will empty it.
+        due: Whether an order will empty it later.
         unfit_until: Time until which it gets no new work after bad starts.
         bad_starts: Starts and runs that went wrong lately; halves with time.
     """
@@ -184,6 +191,7 @@
     acked: int = 0
     runs: dict[job.TaskId, Run] = dataclasses.field(default_factory=dict)
     reserved: bool = False
+    due: bool = False
     unfit_until: float = 0.0
     bad_starts: float = 0.0
 
--- a/clementinewood/succession.py
+++ b/clementinewood/succession.py
@@ -20,6 +20,10 @@
 JITTER_SECONDS = 0.4
 """Spread of the claims of several entries, so that mostly one claims."""
 
+RELEASED_JITTER_SECONDS = 0.06
+"""The same for an office that was given up: nothing is done until it is
+claimed, and the store settles claims that collide."""
+
 CLAIM_TIMEOUT_SECONDS = 2.0
 """Time after which a claim without an outcome is made again, higher."""
 
@@ -89,7 +93,7 @@
         if self.standing is not Standing.FOLLOWER or not self._fresh:
             return False
         if self._vacant or not self.highest:
-            return now >= self._evidence + self.jitter * JITTER_SECONDS
+            return now >= self._evidence + self.jitter * RELEASED_JITTER_SECONDS
         wait = VACANT_SECONDS + self.jitter * JITTER_SECONDS
         return now >= self._evidence + wait
 
--- a/clementinewood/upkeep.py
+++ b/clementinewood/upkeep.py
@@ -12,14 +12,18 @@
 
 from clementinewood import catalog, identifiers
 
-ROUND_SECONDS = 5.0
+ROUND_SECONDS = 4.0
 """Time that one machine's turn takes: emptying it, upkeep and its return."""
 
-FORCE_FACTOR = 2.0
+FORCE_FACTOR = 1.4
 """Work is interrupted once the time left is below this multiple of the time
 that the remaining turns take."""
 
 
+BUSY = 0.7
+"""Share of a pool in use from which its machines wait for a quieter time."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Load:
     """What a machine does.
@@ -27,14 +31,12 @@
     Attributes:
         runs: Runs that end by themselves.
         lasting: Long-running tasks.
-        movable: Whether all its long-running tasks may be stopped now.
         used: Share of its processors in use.
         pool_used: The same of its pool.
     """
 
     runs: int = 0
     lasting: int = 0
-    movable: bool = True
     used: float = 0.0
     pool_used: float = 0.0
 
@@ -113,7 +115,7 @@
         if room <= 0:
             break
         load = loads.get(machine_id, Load())
-        if not load.movable or (load.pool_used > 0.7 and not forced):
+        if load.pool_used > BUSY and not forced:
             continue
         room -= 1
         actions.append(Action(machine_id, Step.EMPTY))
