--- a/clementinewood/elasticity.py
+++ b/clementinewood/elasticity.py
@@ -18,8 +18,9 @@
 """Capacity kept above the demand that is seen: while a peak builds up, demand
 grows by more than this during one move."""
 
-LEAST_MACHINES = 3
-"""Machines that a pool keeps: one for each zone of the usual site."""
+LEAST_MACHINES = 5
+"""Machines that a pool keeps: most of what the usual pool holds, since a peak
+is over before as many have moved in."""
 
 IDLE_SECONDS = 3.0
 """Time without need for it after which a machine is given back; two moves
--- a/clementinewood/joborder.py
+++ b/clementinewood/joborder.py
@@ -9,14 +9,26 @@
 
 import dataclasses
 import enum
+import math
 
 from clementinewood import catalog, identifiers
 
-DEFAULT_RATIO = 1.0
-"""Real against declared run time of a queue before any run has ended."""
+PRIOR_SLOPE = 0.5
+"""How far a declared run time is believed before runs have ended: declared
+times are off by half and more, as much as the real ones differ."""
 
-LEARNING = 0.1
-"""Weight of one observed run in the learned ratio."""
+PRIOR_WEIGHT = 20.0
+"""Observed runs that weigh as much as the prior."""
+
+PRIOR_VARIANCE = 0.25
+"""Variance of the logarithm of declared run times that the prior assumes."""
+
+MEMORY = 400.0
+"""Observed runs after which the weight of old ones is halved."""
+
+MARGIN = 0.2
+"""Share of the work left that a job needs as slack beyond it to be taken as
+able to finish in time: expected run times are uncertain."""
 
 
 class Standing(enum.IntEnum):
@@ -65,7 +77,7 @@
         return (waiting.queue.priority, -1, waiting.arrived)
     objective = waiting.queue.stretch * waiting.chain + waiting.queue.slack
     slack = waiting.arrived + objective - wall - waiting.chain_left
-    if slack < 0:
+    if slack < MARGIN * waiting.chain_left:
         return (
             waiting.queue.priority,
             Standing.LATE,
@@ -80,25 +92,61 @@
     )
 
 
+class _Trend:
+    """Regression of real on declared run times of one queue, in logarithms."""
+
+    __slots__ = ("cross", "real", "square", "told", "weight")
+
+    def __init__(self) -> None:
+        self.weight = 0.0
+        self.told = 0.0
+        self.real = 0.0
+        self.square = 0.0
+        self.cross = 0.0
+
+    def observe(self, told: float, real: float) -> None:
+        """Adds one run."""
+        if self.weight > MEMORY:
+            self.weight /= 2
+            self.square /= 2
+            self.cross /= 2
+        self.weight += 1
+        before = told - self.told
+        self.told += before / self.weight
+        self.real += (real - self.real) / self.weight
+        self.square += before * (told - self.told)
+        self.cross += before * (real - self.real)
+
+    def expect(self, told: float) -> float:
+        """Returns the expected real value."""
+        if not self.weight:
+            return told
+        slope = (self.cross + PRIOR_SLOPE * PRIOR_WEIGHT * PRIOR_VARIANCE) / (
+            self.square + PRIOR_WEIGHT * PRIOR_VARIANCE
+        )
+        return self.real + slope * (told - self.told)
+
+
 class RunTimes:
     """Learns how run times of each queue compare with the declared ones."""
 
     def __init__(self) -> None:
-        self._ratios: dict[identifiers.QueueId, float] = {}
+        self._trends: dict[identifiers.QueueId, _Trend] = {}
 
     def observe(
         self, queue: identifiers.QueueId, declared: float, seconds: float
     ) -> None:
         """Learns from a run of `queue` that ended well."""
-        if declared <= 0:
-            return
-        ratio = min(max(seconds / declared, 0.1), 10.0)
-        known = self._ratios.get(queue, ratio)
-        self._ratios[queue] = known + LEARNING * (ratio - known)
+        if declared > 0 and seconds > 0:
+            trend = self._trends.setdefault(queue, _Trend())
+            trend.observe(math.log(declared), math.log(seconds))
 
     def expect(self, queue: identifiers.QueueId, declared: float) -> float:
         """Returns the expected seconds of a run declared as `declared`."""
-        return declared * self._ratios.get(queue, DEFAULT_RATIO)
+        trend = self._trends.get(queue)
+        if trend is None or declared <= 0:
+            return declared
+        return math.exp(trend.expect(math.log(declared)))
 
 
 if __name__ == "__main__":
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -78,6 +78,7 @@
         self._refused: set[tuple[str, str]] = set()
         self._elasticity = elasticity.Elasticity()
         self._listed_at = float("-inf")
+        self._short = False
         self._subscriptions: list[timer.Subscription] = []
 
     def start(self) -> None:
@@ -170,7 +171,10 @@
         loads = self._read_loads()
         self._mark_due()
         for state in self._waves.values():
-            for action in upkeep.plan_wave(state, self._machines, loads, now):
+            actions = upkeep.plan_wave(
+                state, self._machines, loads, now, short=self._short
+            )
+            for action in actions:
                 self._carry_out(state, action)
             self._empty_chosen(state)
             self._report_wave(state)
@@ -406,6 +410,7 @@
             for pool in config.pools.values()
             if not pool.spare
         ]
+        self._short = any(load.machines < load.wanted for load in loads)
         for move in self._elasticity.plan(loads, spare, spare_pools[0], now):
             self._order_move(move)
 
--- a/clementinewood/succession.py
+++ b/clementinewood/succession.py
@@ -10,10 +10,10 @@
 
 from clementinewood import identifiers, jobtable
 
-RENEW_SECONDS = 0.8
+RENEW_SECONDS = 0.5
 """Period of the records by which a dispatcher shows that it lives."""
 
-VACANT_SECONDS = 2.4
+VACANT_SECONDS = 1.7
 """Silence after which the office counts as vacant: two renewals may be lost,
 and the loss of a dispatcher should cost less than a job's slack."""
 
@@ -83,7 +83,10 @@
         if office.term < self.highest:
             return False
         self._evidence = now
-        self._vacant = office.released
+        # This host's own earlier process has surely ended.
+        self._vacant = office.released or identifiers.is_successor(
+            self.holder, office.holder
+        )
         if office.holder != self.holder:
             return self.leave(now)
         return False
--- a/clementinewood/upkeep.py
+++ b/clementinewood/upkeep.py
@@ -87,8 +87,18 @@
     machines: Mapping[identifiers.MachineId, catalog.Machine],
     loads: Mapping[identifiers.MachineId, Load],
     now: float,
+    *,
+    short: bool = False,
 ) -> list[Action]:
-    """Returns the steps of a wave that are to be taken now."""
+    """Returns the steps of a wave that are to be taken now.
+
+    Args:
+        state: How far the wave is.
+        machines: Every machine.
+        loads: What the machines do.
+        now: Monotonic time in seconds.
+        short: Whether a pool needs more machines than it has.
+    """
     wave = state.wave
     left = [
         machine_id
@@ -115,7 +125,7 @@
         if room <= 0:
             break
         load = loads.get(machine_id, Load())
-        if load.pool_used > BUSY and not forced:
+        if (short or load.pool_used > BUSY) and not forced:
             continue
         room -= 1
         actions.append(Action(machine_id, Step.EMPTY))
