--- a/clementinewood/dev.py
+++ b/clementinewood/dev.py
@@ -259,7 +259,7 @@
 
 def read_example(site: str) -> str:
     """Returns the text of an example bundle, `guild` or `sanctum`."""
-    path = pathlib.Path(__file__).parent.parent / "examples" / f"{site}.ini"
+    path = pathlib.Path(__file__).parent / "examples" / f"{site}.ini"
     return path.read_text(encoding="utf-8")
 
 
--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -65,6 +65,7 @@
         on_stored: Called with records that were stored and their offset.
         on_lost: Called once when the office is lost.
         settled_after: Seconds before the first order about a machine.
+        count_start: Counts an order to start a run by its outcome.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         on_stored: Callable[[Sequence[ports.Item], int], None],
         on_lost: Callable[[str], None],
         settled_after: float,
+        count_start: Callable[[str], None],
     ) -> None:
         self.term = term
         self.dispatcher = dispatcher.Dispatcher(term, timers.clock())
@@ -95,6 +97,7 @@
         self._timers = timers
         self._wall = wall
         self._on_stored = on_stored
+        self._count_start = count_start
         self._on_lost = on_lost
         self._active = True
         self._planned = False
@@ -376,6 +379,7 @@
     ) -> None:
         if not self._active:
             return
+        self._count_start(outcome.value)
         if outcome is dispatcher.StartOutcome.FENCED:
             self.leave(f"minion {order.minion_id} was given a higher token")
             return
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -356,12 +356,7 @@
                     self._starts.append(self._create_start(view, item, now))
                 else:
                     self._stop(item)
-            case StartOutcome.NOT_SENT if item.tries > 1:
-                # An earlier try may have arrived.
-                self._stop(item)
-            case StartOutcome.SUPERSEDED if item.tries > 1:
-                self._stop(item)
-            case StartOutcome.OTHER_LIFE | StartOutcome.FENCED:
+            case StartOutcome.FENCED:
                 pass
             case _:
                 if outcome is not StartOutcome.NO_ROOM:
@@ -369,8 +364,13 @@
                 elif item.state is run.RunState.STARTING:
                     # The minion knows its room better than this count.
                     view.unfit_until = max(view.unfit_until, now + 0.1)
-                if item.state is run.RunState.STARTING and item.tries <= 1:
+                if item.state is not run.RunState.STARTING:
+                    return
+                if item.tries <= 1:
                     self._remove_run(view, item, wall)
+                else:
+                    # An earlier try may still be carried out.
+                    self._stop(item)
 
     def _report_begun(self, item: run.Run, wall: float) -> None:
         """Logs the first run of a job."""
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -204,6 +204,9 @@
         self._pending: dict[str, _Pending] = {}
         self._refreshing: list[Callable[[], None]] = []
         self._chance = chance
+        metrics.observe(
+            metric.DISPATCHING, lambda: [({}, float(self.dispatching))]
+        )
         self._succession = succession.Succession(self.incarnation, chance())
         self._jobs_feed = feed.Feed(
             store,
@@ -666,6 +669,9 @@
             on_stored=self._apply_own,
             on_lost=self._leave_office,
             settled_after=self._lease_seconds if term > 1 else 0.0,
+            count_start=lambda outcome: self._metrics.count(
+                metric.RUN_STARTS, outcome=outcome
+            ),
         )
         self._driver.dispatcher.early = self._early_seconds
         self._driver.start(self.declared)
--- a/clementinewood/metric.py
+++ b/clementinewood/metric.py
@@ -156,6 +156,34 @@
     "Minions ejected by this entry.",
 )
 
+JOB_ANSWERS = Instrument(
+    "clementinewood.jobs.answers",
+    Kind.COUNTER,
+    "1",
+    "Requests about jobs answered, by kind and HTTP status.",
+    ("kind", "status"),
+)
+JOB_ANSWER_SECONDS = Instrument(
+    "clementinewood.jobs.answer.duration",
+    Kind.HISTOGRAM,
+    "s",
+    "Time from a whole request about a job to its answer.",
+    ("kind",),
+)
+RUN_STARTS = Instrument(
+    "clementinewood.runs.starts",
+    Kind.COUNTER,
+    "1",
+    "Orders to start a run, by what the minion did.",
+    ("outcome",),
+)
+DISPATCHING = Instrument(
+    "clementinewood.dispatching",
+    Kind.GAUGE,
+    "1",
+    "1 while this entry is the dispatcher.",
+)
+
 CATALOGUE: tuple[Instrument, ...] = tuple(
     value for value in globals().values() if isinstance(value, Instrument)
 )
--- a/features/bundle.feature
+++ b/features/bundle.feature
@@ -2,7 +2,7 @@
   A bundle that is read wrongly puts wrong limits in force at the whole site.
 
   Scenario Outline: The example bundles are sound and of today's size
-    Given the bundle file examples/<site>.ini
+    Given the bundle file clementinewood/examples/<site>.ini
     Then it declares site <site> with 3 zones, 5 pools of 6 workers and 240 slots
     And 5 minion slots of 8 and 64 connections, and 6 customers or more
     And each secret in its comments matches the digest of its key
@@ -13,7 +13,7 @@
       | sanctum |
 
   Scenario: Every error is reported at once, with its place
-    Given the bundle file examples/guild.ini
+    Given the bundle file clementinewood/examples/guild.ini
     When line "limit = 160" of it becomes "limt = 160"
     And line "slots = 8" of it becomes "slots = eight"
     And line "region = tasmania" of it becomes "regoin = tasmania"
@@ -27,7 +27,7 @@
     And each bundle error names the line it is on
 
   Scenario Outline: Contradictions are refused
-    Given the bundle file examples/guild.ini
+    Given the bundle file clementinewood/examples/guild.ini
     When line "<line>" of it becomes "<change>"
     Then the only bundle error is in section <section>, option <option>, and says "<detail>"
 
@@ -54,7 +54,7 @@
       | [zone burnie]                 | [zone  hobart]                | zone hobart       |                      | section was given on line                |
 
   Scenario: A queue that nobody can use would be stranded
-    Given the bundle file examples/sanctum.ini
+    Given the bundle file clementinewood/examples/sanctum.ini
     When line "limit = 140" of it becomes "limit = 0"
     Then the only bundle error is in section queue renders, option teams, and says "would be stranded"
 
@@ -66,7 +66,7 @@
     Then 300 random and mutated bundle texts are read or refused
 
   Scenario: Differences are told in plain words and as typed changes
-    Given the bundle file examples/guild.ini
+    Given the bundle file clementinewood/examples/guild.ini
     When it is compared with one where these lines change
       | line          | change        |
       | state = in    | state = out   |
@@ -82,7 +82,7 @@
     And the typed bundle change of team canvas is limit from 160 to 150
 
   Scenario: A queue in use is removed only after it was closing
-    Given the bundle file examples/guild.ini
+    Given the bundle file clementinewood/examples/guild.ini
     Then removing queue claims at once is refused as stranding requests
     And removing queue claims after closing = yes is allowed
 
--- /dev/null
+++ b/features/package.feature
@@ -0,0 +1,12 @@
+Feature: An installed copy
+  Guards against files that a checkout has and an installed package lacks.
+
+  Scenario: The dev site runs from an installed copy
+    Given the package is installed into an empty folder
+    When its dev site runs for 2 seconds in another folder
+    Then it names its entries
+
+  Scenario: The platform's entry can be imported beside the standard module
+    Given the package is installed into an empty folder
+    When the platform's entry is imported from there
+    Then the standard module "platform" is still the library's own
