--- a/clementinewood/command_entry.py
+++ b/clementinewood/command_entry.py
@@ -2,8 +2,6 @@
 
 import argparse
 import sys
-import time
-from collections.abc import Callable
 from typing import Any
 
 from returns import result
@@ -76,7 +74,7 @@
         level=config.log_level.name,
         json=config.log_format is settings.LogFormat.JSON,
     )
-    timers = GracefulTimers()
+    timers = timer.GracefulTimers()
     sockets = transport.Transport(timers).register(timers)
     site = web.Web(timers).register(timers)
     page.register_pages(site)
@@ -89,24 +87,3 @@
         timers.subscribe_once(seconds, daemon.stop)
     timers.run()
     return EXIT_REMOVED if daemon.was_removed else 0
-
-
-class GracefulTimers(timer.TimerService):
-    """A loop whose termination signals start a graceful stop.
-
-    circuits installs its own signal handlers when the loop starts; they end
-    the loop at once, which would cut requests.
-
-    Args:
-        clock: Source of monotonic time in seconds.
-
-    Attributes:
-        on_signal: Called on SIGINT and SIGTERM.
-    """
-
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
-        super().__init__(clock=clock)
-        self.on_signal: Callable[[], None] = lambda: None
-
-    def _signal_handler(self, number: int, frame: object) -> None:
-        self.subscribe_once(0.0, lambda: self.on_signal())
--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -44,6 +44,10 @@
 STORE_RETRY_SECONDS = 0.1
 """Pause before an append that failed is sent again."""
 
+MINIONS_GAP_SECONDS = 0.2
+"""Least time between two reads of what minions report; each writes every
+second and a half, and machines take as long to move."""
+
 FORGET_SECONDS = 1.0
 """Period of dropping minions that are gone."""
 
@@ -126,7 +130,7 @@
             timers,
             on_snapshot=self._load_minions,
             on_records=self._fold_minions,
-            gap=0.1,
+            gap=MINIONS_GAP_SECONDS,
         )
 
     def start(self, declared: ports.Declarations) -> None:
--- a/clementinewood/joborder.py
+++ b/clementinewood/joborder.py
@@ -31,6 +31,10 @@
 able to finish in time: expected run times are uncertain."""
 
 
+LATE_FACTOR = 3.0
+"""Multiple of its objective up to which a job is of use to its caller."""
+
+
 class Standing(enum.IntEnum):
     """How a job stands against its objective; lower goes first."""
 
@@ -39,7 +43,10 @@
 
     FEASIBLE = 1
     LATE = 2
-    """Can't meet its objective any more."""
+    """Can't meet its objective any more, but can still be of use."""
+
+    HOPELESS = 3
+    """Too late to be of use; it still ends."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -78,11 +85,10 @@
     objective = waiting.queue.stretch * waiting.chain + waiting.queue.slack
     slack = waiting.arrived + objective - wall - waiting.chain_left
     if slack < MARGIN * waiting.chain_left:
-        return (
-            waiting.queue.priority,
-            Standing.LATE,
-            waiting.arrived,
-        )
+        # Serving it late still helps its caller, up to a point.
+        last = waiting.arrived + LATE_FACTOR * objective - waiting.chain_left
+        standing = Standing.LATE if last >= wall else Standing.HOPELESS
+        return (waiting.queue.priority, standing, last)
     standing = Standing.BEGUN if waiting.begun else Standing.FEASIBLE
     return (
         waiting.queue.priority,
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -32,9 +32,12 @@
 TABLE_STALE_SECONDS = 2.0
 """Age of the job table from which an unknown job may be known elsewhere."""
 
-FOLLOWER_GAP_SECONDS = 0.1
+FOLLOWER_GAP_SECONDS = 0.25
 """Least time between two reads of the job log by an entry that does not
-dispatch; each read is paid for."""
+dispatch; each read is paid for, and a question about a job reads at once."""
+
+DISPATCHER_GAP_SECONDS = 0.015
+"""The same for the dispatcher: its own appends would wake it each time."""
 
 STORE_SILENT_SECONDS = 1.3
 """Age of the last reading of the log from which the store counts as silent:
@@ -204,6 +207,8 @@
         self._pending: dict[str, _Pending] = {}
         self._refreshing: list[Callable[[], None]] = []
         self._chance = chance
+        self._before: jobtable.Office | None = None
+        self._heard_before = 0.0
         metrics.observe(
             metric.DISPATCHING, lambda: [({}, float(self.dispatching))]
         )
@@ -604,6 +609,9 @@
     # The dispatcher's office.
 
     def _note_office(self, office: jobtable.Office) -> None:
+        if office.holder != self.incarnation:
+            self._before = office
+            self._heard_before = self._timers.clock()
         if self._succession.note_office(office, self._timers.clock()):
             self._leave_office(f"term {office.term} has begun")
 
@@ -653,7 +661,7 @@
             return
         self._claim_head = -1
         self._succession.note_claimed()
-        self._jobs_feed.gap = 0.0
+        self._jobs_feed.gap = DISPATCHER_GAP_SECONDS
         term = self._succession.term
         self._driver = dispatchdriver.DispatchDriver(
             term,
@@ -668,7 +676,7 @@
             wall=self._wall,
             on_stored=self._apply_own,
             on_lost=self._leave_office,
-            settled_after=self._lease_seconds if term > 1 else 0.0,
+            settled_after=self._settle_seconds(),
             count_start=lambda outcome: self._metrics.count(
                 metric.RUN_STARTS, outcome=outcome
             ),
@@ -676,6 +684,18 @@
         self._driver.dispatcher.early = self._early_seconds
         self._driver.start(self.declared)
 
+    def _settle_seconds(self) -> float:
+        """Returns how long orders about machines must wait.
+
+        Orders of two holders about one machine must be apart; the last one
+        of the holder before came no later than it was heard of.
+        """
+        before = self._before
+        if before is None or _is_same_entry(before.holder, self.incarnation):
+            return 0.0
+        age = self._timers.clock() - self._heard_before
+        return max(0.0, self._lease_seconds - age)
+
     def _leave_office(self, reason: str) -> None:
         driver, self._driver = self._driver, None
         if driver is None:
@@ -686,6 +706,12 @@
         event.emit(event.Event.OFFICE_LEFT, term=driver.term, reason=reason)
 
 
+def _is_same_entry(
+    one: identifiers.Incarnation, other: identifiers.Incarnation
+) -> bool:
+    return one.rpartition("/")[0] == other.rpartition("/")[0]
+
+
 def _refuse(reason: verdict.Reason, detail: str) -> verdict.Refusal:
     """Returns a refusal that tells when to come back."""
     return verdict.Refusal(
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -79,6 +79,7 @@
         self._elasticity = elasticity.Elasticity()
         self._listed_at = float("-inf")
         self._short = False
+        self._emptied: frozenset[identifiers.MachineId] = frozenset()
         self._subscriptions: list[timer.Subscription] = []
 
     def start(self) -> None:
@@ -153,7 +154,8 @@
                 self._moving_to.pop(machine_id, None)
                 for state in self._waves.values():
                     state.down.pop(machine_id, None)
-                if not self._is_chosen(machine_id):
+                kept = machine_id in self._emptied
+                if not kept and not self._is_chosen(machine_id):
                     self._reserve(machine_id, reserved=False)
         self._plan()
 
@@ -411,8 +413,21 @@
             if not pool.spare
         ]
         self._short = any(load.machines < load.wanted for load in loads)
-        for move in self._elasticity.plan(loads, spare, spare_pools[0], now):
+        plan = self._elasticity.plan(loads, spare, spare_pools[0], now)
+        for move in plan.moves:
             self._order_move(move)
+        self._empty_for_moves(plan.emptied)
+
+    def _empty_for_moves(
+        self, emptied: frozenset[identifiers.MachineId]
+    ) -> None:
+        """Keeps new work away from machines that are to move soon."""
+        for machine_id in self._emptied - emptied:
+            if not self._is_chosen(machine_id):
+                self._reserve(machine_id, reserved=False)
+        for machine_id in emptied:
+            self._reserve(machine_id, reserved=True)
+        self._emptied = emptied
 
     def _read_pool(
         self,
@@ -421,6 +436,7 @@
     ) -> elasticity.PoolLoad:
         machines = 0
         idle = []
+        busy: list[tuple[int, identifiers.MachineId]] = []
         cores = 0.0
         for machine in self._machines.values():
             target = self._moving_to.get(machine.machine_id, machine.pool)
@@ -434,14 +450,17 @@
             cores = max(cores, machine.capacity.cpu / 1000.0)
             view = self._find_view(machine)
             if (
-                view is not None
-                and view.claimed
-                and not view.runs
-                and machine.machine_id not in due
-                and machine.machine_id not in self._ordered
-                and machine.state is catalog.MachineState.UP
+                view is None
+                or not view.claimed
+                or machine.machine_id in due
+                or machine.machine_id in self._ordered
+                or machine.state is not catalog.MachineState.UP
             ):
+                continue
+            if not view.runs:
                 idle.append(machine.machine_id)
+            elif not any(item.long_running for item in view.runs.values()):
+                busy.append((view.used().cpu, machine.machine_id))
         demand, least = self._decisions.measure_demand(pool, time.time())
         return elasticity.PoolLoad(
             pool=pool,
@@ -449,6 +468,7 @@
             cores=cores,
             machines=machines,
             idle=tuple(idle),
+            busy=tuple(machine_id for _, machine_id in sorted(busy)),
             least=max(elasticity.LEAST_MACHINES, least),
         )
 
--- a/clementinewood/timer.py
+++ b/clementinewood/timer.py
@@ -149,6 +149,27 @@
             event.reduce_time_left(left)
 
 
+class GracefulTimers(TimerService):
+    """A loop whose termination signals start a graceful stop.
+
+    circuits installs its own signal handlers when the loop starts; they end
+    the loop at once, which would cut requests.
+
+    Args:
+        clock: Source of monotonic time in seconds.
+
+    Attributes:
+        on_signal: Called on SIGINT and SIGTERM.
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        super().__init__(clock=clock)
+        self.on_signal: Callable[[], None] = lambda: None
+
+    def _signal_handler(self, number: int, frame: object) -> None:
+        self.subscribe_once(0.0, lambda: self.on_signal())
+
+
 if __name__ == "__main__":
     service = TimerService()
     service.subscribe_every(0.2, lambda: print("period"))
--- /dev/null
+++ b/features/steps/job_decisions_steps.py
@@ -0,0 +1,428 @@
+"""Steps for the pure decisions of the job service."""
+
+import heapq
+import random
+
+import behave
+
+from clementinewood import (
+    catalog,
+    dispatcher,
+    elasticity,
+    identifiers,
+    job,
+    joborder,
+    jobtable,
+    pacing,
+    run,
+    succession,
+    upkeep,
+)
+
+QUEUE = catalog.Queue(
+    name=identifiers.QueueId("quotes"),
+    host="guild",
+    prefix="/",
+    pool=identifiers.PoolId("quotes"),
+    stretch=1.6,
+    slack=0.6,
+)
+SLOTS = 20
+CORES = 32
+
+
+@behave.given(
+    "arrivals at five times what a pool serves for {seconds:g} seconds, seed"
+    " {seed:d}"
+)
+def draw_arrivals(context, seconds, seed):
+    dice = random.Random(seed)
+    context.arrivals = []
+    now = 0.0
+    while now < seconds:
+        now += dice.expovariate(5 * SLOTS)
+        real = dice.lognormvariate(0.0, 0.3)
+        context.arrivals.append((now, real, real * dice.lognormvariate(0, 0.4)))
+    context.outcomes = {}
+
+
+def serve(arrivals, rank):
+    """Serves one-task jobs on SLOTS servers; returns in time and ended."""
+    waiting = []
+    free = [0.0] * SLOTS
+    heapq.heapify(free)
+    coming = list(arrivals)
+    in_time = ended = 0
+    while coming or waiting:
+        now = heapq.heappop(free)
+        if not waiting and coming:
+            now = max(now, coming[0][0])
+        while coming and coming[0][0] <= now:
+            waiting.append(coming.pop(0))
+        waiting.sort(key=lambda item: rank(item, now), reverse=True)
+        arrived, real, _ = waiting.pop()
+        end = now + real
+        heapq.heappush(free, end)
+        ended += 1
+        in_time += end - arrived <= QUEUE.stretch * real + QUEUE.slack
+    return in_time, ended
+
+
+@behave.when("they are served in the order of the dispatcher")
+def serve_ranked(context):
+    def rank(item, now):
+        arrived, _, declared = item
+        return joborder.rank(
+            joborder.Waiting(
+                queue=QUEUE,
+                arrived=arrived,
+                chain=declared,
+                chain_left=declared,
+                begun=False,
+                long_running=False,
+                team_load=0.0,
+            ),
+            now,
+        )
+
+    context.outcomes["ranked"] = serve(context.arrivals, rank)
+
+
+@behave.when("they are served in order of arrival")
+def serve_fifo(context):
+    context.outcomes["fifo"] = serve(
+        context.arrivals, lambda item, now: item[0]
+    )
+
+
+@behave.then("the dispatcher's order has at least twice as many in time")
+def check_in_time(context):
+    ranked, fifo = context.outcomes["ranked"][0], context.outcomes["fifo"][0]
+    assert ranked >= 2 * fifo > 0, context.outcomes
+
+
+@behave.then("as many jobs have ended")
+def check_ended(context):
+    assert context.outcomes["ranked"][1] == context.outcomes["fifo"][1]
+
+
+@behave.given(
+    "{count:d} runs whose declared times are off by half, seed {seed:d}"
+)
+def draw_runs(context, count, seed):
+    dice = random.Random(seed)
+    times = joborder.RunTimes()
+    context.errors = [0.0, 0.0]
+    for number in range(count):
+        real = dice.lognormvariate(0.5, 0.3)
+        declared = real * dice.lognormvariate(-0.3, 0.5)
+        if number > count // 3:
+            expected = times.expect(QUEUE.name, declared)
+            context.errors[0] += abs(expected - real)
+            context.errors[1] += abs(declared - real)
+        times.observe(QUEUE.name, declared, real)
+
+
+@behave.then("expected times are closer to the real ones than declared ones")
+def check_expected(context):
+    assert context.errors[0] < 0.8 * context.errors[1], context.errors
+
+
+def create_load(name, demand, machines, idle, busy=0):
+    names = [f"{name}-{number}" for number in range(idle + busy)]
+    return elasticity.PoolLoad(
+        pool=identifiers.PoolId(name),
+        demand=demand,
+        cores=CORES,
+        machines=machines,
+        idle=tuple(names[:idle]),
+        busy=tuple(names[idle:]),
+        least=1,
+    )
+
+
+@behave.given("pools of {machines:d} machines and {spare:d} spare ones")
+def create_pools(context, machines, spare):
+    context.machines = machines
+    context.spare = [f"spare-{number}" for number in range(spare)]
+    context.elasticity = elasticity.Elasticity()
+    context.now = 0.0
+
+
+def plan(context, loads):
+    context.plan = context.elasticity.plan(
+        loads, context.spare, identifiers.PoolId("spare"), context.now
+    )
+
+
+@behave.when("one pool needs {cores:g} cores")
+def need_cores(context, cores):
+    count = context.machines
+    plan(
+        context,
+        [
+            create_load("hot", cores, count, 0, count),
+            create_load("cold", 0.0, count, count),
+        ],
+    )
+
+
+@behave.then("it gets {count:d} machines in the first round")
+def check_moves(context, count):
+    moves = [move for move in context.plan.moves if move.pool == "hot"]
+    assert len(moves) == count, context.plan
+
+
+@behave.when(
+    "two pools need {cores:g} cores and one of them has taken {count:d}"
+    " machines"
+)
+def need_both(context, cores, count):
+    plan(
+        context,
+        [
+            create_load("large", cores, count, 0, count),
+            create_load("small", cores, context.machines, 0, 8),
+        ],
+    )
+
+
+@behave.then("machines of the larger pool are emptied for the smaller one")
+def check_emptied(context):
+    assert context.plan.emptied
+    assert all(name.startswith("large") for name in context.plan.emptied)
+    assert len(context.plan.emptied) == 4, context.plan
+
+
+@behave.when("nothing is needed for {seconds:g} seconds")
+def need_nothing(context, seconds):
+    end = context.now + seconds
+    while context.now < end:
+        context.now += 0.1
+        load = create_load("cold", 0.0, context.machines, context.machines)
+        plan(context, [load])
+
+
+@behave.then("no machine is given back")
+def check_none_back(context):
+    assert not context.plan.moves
+
+
+@behave.then("{count:d} machines are given back")
+def check_back(context, count):
+    back = [move for move in context.plan.moves if move.pool == "spare"]
+    assert len(back) == min(count, context.machines - 1), context.plan
+
+
+@behave.given(
+    "a wave over {count:d} machines with at most {cap:d} at once and"
+    " {seconds:g} seconds"
+)
+def create_wave(context, count, cap, seconds):
+    names = tuple(f"m{number}" for number in range(count))
+    context.wave = upkeep.WaveState(
+        catalog.Wave(number=1, machines=names, seconds=seconds, cap=cap), 0.0
+    )
+    context.listed = {
+        name: catalog.Machine(
+            machine_id=name,
+            pool=identifiers.PoolId("quotes"),
+            state=catalog.MachineState.UP,
+            zone=identifiers.ZoneId("hobart"),
+            minion_id=identifiers.MinionId(name),
+        )
+        for name in names
+    }
+    context.loads = {
+        name: upkeep.Load(runs=number > 1, lasting=int(number > 1), used=0.2)
+        for number, name in enumerate(names)
+    }
+
+
+def plan_wave(context, short):
+    context.actions = upkeep.plan_wave(
+        context.wave, context.listed, context.loads, 1.0, short=short
+    )
+
+
+@behave.when("a pool is short")
+def plan_short(context):
+    plan_wave(context, True)
+
+
+@behave.when("no pool is short")
+def plan_calm(context):
+    plan_wave(context, False)
+
+
+@behave.then("no machine of the wave is chosen")
+def check_no_action(context):
+    assert not context.actions
+
+
+@behave.then("{count:d} machines of the wave are chosen")
+def check_forced(context, count):
+    assert len(context.actions) == count, context.actions
+
+
+@behave.then("the {count:d} idle machines of the wave are chosen first")
+def check_chosen(context, count):
+    chosen = {action.machine_id for action in context.actions}
+    assert chosen == {f"m{number}" for number in range(count)}, chosen
+
+
+def create_minion():
+    return run.MinionView(
+        catalog.Minion(
+            minion_id=identifiers.MinionId("m1"),
+            incarnation=1,
+            pool=QUEUE.pool,
+            address=("127.0.0.1", 1),
+            zone=identifiers.ZoneId("hobart"),
+            state=catalog.MinionState.READY,
+            capacity=job.Resources(CORES * 1000, 65536),
+        )
+    )
+
+
+def create_run(position, **fields):
+    return run.Run(
+        task=job.TaskId(identifiers.JobId("a"), 0, 0, position),
+        number=1,
+        minion_id=identifiers.MinionId("m1"),
+        team=identifiers.TeamId("canvas"),
+        queue=QUEUE.name,
+        room=job.Resources(),
+        need=job.Resources(),
+        state=run.RunState.RUNNING,
+        **fields,
+    )
+
+
+@behave.given(
+    "a minion that serves with a tail of {tail:d} of {target:d} ms beside"
+    " filling work"
+)
+def create_serving(context, tail, target):
+    context.view = create_minion()
+    serving = create_run(0, tail_target=target / 1000.0, usage=tail)
+    context.view.runs = {
+        serving.task: serving,
+        "filling": create_run(1, fills=True),
+    }
+    context.serving = serving
+    context.pacer = pacing.Pacer()
+    context.now = 10.0
+
+
+def pace(context):
+    context.pacer.observe(context.view, context.now)
+    return [
+        item.percent for item in context.pacer.plan([context.view], context.now)
+    ]
+
+
+@behave.then("the filling work is slowed to {percent:d} percent")
+def check_slowed(context, percent):
+    assert pace(context) == [percent]
+
+
+@behave.when("the tail falls to {tail:d} ms")
+def lower_tail(context, tail):
+    context.serving.usage = tail
+    context.now += 1.0
+
+
+@behave.then("the filling work is sped up to {percent:d} percent")
+def check_sped(context, percent):
+    assert pace(context) == [percent]
+
+
+@behave.given(
+    "a long-running step of {count:d} tasks of which {budget:d} may be away"
+)
+def create_step(context, count, budget):
+    context.runs = [
+        create_run(
+            number, long_running=True, max_unavailable=budget, percent=100
+        )
+        for number in range(count)
+    ]
+
+
+def count_away(context):
+    away = sum(1 for item in context.runs if not item.at_work)
+    return {(identifiers.JobId("a"), 0): away}
+
+
+@behave.when("all are at work")
+def check_all_work(context):
+    assert all(item.at_work for item in context.runs)
+
+
+@behave.then("a task of it may be stopped")
+def check_may_stop(context):
+    assert dispatcher.may_stop(context.runs[1], count_away(context))
+
+
+@behave.when("one is not at work")
+def lose_one(context):
+    context.runs[0].percent = 40
+
+
+@behave.then("no task at work may be stopped")
+def check_may_not_stop(context):
+    assert not dispatcher.may_stop(context.runs[1], count_away(context))
+
+
+@behave.given("an entry that hears a dispatcher renew")
+def hear_renewal(context):
+    context.succession = succession.Succession(
+        identifiers.Incarnation("entry-2/0000000000002-b"), 0.5
+    )
+    context.now = 5.0
+    context.succession.note_fresh(context.now, 0.0)
+    context.succession.note_office(
+        jobtable.Office(
+            identifiers.Term(1),
+            identifiers.Incarnation("entry-1/0000000000001-a"),
+        ),
+        context.now,
+    )
+
+
+@behave.given("an entry whose earlier process held the office")
+def hear_own(context):
+    hear_renewal(context)
+    context.succession.note_office(
+        jobtable.Office(
+            identifiers.Term(2),
+            identifiers.Incarnation("entry-2/0000000000001-a"),
+        ),
+        context.now,
+    )
+    context.now += 0.1
+
+
+@behave.when("nothing is heard for {seconds:g} seconds")
+def hear_nothing(context, seconds):
+    context.now += seconds
+
+
+@behave.when(
+    "the log was unreadable for {seconds:g} seconds and is readable again"
+)
+def lose_log(context, seconds):
+    context.succession.note_unreadable()
+    context.now += seconds
+    context.succession.note_fresh(context.now, seconds)
+
+
+@behave.then("the office is vacant")
+def check_vacant(context):
+    assert context.succession.is_vacant(context.now)
+
+
+@behave.then("the office is not vacant")
+def check_held(context):
+    assert not context.succession.is_vacant(context.now)
