--- a/features/job_world.py
+++ b/features/job_world.py
@@ -27,14 +27,17 @@
 )
 from features import clock
 
-for _part in (
+SILENT = (
     "activejob",
     "dispatcher",
     "dispatchdriver",
     "feed",
     "jobservice",
     "machinecontrol",
-):
+)
+"""Modules whose lines are of no use in tests that do not look at them."""
+
+for _part in SILENT:
     logger.disable(f"clementinewood.{_part}")
 
 STORE_SECONDS = 0.004
--- /dev/null
+++ b/features/operations.feature
@@ -0,0 +1,37 @@
+Feature: Explaining a failure from logs
+  Guards against log lines that do not lead from a request to its cause. Each
+  scenario makes the failure of one walk-through in docs/OPERATIONS.md.
+
+  Scenario: A submission refused while the store is away
+    Given a logged site with 3 entries and 4 minions
+    When the store refuses every entry
+    And a job of 1 steps with 6 tasks is submitted over HTTP
+    Then the caller gets status 503 with Retry-After
+    And a line "CW1602" names the job with reason "store-unavailable" and execution "not-run"
+    And a line "CW1201" was written by the same entry
+
+  Scenario: A job that waited for the leases of a silent minion
+    Given a logged site with 3 entries and 4 minions
+    When a job of 1 steps with 6 tasks of 3 seconds is submitted
+    And a working minion falls silent after 0.5 seconds
+    And 14 seconds pass
+    Then a line "CW1601" names the job
+    And a line "CW1605" names the job
+    And a line "CW1607" was written
+    And a line "CW1604" names the job
+
+  Scenario: A job whose task fails too often
+    Given a logged site with 3 entries and 4 minions
+    When every minion fails what it runs
+    And a job of 1 steps with 1 tasks is submitted
+    And 4 seconds pass
+    Then 2 lines "CW1608" name a task of the job with end "failed"
+    And a line "CW1604" names the job with state "failed"
+
+  Scenario: A bad settings file is told with its name
+    When a settings file without addresses is read
+    Then the fault names the file and what is missing
+
+  Scenario: Unreadable records of another writer are left out with a reason
+    When records that name no minion and no configuration are decoded
+    Then each of them is logged as "CW1708" and the sound ones hold
--- /dev/null
+++ b/features/steps/operations_steps.py
@@ -0,0 +1,185 @@
+"""Steps that look at the log lines of a site."""
+
+import json
+import pathlib
+import tempfile
+
+import behave
+from loguru import logger
+from returns import result
+
+from clementinewood import catalog, edge, event, jobtable
+from clementinewood_platform import document, ingress, wire
+from features import job_world
+from features.steps import job_service_steps
+
+NAME = job_service_steps.NAME
+
+
+def capture_lines(context):
+    """Collects the records of every product module."""
+    context.lines = []
+    for part in job_world.SILENT:
+        logger.enable(f"clementinewood.{part}")
+    sink = logger.add(
+        lambda message: context.lines.append(message.record), level="DEBUG"
+    )
+
+    def restore():
+        logger.remove(sink)
+        for part in job_world.SILENT:
+            logger.disable(f"clementinewood.{part}")
+
+    context.add_cleanup(restore)
+
+
+@behave.given("a logged site with {entries:d} entries and {minions:d} minions")
+def create_logged_site(context, entries, minions):
+    capture_lines(context)
+    job_service_steps.create_site(context, entries, minions)
+
+
+@behave.when(
+    "a job of {steps:d} steps with {count:d} tasks is submitted over HTTP"
+)
+def submit_over_http(context, steps, count):
+    service = job_service_steps.find_follower(context.world)
+    handler = ingress.Ingress(
+        service, job_world.METRICS, wall=context.world.wall
+    )
+    context.http = []
+    request = edge.HttpRequest(
+        "POST",
+        f"/quotes/{NAME}",
+        ((b"host", b"guild"), (b"authorization", b"Bearer key")),
+        json.dumps(
+            {"spec": "", "steps": [{"count": count, "cpu": 1000}] * steps}
+        ).encode(),
+        ("127.0.0.1", 1),
+    )
+    exchange = edge.Exchange(
+        request, lambda *answer: context.http.append(answer)
+    )
+    handler.handle_exchange(exchange)
+    context.world.run_until(lambda: context.http, 3.0)
+
+
+@behave.when("every minion fails what it runs")
+def fail_everything(context):
+    for minion in context.world.minions.values():
+        minion.failing = True
+
+
+@behave.then("the caller gets status {status:d} with Retry-After")
+def check_http(context, status):
+    got, headers, _ = context.http[0]
+    assert got == status, context.http
+    assert any(name == b"retry-after" for name, _ in headers), headers
+
+
+def find_lines(context, number, text):
+    return [
+        record
+        for record in context.lines
+        if record["extra"].get("event") == number and text in record["message"]
+    ]
+
+
+@behave.then('a line "{number}" names the job')
+def check_named(context, number):
+    assert find_lines(context, number, NAME), number
+
+
+@behave.then('a line "{number}" was written')
+@behave.then('a line "{number}" was written by the same entry')
+def check_written(context, number):
+    assert find_lines(context, number, ""), number
+
+
+@behave.then(
+    'a line "{number}" names the job with reason "{reason}" and execution'
+    ' "{execution}"'
+)
+def check_reason(context, number, reason, execution):
+    line = find_lines(context, number, NAME)[0]["extra"]
+    assert (line["reason"], line["execution"]) == (reason, execution), line
+
+
+@behave.then('a line "{number}" names the job with state "{state}"')
+def check_line_state(context, number, state):
+    line = find_lines(context, number, NAME)[0]["extra"]
+    assert line["state"] == state, line
+
+
+@behave.then(
+    '{count:d} lines "{number}" name a task of the job with end "{end}"'
+)
+def check_ends(context, count, number, end):
+    ends = [line["extra"]["end"] for line in find_lines(context, number, NAME)]
+    assert ends == [end] * count, ends
+
+
+@behave.when("a settings file without addresses is read")
+def read_bad_settings(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.path = pathlib.Path(folder.name) / "settings.toml"
+    context.path.write_text('node = "edge-1"\nip = "10.0.0.1"\n')
+    context.outcome = document.read_document(str(context.path))
+
+
+@behave.then("the fault names the file and what is missing")
+def check_fault(context):
+    match context.outcome:
+        case result.Failure(problem):
+            text = problem.render()
+            assert str(context.path) in text and "listen" in text, text
+        case other:
+            raise AssertionError(other)
+
+
+@behave.when("records that name no minion and no configuration are decoded")
+def decode_bad_records(context):
+    capture_lines(context)
+    context.decoder = wire.Decoder()
+    good = {
+        "service": "quotes",
+        "address": "10.0.0.9:80",
+        "zone": "hobart",
+        "state": "ready",
+        "capacity": {"cpu": 1000, "mem_mb": 10},
+        "labels": ["a", "r1"],
+        "later_field": [1],
+    }
+    context.bad = [
+        b"\xff\xfe",
+        b"[]",
+        b"{}",
+        json.dumps({**good, "state": "asleep"}).encode(),
+        json.dumps({**good, "address": 7}).encode(),
+        json.dumps({**good, "capacity": "much"}).encode(),
+    ]
+    context.minions = [
+        context.decoder.decode_minion(jobtable.StoredRecord("m1", value, 0))
+        for value in context.bad
+    ]
+    context.good = context.decoder.decode_minion(
+        jobtable.StoredRecord("m2", json.dumps(good).encode(), 1)
+    )
+    config = {"version": 3, "routes": [], "services": [], "limits": {}}
+    for value in (json.dumps(config).encode(), b'{"version":"x"}', b"nul"):
+        context.decoder.apply_declaration(
+            jobtable.StoredRecord("config", value, 2)
+        )
+
+
+@behave.then('each of them is logged as "{number}" and the sound ones hold')
+def check_decoded(context, number):
+    assert context.minions == [None] * len(context.bad)
+    assert isinstance(context.good, catalog.Minion)
+    declared = context.decoder.read_declarations()
+    assert declared.configuration.version == 3
+    lines = find_lines(context, number, "")
+    assert len(lines) == len(context.bad) + 2, len(lines)
+    assert all(line["extra"]["reason"] for line in lines)
+    assert event.Event.DECLARATION_REFUSED.number == int(number[2:])
