--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -78,7 +78,7 @@
         self._refused: set[tuple[str, str]] = set()
         self._elasticity = elasticity.Elasticity()
         self._listed_at = float("-inf")
-        self._short = False
+        self._surplus: dict[identifiers.PoolId, int] = {}
         self._emptied: frozenset[identifiers.MachineId] = frozenset()
         self._subscriptions: list[timer.Subscription] = []
 
@@ -174,7 +174,7 @@
         self._mark_due()
         for state in self._waves.values():
             actions = upkeep.plan_wave(
-                state, self._machines, loads, now, short=self._short
+                state, self._machines, loads, now, self._surplus
             )
             for action in actions:
                 self._carry_out(state, action)
@@ -195,7 +195,6 @@
                 view.due = machine.machine_id in due
 
     def _read_loads(self) -> dict[identifiers.MachineId, upkeep.Load]:
-        used = self._read_pools()
         shares: dict[identifiers.MachineId, float] = {}
         for machine in self._machines.values():
             view = self._find_view(machine)
@@ -212,26 +211,9 @@
                 runs=len(runs) - len(lasting),
                 lasting=len(lasting),
                 used=shares[machine.machine_id],
-                pool_used=used.get(machine.pool, 0.0),
             )
         return loads
 
-    def _read_pools(self) -> dict[identifiers.PoolId, float]:
-        """Returns the share of each pool that its work takes."""
-        config = self._decisions.config
-        if config is None:
-            return {}
-        room: dict[identifiers.PoolId, float] = {}
-        for machine in self._machines.values():
-            if machine.state is catalog.MachineState.UP:
-                cores = machine.capacity.cpu / 1000.0
-                room[machine.pool] = room.get(machine.pool, 0.0) + cores
-        return {
-            pool: self._decisions.measure_demand(pool, time.time())[0] / cores
-            for pool, cores in room.items()
-            if cores and pool in config.pools
-        }
-
     def _find_view(self, machine: catalog.Machine) -> run.MinionView | None:
         view = self._decisions.views.get(machine.minion_id)
         if view is None or view.minion.pool != machine.pool:
@@ -412,7 +394,14 @@
             for pool in config.pools.values()
             if not pool.spare
         ]
-        self._short = any(load.machines < load.wanted for load in loads)
+        self._surplus = {
+            load.pool: load.machines
+            - load.wanted
+            - self._count_chosen(load.pool)
+            for load in loads
+        }
+        missing = sum(max(0, load.wanted - load.machines) for load in loads)
+        self._surplus[spare_pools[0]] = len(spare) - missing
         plan = self._elasticity.plan(loads, spare, spare_pools[0], now)
         for move in plan.moves:
             self._order_move(move)
@@ -429,6 +418,16 @@
             self._reserve(machine_id, reserved=True)
         self._emptied = emptied
 
+    def _count_chosen(self, pool: identifiers.PoolId) -> int:
+        """Returns machines of a pool that are on their way to upkeep."""
+        return sum(
+            1
+            for state in self._waves.values()
+            for machine_id in state.chosen | state.down.keys()
+            if machine_id in self._machines
+            and self._machines[machine_id].pool == pool
+        )
+
     def _read_pool(
         self,
         pool: identifiers.PoolId,
--- a/clementinewood/upkeep.py
+++ b/clementinewood/upkeep.py
@@ -2,8 +2,8 @@
 
 Load pattern: a wave names up to half of all machines while queues peak in
 turn. A machine gets no new work before its upkeep, so that nearly nothing is
-interrupted; idle machines go first, and busy ones are forced only when the
-time left would not suffice otherwise.
+interrupted; idle machines go first. Each pool gives one machine at a time, and
+more if it can do without them, until the time left would not suffice.
 """
 
 import dataclasses
@@ -20,10 +20,6 @@
 that the remaining turns take."""
 
 
-BUSY = 0.7
-"""Share of a pool in use from which its machines wait for a quieter time."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Load:
     """What a machine does.
@@ -32,13 +28,11 @@
         runs: Runs that end by themselves.
         lasting: Long-running tasks.
         used: Share of its processors in use.
-        pool_used: The same of its pool.
     """
 
     runs: int = 0
     lasting: int = 0
     used: float = 0.0
-    pool_used: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,8 +81,7 @@
     machines: Mapping[identifiers.MachineId, catalog.Machine],
     loads: Mapping[identifiers.MachineId, Load],
     now: float,
-    *,
-    short: bool = False,
+    surplus: Mapping[identifiers.PoolId, int],
 ) -> list[Action]:
     """Returns the steps of a wave that are to be taken now.
 
@@ -97,7 +90,7 @@
         machines: Every machine.
         loads: What the machines do.
         now: Monotonic time in seconds.
-        short: Whether a pool needs more machines than it has.
+        surplus: Machines that each pool can do without.
     """
     wave = state.wave
     left = [
@@ -121,12 +114,20 @@
             actions.append(Action(machine_id, Step.BEGIN))
     room = slots - len(state.down) - len(state.chosen)
     waiting = [item for item in left if item not in state.chosen]
+    taken: dict[identifiers.PoolId, int] = {}
+    occupied = {
+        machines[machine_id].pool
+        for machine_id in state.chosen | state.down.keys()
+        if machine_id in machines
+    }
     for machine_id in _order_machines(waiting, loads):
         if room <= 0:
             break
-        load = loads.get(machine_id, Load())
-        if (short or load.pool_used > BUSY) and not forced:
+        pool = machines[machine_id].pool
+        allowed = max(surplus.get(pool, 0), int(pool not in occupied))
+        if not forced and taken.get(pool, 0) >= allowed:
             continue
+        taken[pool] = taken.get(pool, 0) + 1
         room -= 1
         actions.append(Action(machine_id, Step.EMPTY))
     return actions
@@ -151,6 +152,6 @@
 
     def weigh(machine_id: identifiers.MachineId) -> tuple[float, ...]:
         load = loads.get(machine_id, Load())
-        return (load.lasting, load.pool_used, load.used)
+        return (load.lasting, load.used)
 
     return sorted(machine_ids, key=weigh)
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -37,6 +37,8 @@
   Scenario: A wave takes idle machines first and waits while a pool is short
     Given a wave over 6 machines with at most 2 at once and 60 seconds
     When a pool is short
+    Then 1 machines of the wave are chosen
+    When a pool is short and a machine of it is being emptied
     Then no machine of the wave is chosen
     When no pool is short
     Then the 2 idle machines of the wave are chosen first
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -239,20 +239,27 @@
     }
 
 
-def plan_wave(context, short):
+def plan_wave(context, surplus):
     context.actions = upkeep.plan_wave(
-        context.wave, context.listed, context.loads, 1.0, short=short
+        context.wave, context.listed, context.loads, 1.0, {QUEUE.pool: surplus}
     )
 
 
 @behave.when("a pool is short")
 def plan_short(context):
-    plan_wave(context, True)
+    plan_wave(context, 0)
+
+
+@behave.when("a pool is short and a machine of it is being emptied")
+def plan_occupied(context):
+    context.wave.chosen.add("m5")
+    plan_wave(context, 0)
+    context.wave.chosen.clear()
 
 
 @behave.when("no pool is short")
 def plan_calm(context):
-    plan_wave(context, False)
+    plan_wave(context, 2)
 
 
 @behave.then("no machine of the wave is chosen")
