--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -26,6 +26,10 @@
 LIST_STALE_SECONDS = 3.0
 """Age of the list from which no machine is ordered by it."""
 
+SPARE_RESERVE = 5
+"""Spare machines that a wave leaves alone while it has time: a peak takes
+about as many before those in upkeep are back."""
+
 DOWN_LEAST_SECONDS = 0.4
 """Age of an order from which the list is believed to show its effect."""
 
@@ -401,7 +405,7 @@
             for load in loads
         }
         missing = sum(max(0, load.wanted - load.machines) for load in loads)
-        self._surplus[spare_pools[0]] = len(spare) - missing
+        self._surplus[spare_pools[0]] = len(spare) - missing - SPARE_RESERVE
         plan = self._elasticity.plan(loads, spare, spare_pools[0], now)
         for move in plan.moves:
             self._order_move(move)
--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -150,7 +150,9 @@
 
 
 def compare_parsers(parser, n):
-    text = (runner.ROOT / "examples" / "guild.ini").read_text()
+    text = (
+        runner.ROOT / "clementinewood" / "examples" / "guild.ini"
+    ).read_text()
     source = random.Random(5)
     sound = 0
     parser.parse(text, "test.ini").unwrap()
@@ -197,7 +199,9 @@
 
 @behave.then("{n:d} random and mutated bundle texts are read or refused")
 def check_any_text(context, n):
-    whole = (runner.ROOT / "examples" / "sanctum.ini").read_text()[600:1600]
+    whole = (
+        runner.ROOT / "clementinewood" / "examples" / "sanctum.ini"
+    ).read_text()[600:1600]
     parts = strategies.sampled_from(
         ["[", "]", "=", "\n", " ", "#", "[zone a]\n", "[bundle]\n", "\t", "\r"]
         + ["version = 1", "\x85", "\u2028", "workers = w[1-99999999]", "\x00"]
--- a/features/steps/command_bundle_steps.py
+++ b/features/steps/command_bundle_steps.py
@@ -25,7 +25,9 @@
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.folder = pathlib.Path(folder.name)
-    text = (runner.ROOT / "examples" / "guild.ini").read_text()
+    text = (
+        runner.ROOT / "clementinewood" / "examples" / "guild.ini"
+    ).read_text()
     changed = text.replace("limit = 160", "limit = 150")
     files = {
         "guild.ini": text,
--- a/features/steps/observability_steps.py
+++ b/features/steps/observability_steps.py
@@ -9,7 +9,7 @@
 from clementinewood import dev, event, httpclient, metric
 from features import runner
 
-PACKAGE = runner.ROOT / "clementinewood"
+PACKAGES = (runner.ROOT / "clementinewood", runner.ROOT / "platform")
 NOT_EMITTED = "not emitted by this version"
 TOKEN = "moth-light-91"
 SECONDS = 20.0
@@ -39,7 +39,8 @@
 def find_sources(names, prefix, own):
     texts = [
         path.read_text()
-        for path in PACKAGE.glob("*.py")
+        for package in PACKAGES
+        for path in package.glob("*.py")
         if path.name != f"{own}.py"
     ]
     return {
