--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -44,7 +44,7 @@
 STORE_RETRY_SECONDS = 0.1
 """Pause before an append that failed is sent again."""
 
-MINIONS_GAP_SECONDS = 0.2
+MINIONS_GAP_SECONDS = 0.1
 """Least time between two reads of what minions report; each writes every
 second and a half, and machines take as long to move."""
 
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -32,6 +32,12 @@
 ARRIVAL_SECONDS = 1.0
 """Span over which arriving work is measured; a queue's peak lasts seconds."""
 
+BURST_SECONDS = 0.4
+"""Shorter span for the first moments of a peak."""
+
+BURST_JOBS = 4
+"""Jobs that must have arrived in it, since one alone tells nothing."""
+
 STOP_RETRY_SECONDS = 0.5
 """Pause before a stop without an answer is ordered again."""
 
@@ -741,6 +747,8 @@
         assert self.config is not None
         cpu = 0
         work = 0.0
+        burst = 0.0
+        arrived = 0
         least = 0
         for active in self.jobs.values():
             queue = self.config.queues.get(active.job.queue)
@@ -751,9 +759,16 @@
                 cpu += tasks * part.step.room.cpu
                 if part.step.max_per_minion:
                     least = max(least, -(-tasks // part.step.max_per_minion))
-            recent = wall - active.job.accepted < ARRIVAL_SECONDS
-            if recent and not active.job.long_running:
-                work += self._measure_work(active)
+            age = wall - active.job.accepted
+            if age >= ARRIVAL_SECONDS or active.job.long_running:
+                continue
+            amount = self._measure_work(active)
+            work += amount
+            if age < BURST_SECONDS:
+                burst += amount
+                arrived += 1
+        if arrived >= BURST_JOBS:
+            work = max(work, burst * ARRIVAL_SECONDS / BURST_SECONDS)
         return max(cpu, work / ARRIVAL_SECONDS) / 1000.0, least
 
     def _measure_work(self, active: activejob.ActiveJob) -> float:
--- a/features/steps/observability_steps.py
+++ b/features/steps/observability_steps.py
@@ -89,7 +89,8 @@
 def check_loggers(context):
     users = {
         path.name
-        for path in PACKAGE.glob("*.py")
+        for package in PACKAGES
+        for path in package.glob("*.py")
         if "loguru" in path.read_text()
     }
     assert users == {"event.py"}, users
