Claim the office only while the store answers; name the job in every refusal

The test fails with the old check on a busy log. Found on the way: an idle log's reading could count as stale (2.25 s against 2.0), so that an entry turned unready while nobody dispatched.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -48,6 +48,9 @@
 """Least time between two reads of what minions report; each writes every
 second and a half, and machines take as long to move."""
 
+FAILURES_A_LINE = 20
+"""Failed appends in a row for which one line is logged."""
+
 FORGET_SECONDS = 1.0
 """Period of dropping minions that are gone."""
 
@@ -106,6 +109,7 @@
         self._active = True
         self._planned = False
         self._appending = False
+        self._append_failures = 0
         self._extra: dict[str, bytes] = {}
         self._release = False
         self._looking: set[identifiers.MinionId] = set()
@@ -473,12 +477,15 @@
             case ports.Fenced() | ports.OutOfOrder():
                 self.leave("the store has seen a later term")
             case ports.Failed(execution, detail):
-                event.emit(
-                    event.Event.STORE_REFUSES,
-                    detail=detail,
-                    execution=execution.value,
-                    records=len(items),
-                )
+                self._append_failures += 1
+                if self._append_failures % FAILURES_A_LINE == 1:
+                    event.emit(
+                        event.Event.STORE_REFUSES,
+                        detail=detail,
+                        execution=execution.value,
+                        records=len(items),
+                        failures=self._append_failures,
+                    )
                 self._timers.subscribe_once(
                     STORE_RETRY_SECONDS,
                     lambda: (
@@ -494,6 +501,7 @@
         )
         self._sequence += 1
         self._appending = False
+        self._append_failures = 0
         if released:
             self.stop()
             return
--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -42,6 +42,7 @@
 
     Attributes:
         fresh_at: Monotonic time as of which everything stored was read.
+        heard_at: Monotonic time of the store's last good answer.
         next: Offset to go on from.
         gap: See above; may be changed at any time.
     """
@@ -58,6 +59,7 @@
         gap: float = 0.0,
     ) -> None:
         self.fresh_at = float("-inf")
+        self.heard_at = float("-inf")
         self.next = 0
         self.gap = gap
         self.state = State.STOPPED
@@ -93,6 +95,14 @@
         """Returns seconds since everything stored had been read."""
         return self._timers.clock() - self.fresh_at
 
+    def silence(self) -> float:
+        """Returns seconds since the store's last good answer.
+
+        An idle stream is answered after every wait, so that its reading may
+        be older than this.
+        """
+        return self._timers.clock() - self.heard_at
+
     def hasten(self) -> None:
         """Reads now if the feed pauses between two reads."""
         if self._paused is not None:
@@ -201,6 +211,7 @@
                 failures=self._failures,
             )
         self._failures = 0
+        self.heard_at = self._timers.clock()
 
     def _note_failure(self, outcome: object) -> None:
         self._failures += 1
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -29,8 +29,10 @@
 """Age of the configuration from which no key is accepted any more: a key must
 stop working within five seconds of its withdrawal."""
 
-TABLE_STALE_SECONDS = 2.0
-"""Age of the job table from which an unknown job may be known elsewhere."""
+TABLE_STALE_SECONDS = 2.6
+"""Age of the job table from which an unknown job may be known elsewhere: an
+idle reading gets two waits and a gap old, and a job must be known everywhere
+after three seconds."""
 
 FOLLOWER_GAP_SECONDS = 0.25
 """Least time between two reads of the job log by an entry that does not
@@ -39,9 +41,9 @@
 DISPATCHER_GAP_SECONDS = 0.015
 """The same for the dispatcher: its own appends would wake it each time."""
 
-STORE_SILENT_SECONDS = 1.3
-"""Age of the last reading of the log from which the store counts as silent:
-an idle read returns after one second."""
+STORE_SILENT_SECONDS = 1.5
+"""Time without an answer from which the store counts as silent: an idle read is
+answered after one second and a gap."""
 
 ACCEPT_TRY_SECONDS = 0.15
 """Pause before the append of a job is tried again after a lost answer."""
@@ -259,6 +261,10 @@
             return False, "job log is stale"
         return True, "ready"
 
+    def read_configuration_age(self) -> tuple[int, float]:
+        """Returns the version in force and seconds since it was confirmed."""
+        return self._version(), self._declarations_feed.age()
+
     # Callers.
 
     def admit(self, ask: Ask) -> Target | verdict.Refusal:
@@ -453,7 +459,7 @@
             0.0, patience - DEADLINE_MARGIN_SECONDS
         )
         known = self._pending.get(key)
-        if known is None and self._jobs_feed.age() > STORE_SILENT_SECONDS:
+        if known is None and self._jobs_feed.silence() > STORE_SILENT_SECONDS:
             on_result(
                 ports.Failed(
                     verdict.Execution.NOT_RUN, "the store does not answer"
@@ -511,7 +517,7 @@
         """Whether trying on would only keep the caller waiting."""
         return (
             self._timers.clock() >= pending.deadline
-            or self._jobs_feed.age() > STORE_SILENT_SECONDS
+            or self._jobs_feed.silence() > STORE_SILENT_SECONDS
         )
 
     def _apply_own(self, items: Sequence[ports.Item], offset: int) -> None:
@@ -617,7 +623,8 @@
 
     def _check_office(self) -> None:
         now = self._timers.clock()
-        if self._jobs_feed.age() > TABLE_STALE_SECONDS:
+        if self._jobs_feed.silence() > STORE_SILENT_SECONDS:
+            # This entry's own silence must not pass for the dispatcher's.
             self._succession.note_unreadable()
         if self.draining or not self._succession.is_vacant(now):
             return
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -55,6 +55,10 @@
     And every other entry says that the job is "completed" within 10 seconds
     And no rule was broken
 
+  Scenario: An entry that loses the store does not claim the office
+    When another entry of 10 sites is cut from the store for 4 seconds
+    Then it has never claimed the office
+
   Scenario: Nothing is accepted while the store refuses
     Given a site with 3 entries and 4 minions
     When the store refuses every entry
--- a/features/operations.feature
+++ b/features/operations.feature
@@ -10,6 +10,18 @@
     And a line "CW1602" names the job with reason "store-unavailable" and execution "not-run"
     And a line "CW1201" was written by the same entry
 
+  Scenario: A submission refused for its key
+    Given a logged site with 3 entries and 4 minions
+    When a job is submitted over HTTP with an unknown key
+    Then the caller gets status 401
+    And a line "CW1602" names the job with reason "key-unknown" and execution "not-run"
+    And that line tells the version and the age of the configuration
+
+  Scenario: A flood of refusals is logged within bounds
+    Given a logged site with 3 entries and 4 minions
+    When 500 jobs are submitted over HTTP with an unknown key
+    Then at most 50 lines "CW1602" were written and every caller was answered
+
   Scenario: A job that waited for the leases of a silent minion
     Given a logged site with 3 entries and 4 minions
     When a job of 1 steps with 6 tasks of 3 seconds is submitted
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -4,7 +4,14 @@
 
 import behave
 
-from clementinewood import identifiers, job, jobservice, ports, verdict
+from clementinewood import (
+    identifiers,
+    job,
+    jobservice,
+    ports,
+    succession,
+    verdict,
+)
 from features import job_world
 
 NAME = "00000000000000aa"
@@ -100,6 +107,34 @@
     context.before._store.link.down = True
 
 
+@behave.when(
+    "another entry of {sites:d} sites is cut from the store for {seconds:g}"
+    " seconds"
+)
+def cut_followers(context, sites, seconds):
+    context.standings = set()
+    for number in range(sites):
+        world = job_world.World(number)
+        # Cuts come at different moments of a read and of a renewal.
+        world.run_for(2.0 + 0.05 * number)
+        entry = find_follower(world)
+        for job_number in range(10):
+            # A busy log is read at once, so that readings are young.
+            world.submit(entry, f"{job_number:016x}", create_steps(1, 1))
+            world.run_for(0.1)
+        # Without a spread it would be the first to claim a vacant office.
+        entry._succession.jitter = 0.0
+        entry._store.link.down = True
+        for _ in range(int(seconds / 0.05)):
+            world.run_for(0.05)
+            context.standings.add(entry._succession.standing)
+
+
+@behave.then("it has never claimed the office")
+def check_never_claimed(context):
+    assert context.standings == {succession.Standing.FOLLOWER}
+
+
 @behave.when("a minion without work falls silent")
 def silence_idle(context):
     next(iter(context.world.minions.values())).dark = True
--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -43,6 +43,10 @@
     "a job of {steps:d} steps with {count:d} tasks is submitted over HTTP"
 )
 def submit_over_http(context, steps, count):
+    post_job(context, "key", steps, count)
+
+
+def post_job(context, key, steps, count, times=1):
     service = job_service_steps.find_follower(context.world)
     handler = ingress.Ingress(
         service, job_world.METRICS, wall=context.world.wall
@@ -51,17 +55,50 @@
     request = edge.HttpRequest(
         "POST",
         f"/quotes/{NAME}",
-        ((b"host", b"guild"), (b"authorization", b"Bearer key")),
+        ((b"host", b"guild"), (b"authorization", f"Bearer {key}".encode())),
         json.dumps(
             {"spec": "", "steps": [{"count": count, "cpu": 1000}] * steps}
         ).encode(),
         ("127.0.0.1", 1),
     )
-    exchange = edge.Exchange(
-        request, lambda *answer: context.http.append(answer)
-    )
-    handler.handle_exchange(exchange)
-    context.world.run_until(lambda: context.http, 3.0)
+    for _ in range(times):
+        exchange = edge.Exchange(
+            request, lambda *answer: context.http.append(answer)
+        )
+        handler.handle_exchange(exchange)
+    context.world.run_until(lambda: len(context.http) == times, 3.0)
+
+
+@behave.when("a job is submitted over HTTP with an unknown key")
+def submit_unknown_key(context):
+    post_job(context, "moth", 1, 1)
+
+
+@behave.when("{times:d} jobs are submitted over HTTP with an unknown key")
+def submit_flood(context, times):
+    context.times = times
+    post_job(context, "moth", 1, 1, times)
+
+
+@behave.then("the caller gets status {status:d}")
+def check_status(context, status):
+    assert context.http[0][0] == status, context.http
+
+
+@behave.then("that line tells the version and the age of the configuration")
+def check_version(context):
+    line = find_lines(context, "CW1602", NAME)[0]["extra"]
+    assert line["version"] == 1 and 0 <= line["age"] < 3, line
+
+
+@behave.then(
+    'at most {count:d} lines "{number}" were written and every caller was'
+    " answered"
+)
+def check_bounded(context, count, number):
+    # The handler's clock may turn to a new second once while it answers.
+    assert len(find_lines(context, number, "")) <= 2 * count
+    assert [answer[0] for answer in context.http] == [401] * context.times
 
 
 @behave.when("every minion fails what it runs")
