--- a/clementinewood/activejob.py
+++ b/clementinewood/activejob.py
@@ -14,7 +14,6 @@
         occurrence: Number of the occurrence.
         number: Number of the step.
         step: The step.
-        due: Unix time at which its turn came.
         pending: Indices of tasks that neither run nor are done.
         held: Its runs at each minion.
     """
@@ -22,7 +21,6 @@
     occurrence: int
     number: int
     step: job.Step
-    due: float
     pending: list[int]
     held: dict[identifiers.MinionId, int] = dataclasses.field(
         default_factory=dict
@@ -94,7 +92,7 @@
             for number, step in enumerate(self.job.steps):
                 key = (occurrence, number)
                 if key not in self._opened and self._is_ready(occurrence, step):
-                    self._open(occurrence, number, step, max(due, wall))
+                    self._open(occurrence, number, step)
 
     def next_due(self, wall: float) -> float | None:
         """Returns the Unix time at which the next occurrence is due."""
@@ -123,7 +121,7 @@
             work.pending.remove(item.task.position)
         work.change_held(item.minion_id, 1)
 
-    def remove_run(self, item: run.Run, wall: float) -> None:
+    def remove_run(self, item: run.Run) -> None:
         """Notes that `item` has surely ended; its task may start again."""
         if self.live.get(item.task) is not item:
             return
@@ -134,7 +132,6 @@
         work.change_held(item.minion_id, -1)
         if not self.progress.is_done(item.task):
             work.pending.append(item.task.position)
-            work.due = max(work.due, wall)
 
     def note_done(self, task: job.TaskId) -> None:
         """Notes a task that has ended well, and a gang as a whole."""
@@ -205,9 +202,7 @@
             for earlier in step.after
         )
 
-    def _open(
-        self, occurrence: int, number: int, step: job.Step, due: float
-    ) -> None:
+    def _open(self, occurrence: int, number: int, step: job.Step) -> None:
         self._opened.add((occurrence, number))
         pending = []
         held: dict[identifiers.MinionId, int] = {}
@@ -222,5 +217,5 @@
                 held[item.minion_id] = held.get(item.minion_id, 0) + 1
         if pending or held:
             self.work[occurrence, number] = StepWork(
-                occurrence, number, step, due, pending, held
+                occurrence, number, step, pending, held
             )
--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -214,7 +214,7 @@
             elif not record.value:
                 self._listed.pop(minion_id, None)
         self.dispatcher.update_minions(
-            self._listed.values(), self._timers.clock(), self._wall()
+            self._listed.values(), self._timers.clock()
         )
         for minion_id in self.dispatcher.views:
             if minion_id not in self._looking:
@@ -223,7 +223,7 @@
 
     def _forget_minions(self) -> None:
         before = set(self.dispatcher.views)
-        self.dispatcher.forget_minions(self._timers.clock(), self._wall())
+        self.dispatcher.forget_minions(self._timers.clock())
         for minion_id in before - set(self.dispatcher.views):
             self._minions.forget(minion_id)
 
@@ -268,7 +268,7 @@
         if not self._active or view is None:
             self._looking.discard(minion_id)
             return
-        now, wall = self._timers.clock(), self._wall()
+        now = self._timers.clock()
         pause = 0.0
         match outcome:
             case run.Report():
@@ -279,7 +279,7 @@
                         looks=view.failed_looks,
                     )
                 self.dispatcher.note_report(
-                    minion_id, outcome, sent=sent, now=now, wall=wall
+                    minion_id, outcome, sent=sent, now=now
                 )
                 if view.seen > view.acked:
                     self._flush()
@@ -292,10 +292,10 @@
                 self.leave(f"minion {minion_id} was given a higher token")
                 return
             case ports.OtherLife():
-                self.dispatcher.note_other_life(minion_id, now, wall)
+                self.dispatcher.note_other_life(minion_id, now)
                 pause = SILENT_RELOOK_SECONDS
             case ports.Failed():
-                self.dispatcher.note_look_failed(minion_id, now, wall)
+                self.dispatcher.note_look_failed(minion_id, now)
                 pause = RELOOK_SECONDS
                 if view.failed_looks > 3:
                     pause = SILENT_RELOOK_SECONDS
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -44,7 +44,15 @@
 STOP_CONFIRMED_SECONDS = 2.0
 """Pause before a confirmed stop whose end is not listed is ordered again."""
 
-FIRST_LEASE_SECONDS = 6.0 * (1 + run.CLOCK_DRIFT) + run.LEASE_MARGIN
+FENCED_SECONDS = 2.0
+"""Time within which an earlier dispatcher meets a fence: it looks at every
+minion each second or two, and the first that knows the new term stops it."""
+
+FIRST_LEASE_SECONDS = (
+    run.LEASE_SECONDS * (1 + run.CLOCK_DRIFT)
+    + run.LEASE_MARGIN
+    + FENCED_SECONDS
+)
 """Longest time that a minion runs on for an earlier dispatcher."""
 
 
@@ -214,7 +222,7 @@
     # Minions.
 
     def update_minions(
-        self, minions: Iterable[catalog.Minion], now: float, wall: float
+        self, minions: Iterable[catalog.Minion], now: float
     ) -> None:
         """Takes the platform's list of minions."""
         listed = {minion.minion_id: minion for minion in minions}
@@ -232,7 +240,7 @@
             if minion.incarnation < known.minion.incarnation:
                 continue
             if reborn:
-                self._begin_life(known, now, wall)
+                self._begin_life(known, now)
             known.minion = minion
 
     def _create_view(self, minion: catalog.Minion) -> run.MinionView:
@@ -243,16 +251,14 @@
             view.seen = view.acked = cursor.sequence
         return view
 
-    def _begin_life(
-        self, view: run.MinionView, now: float, wall: float
-    ) -> None:
+    def _begin_life(self, view: run.MinionView, now: float) -> None:
         """Notes that a minion has started anew: its old runs are gone.
 
         A run that no report has shown may have been started by the new life;
         the next report tells.
         """
         listed = [item for item in view.runs.values() if item.listed]
-        self._lose_runs(view, now, wall, listed)
+        self._lose_runs(view, now, listed)
         self._reset_life(view)
 
     def _reset_life(self, view: run.MinionView) -> None:
@@ -270,7 +276,6 @@
         *,
         sent: float,
         now: float,
-        wall: float,
     ) -> None:
         """Takes a minion's answer to a look.
 
@@ -279,14 +284,13 @@
             report: What it answered.
             sent: When the look was sent.
             now: Monotonic time in seconds.
-            wall: Unix time in seconds.
         """
         view = self.views[minion_id]
         life = view.minion.incarnation
         if report.incarnation and report.incarnation != life:
             if report.incarnation < life:
                 return
-            self._begin_life(view, now, wall)
+            self._begin_life(view, now)
             view.minion = dataclasses.replace(
                 view.minion, incarnation=report.incarnation
             )
@@ -296,41 +300,39 @@
         view.clock_offset = report.clock - now
         for row in report.ended:
             if row.sequence > view.seen:
-                self._apply_end(view, row, now, wall)
+                self._apply_end(view, row, now)
                 view.seen = row.sequence
-        self._apply_running(view, report, sent, now, wall)
+        self._apply_running(view, report, sent, now)
         self._pacer.observe(view, now)
 
     def note_look_failed(
-        self, minion_id: identifiers.MinionId, now: float, wall: float
+        self, minion_id: identifiers.MinionId, now: float
     ) -> None:
         """Notes that a minion did not answer a look."""
         view = self.views[minion_id]
         view.failed_looks += 1
-        self.expire_silent(view, now, wall)
+        self.expire_silent(view, now)
 
     def note_other_life(
-        self, minion_id: identifiers.MinionId, now: float, wall: float
+        self, minion_id: identifiers.MinionId, now: float
     ) -> None:
         """Notes that another incarnation answers at a minion's address."""
         view = self.views[minion_id]
-        self._lose_runs(view, now, wall)
+        self._lose_runs(view, now)
         self._reset_life(view)
         view.listed = False
 
-    def expire_silent(
-        self, view: run.MinionView, now: float, wall: float
-    ) -> None:
+    def expire_silent(self, view: run.MinionView, now: float) -> None:
         """Gives up the runs of a minion whose leases must have ended."""
         if now >= view.quiet_after and view.failed_looks:
-            self._lose_runs(view, now, wall)
+            self._lose_runs(view, now)
             view.claimed = False
 
-    def forget_minions(self, now: float, wall: float) -> None:
+    def forget_minions(self, now: float) -> None:
         """Drops minions that are gone and can't run anything any more."""
         for minion_id, view in list(self.views.items()):
             if not view.listed and now >= view.quiet_after:
-                self._lose_runs(view, now, wall)
+                self._lose_runs(view, now)
                 del self.views[minion_id]
 
     # Outcomes of orders.
@@ -373,7 +375,7 @@
                 if item.state is not run.RunState.STARTING:
                     return
                 if item.tries <= 1:
-                    self._remove_run(view, item, wall)
+                    self._remove_run(view, item)
                 else:
                     # An earlier try may still be carried out.
                     self._stop(item)
@@ -411,7 +413,7 @@
         orders: list[Order] = [*self._starts]
         self._starts = []
         for view in self.views.values():
-            self.expire_silent(view, now, wall)
+            self.expire_silent(view, now)
         orders.extend(self._plan_stops(now))
         self._plan_starts(now, wall)
         for paced in self._pacer.plan(self.views.values(), now):
@@ -595,7 +597,7 @@
         if item.state is not run.RunState.PLANNED:
             return None
         if not placement.is_open(view, now, self.evacuated):
-            self._remove_run(view, item, 0.0)
+            self._remove_run(view, item)
             return None
         item.state = run.RunState.STARTING
         item.since = now
@@ -701,7 +703,7 @@
         """Notes that an accepted order has ended a minion and all its runs."""
         view = self.views.get(minion_id)
         if view is not None:
-            self._lose_runs(view, view.last_answer, 0.0)
+            self._lose_runs(view, view.last_answer)
             view.claimed = False
             view.quiet_after = 0.0
 
@@ -793,7 +795,7 @@
     # Helpers.
 
     def _apply_end(
-        self, view: run.MinionView, row: run.EndRow, now: float, wall: float
+        self, view: run.MinionView, row: run.EndRow, now: float
     ) -> None:
         active = self.jobs.get(row.task.job)
         if active is None or not active.knows(row.task):
@@ -833,7 +835,7 @@
             self._apply_failure(active, task, step)
         if known:
             assert item is not None
-            self._remove_run(view, item, wall)
+            self._remove_run(view, item)
         if active.is_complete():
             self._finish(active, job.JobState.COMPLETED)
 
@@ -876,7 +878,6 @@
         report: run.Report,
         sent: float,
         now: float,
-        wall: float,
     ) -> None:
         listed: set[tuple[job.TaskId, int]] = set()
         for row in report.running:
@@ -907,7 +908,7 @@
             )
             gone = settled and item.since < sent
             if gone:
-                self._remove_run(view, item, wall)
+                self._remove_run(view, item)
 
     def _adopt(
         self, view: run.MinionView, row: run.RunningRow, now: float
@@ -965,16 +966,14 @@
         if item.state is run.RunState.STOPPING:
             return
         if item.state is run.RunState.PLANNED:
-            self._remove_run(self.views[item.minion_id], item, 0.0)
+            self._remove_run(self.views[item.minion_id], item)
             return
         item.state = run.RunState.STOPPING
         item.tries = 0
         item.since = 0.0
         self._stops[item.task] = item
 
-    def _remove_run(
-        self, view: run.MinionView, item: run.Run, wall: float
-    ) -> None:
+    def _remove_run(self, view: run.MinionView, item: run.Run) -> None:
         if view.runs.get(item.task) is item:
             del view.runs[item.task]
         if self._stops.get(item.task) is item:
@@ -983,7 +982,7 @@
         if active is None or active.live.get(item.task) is not item:
             return
         self._count_usage(item.team, item.need, -1)
-        active.remove_run(item, wall)
+        active.remove_run(item)
         if active.cancelled or active.progress.state in job.TERMINAL:
             self._drop_if_idle(active)
 
@@ -991,7 +990,6 @@
         self,
         view: run.MinionView,
         now: float,
-        wall: float,
         lost: Iterable[run.Run] | None = None,
     ) -> None:
         """Gives up runs that have surely ended, by default all of a minion."""
@@ -1004,7 +1002,7 @@
                 silent=round(now - view.last_answer, 3),
             )
         for item in items:
-            self._remove_run(view, item, wall)
+            self._remove_run(view, item)
 
     def _note_bad(self, view: run.MinionView, now: float, why: str) -> None:
         if placement.note_bad_start(view, now):
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -71,7 +71,6 @@
     SUBMIT = "submit"
     DESCRIBE = "describe"
     CANCEL = "cancel"
-    COUNT = "count"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/clementinewood/succession.py
+++ b/clementinewood/succession.py
@@ -24,9 +24,6 @@
 """The same for an office that was given up: nothing is done until it is
 claimed, and the store settles claims that collide."""
 
-CLAIM_TIMEOUT_SECONDS = 2.0
-"""Time after which a claim without an outcome is made again, higher."""
-
 
 class Standing(enum.Enum):
     """What an entry is to the office."""
