--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -166,6 +166,7 @@
         self.cursors: dict[identifiers.MinionId, jobtable.Cursor] = {}
         self._began = now
         self._dirty: set[identifiers.JobId] = set()
+        self._ended: set[identifiers.JobId] = set()
         self._usage: dict[identifiers.TeamId, job.Resources] = {}
         self._stops: dict[job.TaskId, run.Run] = {}
         self._starts: list[StartRun] = []
@@ -176,7 +177,8 @@
 
     def add_job(self, accepted: job.Job, progress: job.Progress) -> None:
         """Takes over an accepted job that is not finished."""
-        if accepted.job_id in self.jobs:
+        if accepted.job_id in self.jobs or accepted.job_id in self._ended:
+            # A record that was on its way must not bring an ended job back.
             return
         numbers_from = (self.term - 1) * NUMBERS_PER_TERM
         active = activejob.ActiveJob(accepted, progress, numbers_from)
@@ -241,16 +243,24 @@
                 continue
             if reborn:
                 self._begin_life(known, now)
+            unlisted = known.minion.incarnation == 0
             known.minion = minion
+            if unlisted:
+                self._apply_cursor(known)
 
     def _create_view(self, minion: catalog.Minion) -> run.MinionView:
         view = run.MinionView(minion)
         view.quiet_after = self._began + FIRST_LEASE_SECONDS
-        cursor = self.cursors.get(minion.minion_id)
-        if cursor is not None and cursor.incarnation == minion.incarnation:
-            view.seen = view.acked = cursor.sequence
+        self._apply_cursor(view)
         return view
 
+    def _apply_cursor(self, view: run.MinionView) -> None:
+        """Skips the ends that stored progress reflects already."""
+        cursor = self.cursors.get(view.minion_id)
+        life = view.minion.incarnation
+        if cursor is not None and life and cursor.incarnation == life:
+            view.seen = view.acked = cursor.sequence
+
     def _begin_life(self, view: run.MinionView, now: float) -> None:
         """Notes that a minion has started anew: its old runs are gone.
 
@@ -855,6 +865,7 @@
         if active.progress.state in job.TERMINAL or active.cancelled:
             return
         active.progress.state = state
+        self._ended.add(active.job.job_id)
         self._dirty.add(active.job.job_id)
         active.work.clear()
         for item in list(active.live.values()):
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -73,3 +73,8 @@
   Scenario: The office is claimed at once by the host whose process held it
     Given an entry whose earlier process held the office
     Then the office is vacant
+
+  Scenario: An ended job is not brought back by a record that was on its way
+    Given a dispatcher whose job has ended and was dropped
+    When an older record of the job's progress arrives
+    Then the dispatcher does not take the job again
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -94,6 +94,13 @@
     And 4 tasks run
     And no rule was broken
 
+  Scenario: A failure that is stored and not acknowledged counts once
+    Given a site with 3 entries and 4 minions
+    When every minion fails what it runs once
+    And a job of 1 steps with 1 tasks is submitted
+    And the dispatcher is killed as soon as a failure is stored
+    Then every entry says that the job is "completed" within 10 seconds
+
   Scenario: History that expired unread is replaced by the newest records
     Given a site with 3 entries and 4 minions
     When a job of 1 steps with 6 tasks is submitted
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -433,3 +433,63 @@
 @behave.then("the office is not vacant")
 def check_held(context):
     assert not context.succession.is_vacant(context.now)
+
+
+@behave.given("a dispatcher whose job has ended and was dropped")
+def create_ended(context):
+    context.accepted = job.Job(
+        job_id=identifiers.JobId("00000000000000aa"),
+        queue=QUEUE.name,
+        team=identifiers.TeamId("canvas"),
+        spec="",
+        steps=(job.Step(count=1, need=job.Resources(1000, 10)),),
+        accepted=0.0,
+    )
+    dispatch = dispatcher.Dispatcher(identifiers.Term(1), 0.0)
+    dispatch.config = catalog.Configuration(
+        version=1,
+        queues={QUEUE.name: QUEUE},
+        pools={QUEUE.pool: catalog.Pool(name=QUEUE.pool)},
+        teams={},
+        keys={},
+    )
+    minion = create_minion().minion
+    dispatch.update_minions([minion], 0.0)
+    dispatch.add_job(context.accepted, job.Progress())
+    look(dispatch, 0.0)
+    dispatch.plan(0.1, 0.1)
+    batch = dispatch.take_batch()
+    context.older = next(iter(batch.progress.values())).copy()
+    (order,) = dispatch.note_stored(batch, 0.2)
+    started = dispatcher.StartOutcome.STARTED
+    dispatch.note_start(order, started, 0.3, 0.3)
+    done = run.EndRow(
+        sequence=1,
+        task=order.task,
+        number=order.number,
+        end=run.End.DONE,
+        checkpoint="",
+    )
+    look(dispatch, 1.0, done)
+    dispatch.note_stored(dispatch.take_batch(), 1.1)
+    assert not dispatch.jobs
+    context.dispatch = dispatch
+
+
+def look(dispatch, now, *ended):
+    report = run.Report(
+        incarnation=1, clock=now, running=(), ended=tuple(ended)
+    )
+    dispatch.note_report(
+        identifiers.MinionId("m1"), report, sent=now, now=now + 0.01
+    )
+
+
+@behave.when("an older record of the job's progress arrives")
+def take_older(context):
+    context.dispatch.add_job(context.accepted, context.older)
+
+
+@behave.then("the dispatcher does not take the job again")
+def check_not_taken(context):
+    assert not context.dispatch.jobs
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -191,6 +191,33 @@
     entry._store.link.refuses = False
 
 
+@behave.when("every minion fails what it runs once")
+def fail_once(context):
+    for minion in context.world.minions.values():
+        minion.failing = True
+
+
+@behave.when("the dispatcher is killed as soon as a failure is stored")
+def kill_after_failure(context):
+    world = context.world
+    key = f"p/{NAME}"
+    newest = world.store.newest[ports.Stream.JOBS]
+
+    def is_stored():
+        record = newest.get(key)
+        return record is not None and b'"failed":[[' in record.value
+
+    for _ in range(20000):
+        if is_stored():
+            break
+        world.run_for(0.0005)
+    assert is_stored()
+    assert any(minion.ended for minion in world.minions.values())
+    world.kill(world.dispatcher())
+    for minion in world.minions.values():
+        minion.failing = False
+
+
 @behave.then("the job is accepted")
 def check_accepted(context):
     context.world.run_until(lambda: context.answers, 3.0)
