Give machine control the wall clock; drop an unread field of runs

Found by reading the change again: MachineControl read time.time() itself, although its driver is given the clock, so tests could not set it; no code read Run.over_since.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -124,6 +124,7 @@
             decoder,
             store,
             timers,
+            wall,
             remember=self.put_record,
             on_fenced=lambda: self.leave("a machine order was fenced"),
             settled_after=settled_after,
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -1,7 +1,6 @@
 """Carries out upkeep and moves of machines for the dispatcher in office."""
 
 import json
-import time
 from collections.abc import Callable, Sequence
 
 from clementinewood import (
@@ -44,6 +43,7 @@
         decoder: Renders what operators are told.
         store: The platform's store.
         timers: Timer service.
+        wall: Source of Unix time.
         remember: Stores a record of the dispatcher's own.
         on_fenced: Called when another holder has used a higher token.
         settled_after: Seconds before the first order, so that orders of two
@@ -58,6 +58,7 @@
         decoder: ports.Decoder,
         store: ports.Store,
         timers: timer.TimerService,
+        wall: Callable[[], float],
         *,
         remember: Callable[[str, bytes], None],
         on_fenced: Callable[[], None],
@@ -69,6 +70,7 @@
         self._decoder = decoder
         self._store = store
         self._timers = timers
+        self._wall = wall
         self._remember = remember
         self._on_fenced = on_fenced
         self._first_order = timers.clock() + settled_after
@@ -464,7 +466,7 @@
                 idle.append(machine.machine_id)
             elif not any(item.long_running for item in view.runs.values()):
                 busy.append((view.used().cpu, machine.machine_id))
-        demand, least = self._decisions.measure_demand(pool, time.time())
+        demand, least = self._decisions.measure_demand(pool, self._wall())
         return elasticity.PoolLoad(
             pool=pool,
             demand=demand,
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -72,7 +72,6 @@
         percent: How much of its work is done; 100 is at work if long-running.
         usage: Tail in milliseconds if it serves, else thousandths of a core.
         pace: Share at which it may work, in percent.
-        over_since: Time since which its tail is over its target, or None.
     """
 
     task: job.TaskId
@@ -96,7 +95,6 @@
     percent: int = 0
     usage: int = 0
     pace: int = 100
-    over_since: float | None = None
 
     @property
     def at_work(self) -> bool:
