Keep claims until they are certain; hold machines with unstored ends

(1) While the store takes nothing, ends are seen and not stored; machine control took such machines for idle and moved them, so the ends were gone with the minion, and a successor ran the tasks again. Entries also claimed again at once after losing a claim, counted their own failed claims as the highest term, so that the holder's renewals no longer counted, and won offices while stopping that nobody gave up.

Change: fencedlog sends an append again under the same number until its outcome is certain, after a few times the usual delay instead of one second; a record read from the log confirms a claim; succession tells a lost claim from a failed one; officekeeper holds what jobservice did; a machine with unstored ends is not ordered, and none by a dispatcher whose last stored append is older than 1.2 s.

Before: the new scenario about unstored ends started 33 runs instead of 24 and the one about an unanswered claim found no dispatcher within 4 s; each fails again with its mechanism removed.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -8,6 +8,7 @@
     dispatcher,
     event,
     feed,
+    fencedlog,
     identifiers,
     job,
     jobtable,
@@ -41,15 +42,13 @@
 """Pause between looks while ends wait to be stored: such looks return at once
 and only extend the lease."""
 
-STORE_RETRY_SECONDS = 0.1
-"""Pause before an append that failed is sent again."""
-
 MINIONS_GAP_SECONDS = 0.1
 """Least time between two reads of what minions report; each writes every
 second and a half, and machines take as long to move."""
 
-FAILURES_A_LINE = 20
-"""Failed appends in a row for which one line is logged."""
+CONFIRMED_SECONDS = 1.2
+"""Age of the last stored append from which no machine is ordered: another
+entry may claim the office 1.7 s after the last renewal it has read."""
 
 FORGET_SECONDS = 1.0
 """Period of dropping minions that are gone."""
@@ -60,7 +59,7 @@
 
     Args:
         term: Its number.
-        sequence: Number of the next append in this term.
+        log: Appends of this term, after the claim.
         holder: This process.
         table: Jobs folded up to the claim at least.
         store: The platform's store.
@@ -78,7 +77,7 @@
     def __init__(
         self,
         term: identifiers.Term,
-        sequence: int,
+        log: fencedlog.FencedLog,
         holder: identifiers.Incarnation,
         *,
         table: jobtable.JobTable,
@@ -95,7 +94,7 @@
     ) -> None:
         self.term = term
         self.dispatcher = dispatcher.Dispatcher(term, timers.clock())
-        self._sequence = sequence
+        self._log = log
         self._holder = holder
         self._table = table
         self._store = store
@@ -108,8 +107,7 @@
         self._on_lost = on_lost
         self._active = True
         self._planned = False
-        self._appending = False
-        self._append_failures = 0
+        self._confirmed_at = timers.clock()
         self._extra: dict[str, bytes] = {}
         self._release = False
         self._looking: set[identifiers.MinionId] = set()
@@ -126,6 +124,7 @@
             timers,
             wall,
             remember=self.put_record,
+            is_confirmed=self._is_confirmed,
             on_fenced=lambda: self.leave("a machine order was fenced"),
             settled_after=settled_after,
         )
@@ -163,6 +162,7 @@
     def stop(self) -> None:
         """Stops giving orders."""
         self._active = False
+        self._log.stop()
         self._feed.stop()
         self.machine_control.stop()
         for subscription in self._subscriptions:
@@ -420,9 +420,14 @@
             jobtable.Office(self.term, self._holder, self._release)
         )
 
+    def _is_confirmed(self) -> bool:
+        """Whether no other entry can have claimed the office by now."""
+        age = self._timers.clock() - self._confirmed_at
+        return self._active and age < CONFIRMED_SECONDS
+
     def _flush(self) -> None:
         """Stores what has changed; one append is on its way at a time."""
-        if self._appending or not self._active:
+        if self._log.busy or not self._active:
             return
         if not self._extra and not self.dispatcher.has_changes():
             return
@@ -447,52 +452,24 @@
         if not items:
             self._note_stored(batch)
             return
-        self._appending = True
-        self._append(items, batch)
-
-    def _append(
-        self, items: Sequence[ports.Item], batch: dispatcher.Batch
-    ) -> None:
-        self._store.append(
-            ports.Stream.JOBS,
-            items,
-            lambda outcome: self._on_append(items, batch, outcome),
-            fence=ports.Fence(self.term, self._sequence),
+        self._log.append(
+            items, lambda outcome: self._on_append(items, batch, outcome)
         )
 
     def _on_append(
         self,
         items: Sequence[ports.Item],
         batch: dispatcher.Batch,
-        outcome: ports.AppendResult,
+        outcome: fencedlog.Outcome,
     ) -> None:
-        if not self._active:
-            return
         match outcome:
-            case ports.Appended(offset):
-                self._on_stored(items, offset)
-                self._finish_append(items, batch)
-            case ports.OutOfOrder(expected) if expected == self._sequence + 1:
-                # An earlier try without an answer was carried out.
-                self._finish_append(items, batch)
-            case ports.Fenced() | ports.OutOfOrder():
+            case fencedlog.Superseded():
                 self.leave("the store has seen a later term")
-            case ports.Failed(execution, detail):
-                self._append_failures += 1
-                if self._append_failures % FAILURES_A_LINE == 1:
-                    event.emit(
-                        event.Event.STORE_REFUSES,
-                        detail=detail,
-                        execution=execution.value,
-                        records=len(items),
-                        failures=self._append_failures,
-                    )
-                self._timers.subscribe_once(
-                    STORE_RETRY_SECONDS,
-                    lambda: (
-                        self._append(items, batch) if self._active else None
-                    ),
-                )
+            case fencedlog.Stored(offset, sent):
+                self._confirmed_at = sent
+                if offset is not None:
+                    self._on_stored(items, offset)
+                self._finish_append(items, batch)
 
     def _finish_append(
         self, items: Sequence[ports.Item], batch: dispatcher.Batch
@@ -500,11 +477,8 @@
         released = self._release and any(
             item.value == self._render_office() for item in items
         )
-        self._sequence += 1
-        self._appending = False
-        self._append_failures = 0
         if released:
-            self.stop()
+            self.leave("it was given up")
             return
         self._note_stored(batch)
         self._flush()
--- /dev/null
+++ b/clementinewood/fencedlog.py
@@ -0,0 +1,200 @@
+"""Appends records in order under one term, each stored exactly once.
+
+Load pattern: the store loses answers, answers late or refuses for seconds
+while a dispatcher's renewals and the places of new runs wait behind each
+other. An append without an answer is sent again under the same number, on
+another connection, after a few times the usual delay; the store carries out
+one of the tries.
+"""
+
+import dataclasses
+from collections.abc import Callable, Sequence
+
+from clementinewood import event, identifiers, ports, timer
+
+RETRY_SECONDS = 0.1
+"""Pause before an append that was refused is sent again."""
+
+FIRST_HEDGE_SECONDS = 0.3
+"""Time without an answer after which an append is sent again, while nothing is
+known of the store's usual delay."""
+
+MIN_HEDGE_SECONDS = 0.1
+"""Least such time: the store answers in 4 ms, and stalls of a few tens of
+milliseconds need no second try."""
+
+MAX_HEDGE_SECONDS = 0.8
+"""Longest such time, below the time limit of one call."""
+
+HEDGE_FACTOR = 5.0
+"""Such time as a multiple of the usual delay; a store that has become slow is
+not asked twice for each append for long."""
+
+MAX_TRIES = 3
+"""Tries of one append on their way at a time."""
+
+SMOOTHING = 0.2
+"""Weight of the newest delay in the usual one."""
+
+FAILURES_A_LINE = 20
+"""Failed tries in a row for which one line is logged."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """The records are stored.
+
+    Attributes:
+        offset: Position of the first one; None if a try without an answer
+            stored them.
+        sent: Monotonic time at which the first try was sent.
+    """
+
+    offset: int | None
+    sent: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Superseded:
+    """Another entry has begun this term or a later one."""
+
+
+Outcome = Stored | Superseded
+
+
+class FencedLog:
+    """The appends of one term.
+
+    Args:
+        store: The platform's store.
+        timers: Timer service.
+        term: The term.
+        sequence: Number of its first append.
+    """
+
+    def __init__(
+        self,
+        store: ports.Store,
+        timers: timer.TimerService,
+        term: identifiers.Term,
+        sequence: int,
+    ) -> None:
+        self._store = store
+        self._timers = timers
+        self._term = term
+        self._sequence = sequence
+        self._on_outcome: Callable[[Outcome], None] | None = None
+        self._items: Sequence[ports.Item] = ()
+        self._first_sent = 0.0
+        self._tries = 0
+        self._failures = 0
+        self._delay: float | None = None
+        self._next_try: timer.Subscription | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether an append is on its way."""
+        return self._on_outcome is not None
+
+    def append(
+        self,
+        items: Sequence[ports.Item],
+        on_outcome: Callable[[Outcome], None],
+    ) -> None:
+        """Appends `items` and tries until the outcome is certain.
+
+        Args:
+            items: The records, stored all or nothing.
+            on_outcome: Called once; never after `stop`.
+        """
+        assert not self.busy, "appends of one term follow each other"
+        self._items = items
+        self._on_outcome = on_outcome
+        self._tries = 0
+        self._first_sent = self._timers.clock()
+        self._send()
+
+    def confirm(self) -> None:
+        """Takes the append on its way as stored: it was read from the log."""
+        if self.busy:
+            self._finish(Stored(None, self._first_sent))
+
+    def stop(self) -> None:
+        """Gives up the append on its way; it may still be stored."""
+        self._on_outcome = None
+        self._cancel_next()
+
+    def _send(self) -> None:
+        self._cancel_next()
+        sequence = self._sequence
+        sent = self._timers.clock()
+        self._tries += 1
+        self._store.append(
+            ports.Stream.JOBS,
+            self._items,
+            lambda outcome: self._on_answer(sequence, sent, outcome),
+            fence=ports.Fence(self._term, sequence),
+        )
+        if self._on_outcome is not None and self._tries < MAX_TRIES:
+            self._next_try = self._timers.subscribe_once(
+                self._hedge_after(), self._send
+            )
+
+    def _hedge_after(self) -> float:
+        if self._delay is None:
+            return FIRST_HEDGE_SECONDS
+        wait = HEDGE_FACTOR * self._delay
+        return min(max(wait, MIN_HEDGE_SECONDS), MAX_HEDGE_SECONDS)
+
+    def _on_answer(
+        self, sequence: int, sent: float, outcome: ports.AppendResult
+    ) -> None:
+        if self._on_outcome is None or sequence != self._sequence:
+            return
+        self._tries -= 1
+        match outcome:
+            case ports.Appended(offset):
+                self._observe(self._timers.clock() - sent)
+                self._finish(Stored(offset, self._first_sent))
+            case ports.OutOfOrder(expected) if expected == sequence + 1:
+                # An earlier try without an answer was carried out.
+                self._finish(Stored(None, self._first_sent))
+            case ports.Fenced() | ports.OutOfOrder():
+                self._finish(Superseded())
+            case ports.Failed():
+                self._note_failure(outcome)
+                if not self._tries:
+                    self._cancel_next()
+                    self._next_try = self._timers.subscribe_once(
+                        RETRY_SECONDS, self._send
+                    )
+
+    def _observe(self, delay: float) -> None:
+        known = delay if self._delay is None else self._delay
+        self._delay = known + SMOOTHING * (delay - known)
+
+    def _note_failure(self, failed: ports.Failed) -> None:
+        self._failures += 1
+        if self._failures % FAILURES_A_LINE == 1:
+            event.emit(
+                event.Event.STORE_REFUSES,
+                detail=failed.detail,
+                execution=failed.execution.value,
+                term=self._term,
+                records=len(self._items),
+                failures=self._failures,
+            )
+
+    def _finish(self, outcome: Outcome) -> None:
+        on_outcome, self._on_outcome = self._on_outcome, None
+        assert on_outcome is not None
+        self._cancel_next()
+        if isinstance(outcome, Stored):
+            self._sequence += 1
+            self._failures = 0
+        on_outcome(outcome)
+
+    def _cancel_next(self) -> None:
+        if self._next_try is not None:
+            self._next_try.cancel()
+            self._next_try = None
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -15,12 +15,13 @@
     dispatchdriver,
     event,
     feed,
+    fencedlog,
     identifiers,
     job,
     jobtable,
     metric,
+    officekeeper,
     ports,
-    succession,
     timer,
     verdict,
 )
@@ -41,10 +42,6 @@
 DISPATCHER_GAP_SECONDS = 0.015
 """The same for the dispatcher: its own appends would wake it each time."""
 
-STORE_SILENT_SECONDS = 1.5
-"""Time without an answer from which the store counts as silent: an idle read is
-answered after one second and a gap."""
-
 ACCEPT_TRY_SECONDS = 0.15
 """Pause before the append of a job is tried again after a lost answer."""
 
@@ -58,9 +55,6 @@
 """What callers are told while the store does not take their job: outages last
 seconds, and another entry may reach it."""
 
-OFFICE_PERIOD_SECONDS = 0.1
-"""Period of checking whether the dispatcher's office is vacant."""
-
 
 _SYSTEM_RANDOM = random.SystemRandom()
 
@@ -172,6 +166,7 @@
         declared: What operators declare now.
         draining: Whether the entry is stopping.
         table: Every job of the site.
+        keeper: This entry's part in who dispatches.
     """
 
     def __init__(
@@ -199,21 +194,13 @@
         self._decoder = decoder
         self._timers = timers
         self._metrics = metrics
-        self._lease_seconds = lease_seconds
         self._early_seconds = early_seconds
         self._wall = wall
-        self._driver: dispatchdriver.DispatchDriver | None = None
-        self._claim_head = -1
-        self._claim_sequence = 0
         self._pending: dict[str, _Pending] = {}
         self._refreshing: list[Callable[[], None]] = []
-        self._chance = chance
-        self._before: jobtable.Office | None = None
-        self._heard_before = 0.0
         metrics.observe(
             metric.DISPATCHING, lambda: [({}, float(self.dispatching))]
         )
-        self._succession = succession.Succession(self.incarnation, chance())
         self._jobs_feed = feed.Feed(
             store,
             ports.Stream.JOBS,
@@ -223,6 +210,17 @@
             on_fresh=self._note_fresh,
             gap=FOLLOWER_GAP_SECONDS,
         )
+        self.keeper = officekeeper.OfficeKeeper(
+            self.incarnation,
+            store=store,
+            jobs_feed=self._jobs_feed,
+            timers=timers,
+            chance=chance,
+            lease_seconds=lease_seconds,
+            create_driver=self._create_driver,
+            on_begun=self._begin_office,
+            on_left=self._end_office,
+        )
         self._declarations_feed = feed.Feed(
             store,
             ports.Stream.DECLARATIONS,
@@ -235,13 +233,12 @@
         """Starts to follow the store."""
         self._jobs_feed.start()
         self._declarations_feed.start()
-        self._timers.subscribe_every(OFFICE_PERIOD_SECONDS, self._check_office)
+        self.keeper.start()
 
     def stop(self) -> None:
         """Leaves the office; callers are served until their last request."""
         self.draining = True
-        if self._driver is not None:
-            self._driver.release()
+        self.keeper.release()
 
     @property
     def dispatching(self) -> bool:
@@ -458,7 +455,10 @@
             0.0, patience - DEADLINE_MARGIN_SECONDS
         )
         known = self._pending.get(key)
-        if known is None and self._jobs_feed.silence() > STORE_SILENT_SECONDS:
+        if (
+            known is None
+            and self._jobs_feed.silence() > officekeeper.STORE_SILENT_SECONDS
+        ):
             on_result(
                 ports.Failed(
                     verdict.Execution.NOT_RUN, "the store does not answer"
@@ -516,7 +516,7 @@
         """Whether trying on would only keep the caller waiting."""
         return (
             self._timers.clock() >= pending.deadline
-            or self._jobs_feed.silence() > STORE_SILENT_SECONDS
+            or self._jobs_feed.silence() > officekeeper.STORE_SILENT_SECONDS
         )
 
     def _apply_own(self, items: Sequence[ports.Item], offset: int) -> None:
@@ -556,7 +556,7 @@
         for record in records:
             match self.table.apply(record):
                 case jobtable.Office() as office:
-                    self._note_office(office)
+                    self.keeper.note_office(office, record.offset)
                 case jobtable.Entry() as entry:
                     self._note_entry(entry)
         for key in [key for key in self._pending if self._is_folded(key)]:
@@ -575,12 +575,10 @@
             self._driver.take_entry(entry)
 
     def _note_fresh(self) -> None:
-        now = self._timers.clock()
-        self._succession.note_fresh(now, 0.0)
         waiting, self._refreshing = self._refreshing, []
         for callback in waiting:
             callback()
-        self._check_claim()
+        self.keeper.note_fresh()
 
     def _load_declarations(
         self, records: Sequence[jobtable.StoredRecord]
@@ -613,65 +611,19 @@
 
     # The dispatcher's office.
 
-    def _note_office(self, office: jobtable.Office) -> None:
-        if office.holder != self.incarnation:
-            self._before = office
-            self._heard_before = self._timers.clock()
-        if self._succession.note_office(office, self._timers.clock()):
-            self._leave_office(f"term {office.term} has begun")
-
-    def _check_office(self) -> None:
-        now = self._timers.clock()
-        if self._jobs_feed.silence() > STORE_SILENT_SECONDS:
-            # This entry's own silence must not pass for the dispatcher's.
-            self._succession.note_unreadable()
-        if self.draining or not self._succession.is_vacant(now):
-            return
-        term = self._succession.begin_claim(now)
-        # Two claims of one term differ in their numbers, so that the store
-        # refuses the later one.
-        self._claim_sequence = int(self._chance() * (1 << 30)) + 1
-        event.emit(event.Event.OFFICE_CLAIMED, term=term)
-        office = jobtable.Office(term, self.incarnation)
-        self._store.append(
-            ports.Stream.JOBS,
-            [ports.Item(jobtable.OFFICE_KEY, jobtable.encode_office(office))],
-            lambda outcome: self._on_claim(term, outcome),
-            fence=ports.Fence(term, self._claim_sequence),
-        )
-
-    def _on_claim(
-        self, term: identifiers.Term, outcome: ports.AppendResult
-    ) -> None:
-        claiming = self._succession.standing is succession.Standing.CLAIMING
-        if not claiming or self._succession.term != term:
-            return
-        match outcome:
-            case ports.Appended(offset):
-                self._claim_head = offset + 1
-                self._check_claim()
-            case _:
-                event.emit(
-                    event.Event.STORE_REFUSES, detail=str(outcome), term=term
-                )
-                self._succession.leave(self._timers.clock())
+    @property
+    def _driver(self) -> dispatchdriver.DispatchDriver | None:
+        return self.keeper.driver
 
-    def _check_claim(self) -> None:
-        """Starts to dispatch once every record before the claim is folded."""
-        if (
-            self._succession.standing is not succession.Standing.CLAIMING
-            or self._claim_head < 0
-            or self.table.head < self._claim_head
-            or self.draining
-        ):
-            return
-        self._claim_head = -1
-        self._succession.note_claimed()
-        self._jobs_feed.gap = DISPATCHER_GAP_SECONDS
-        term = self._succession.term
-        self._driver = dispatchdriver.DispatchDriver(
+    def _create_driver(
+        self,
+        term: identifiers.Term,
+        log: fencedlog.FencedLog,
+        settled_after: float,
+    ) -> dispatchdriver.DispatchDriver:
+        driver = dispatchdriver.DispatchDriver(
             term,
-            self._claim_sequence + 1,
+            log,
             self.incarnation,
             table=self.table,
             store=self._store,
@@ -681,41 +633,21 @@
             timers=self._timers,
             wall=self._wall,
             on_stored=self._apply_own,
-            on_lost=self._leave_office,
-            settled_after=self._settle_seconds(),
+            on_lost=self.keeper.leave,
+            settled_after=settled_after,
             count_start=lambda outcome: self._metrics.count(
                 metric.RUN_STARTS, outcome=outcome
             ),
         )
-        self._driver.dispatcher.early = self._early_seconds
-        self._driver.start(self.declared)
+        driver.dispatcher.early = self._early_seconds
+        return driver
 
-    def _settle_seconds(self) -> float:
-        """Returns how long orders about machines must wait.
+    def _begin_office(self, driver: dispatchdriver.DispatchDriver) -> None:
+        self._jobs_feed.gap = DISPATCHER_GAP_SECONDS
+        driver.start(self.declared)
 
-        Orders of two holders about one machine must be apart; the last one
-        of the holder before came no later than it was heard of.
-        """
-        before = self._before
-        if before is None or _is_same_entry(before.holder, self.incarnation):
-            return 0.0
-        age = self._timers.clock() - self._heard_before
-        return max(0.0, self._lease_seconds - age)
-
-    def _leave_office(self, reason: str) -> None:
-        driver, self._driver = self._driver, None
-        if driver is None:
-            return
-        driver.stop()
-        self._succession.leave(self._timers.clock())
+    def _end_office(self) -> None:
         self._jobs_feed.gap = FOLLOWER_GAP_SECONDS
-        event.emit(event.Event.OFFICE_LEFT, term=driver.term, reason=reason)
-
-
-def _is_same_entry(
-    one: identifiers.Incarnation, other: identifiers.Incarnation
-) -> bool:
-    return one.rpartition("/")[0] == other.rpartition("/")[0]
 
 
 def _refuse(reason: verdict.Reason, detail: str) -> verdict.Refusal:
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -45,6 +45,7 @@
         timers: Timer service.
         wall: Source of Unix time.
         remember: Stores a record of the dispatcher's own.
+        is_confirmed: Whether this entry surely holds the office.
         on_fenced: Called when another holder has used a higher token.
         settled_after: Seconds before the first order, so that orders of two
             holders are apart.
@@ -61,6 +62,7 @@
         wall: Callable[[], float],
         *,
         remember: Callable[[str, bytes], None],
+        is_confirmed: Callable[[], bool],
         on_fenced: Callable[[], None],
         settled_after: float,
     ) -> None:
@@ -72,6 +74,7 @@
         self._timers = timers
         self._wall = wall
         self._remember = remember
+        self._is_confirmed = is_confirmed
         self._on_fenced = on_fenced
         self._first_order = timers.clock() + settled_after
         self._active = False
@@ -172,7 +175,7 @@
 
     def _plan(self) -> None:
         now = self._timers.clock()
-        if now < self._first_order:
+        if now < self._first_order or not self._is_confirmed():
             return
         if now - self._listed_at > LIST_STALE_SECONDS:
             return
@@ -217,6 +220,7 @@
                 runs=len(runs) - len(lasting),
                 lasting=len(lasting),
                 used=shares[machine.machine_id],
+                unstored=view is not None and view.has_unstored_ends,
             )
         return loads
 
@@ -457,6 +461,7 @@
             if (
                 view is None
                 or not view.claimed
+                or view.has_unstored_ends
                 or machine.machine_id in due
                 or machine.machine_id in self._ordered
                 or machine.state is not catalog.MachineState.UP
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -205,6 +205,11 @@
         """Whether it is leaving."""
         return self.minion.state is catalog.MinionState.DRAINING
 
+    @property
+    def has_unstored_ends(self) -> bool:
+        """Whether ends were seen that would be lost with the minion."""
+        return self.seen > self.acked
+
     def used(self) -> job.Resources:
         """Returns the room that its runs may take."""
         total = job.Resources()
--- a/clementinewood/upkeep.py
+++ b/clementinewood/upkeep.py
@@ -28,11 +28,14 @@
         runs: Runs that end by themselves.
         lasting: Long-running tasks.
         used: Share of its processors in use.
+        unstored: Whether ends were seen there that are not stored yet; they
+            would be lost with the minion, and the tasks would run again.
     """
 
     runs: int = 0
     lasting: int = 0
     used: float = 0.0
+    unstored: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -109,6 +112,8 @@
     for machine_id in sorted(state.chosen):
         load = loads.get(machine_id, Load())
         ready = not load.lasting and (not load.runs or forced)
+        if load.unstored:
+            continue
         if machine_id in left and ready and free > 0:
             free -= 1
             actions.append(Action(machine_id, Step.BEGIN))
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -70,6 +70,22 @@
     When the log was unreadable for 10 seconds and is readable again
     Then the office is not vacant
 
+  Scenario: Renewals count for an entry whose own claim has failed
+    Given an entry that hears a dispatcher renew
+    When its claim fails
+    And the dispatcher renews for 5 seconds
+    Then the office is not vacant
+
+  Scenario: An office that another entry has won is not claimed again at once
+    Given an entry that hears a dispatcher give up the office
+    When another entry wins the claim
+    Then the office is not vacant
+
+  Scenario: A late renewal of the holder before does not unseat its successor
+    Given an entry that hears a dispatcher renew
+    When its claim is stored
+    Then a renewal of the holder before changes nothing
+
   Scenario: The office is claimed at once by the host whose process held it
     Given an entry whose earlier process held the office
     Then the office is vacant
--- /dev/null
+++ b/features/job_machines.py
@@ -0,0 +1,113 @@
+"""A stand-in for the platform's machine service in sites of `job_world`."""
+
+from clementinewood import catalog, identifiers, ports
+
+SERVICE_SECONDS = 0.004
+MOVE_SECONDS = 1.5
+UPKEEP_SECONDS = 2.0
+
+
+class Machine:
+    """One machine; its minion ends with every move and upkeep."""
+
+    def __init__(self, machine_id, pool, minion):
+        self.machine_id = identifiers.MachineId(machine_id)
+        self.pool = pool
+        self.minion = minion
+        self.state = catalog.MachineState.UP
+        self.token = 0
+
+    def describe(self):
+        minion = self.minion
+        return catalog.Machine(
+            machine_id=self.machine_id,
+            pool=self.pool,
+            state=self.state,
+            zone=minion.zone,
+            minion_id=minion.minion_id,
+            capacity=minion.capacity,
+            labels=minion.labels,
+        )
+
+
+class MachineService:
+    """Carries out moves and upkeep; minions in the spare pool are off."""
+
+    def __init__(self, world, spare_pool):
+        self.world = world
+        self.spare_pool = spare_pool
+        self.machines = {}
+        self.lives = 0
+        self.orders = []
+
+    def add(self, minion):
+        machine = Machine(f"machine-{minion.minion_id}", minion.pool, minion)
+        self.machines[machine.machine_id] = machine
+
+    def order(self, kind, machine_id, pool, term, seconds):
+        machine = self.machines[machine_id]
+        if term < machine.token:
+            return ports.MachineOutcome.FENCED
+        machine.token = term
+        if machine.state is not catalog.MachineState.UP:
+            return ports.MachineOutcome.BUSY
+        self.orders.append((term, kind, machine_id, pool))
+        machine.state = (
+            catalog.MachineState.UPKEEP
+            if kind == "upkeep"
+            else catalog.MachineState.MOVING
+        )
+        machine.pool = pool
+        self.world.remove_minion(machine.minion)
+        self.world.timers.subscribe_once(
+            seconds, lambda: self._come_back(machine)
+        )
+        return ports.MachineOutcome.ACCEPTED
+
+    def _come_back(self, machine):
+        machine.state = catalog.MachineState.UP
+        old = machine.minion
+        self.lives += 1
+        machine.minion = self.world.create_minion(
+            f"{old.minion_id.partition('/')[0]}/{self.lives}",
+            old.zone,
+            machine.pool,
+            old.capacity,
+        )
+        if machine.pool != self.spare_pool:
+            self.world.join_minion(machine.minion)
+
+
+class MachineAccess:
+    """One entry's calls to the machine service."""
+
+    def __init__(self, world, service, link):
+        self.world = world
+        self.service = service
+        self.link = link
+
+    def list_machines(self, on_result):
+        self._call(
+            lambda: tuple(
+                machine.describe() for machine in self.service.machines.values()
+            ),
+            on_result,
+            lambda execution: ports.Failed(execution, "lost"),
+        )
+
+    def move(self, machine_id, pool, term, on_result):
+        self._order("move", machine_id, pool, term, MOVE_SECONDS, on_result)
+
+    def upkeep(self, machine_id, wave, term, on_result):
+        pool = self.service.machines[machine_id].pool
+        self._order("upkeep", machine_id, pool, term, UPKEEP_SECONDS, on_result)
+
+    def _order(self, kind, machine_id, pool, term, seconds, on_result):
+        self._call(
+            lambda: self.service.order(kind, machine_id, pool, term, seconds),
+            on_result,
+            lambda execution: ports.MachineOutcome.UNKNOWN,
+        )
+
+    def _call(self, apply, on_result, lost):
+        self.world.call(self.link, SERVICE_SECONDS, apply, on_result, lost)
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -59,6 +59,34 @@
     When another entry of 10 sites is cut from the store for 4 seconds
     Then it has never claimed the office
 
+  Scenario: A claim that is stored without an answer is taken up
+    Given a site with 3 entries and 4 minions
+    When no append is answered
+    And the dispatcher is killed after 0.1 seconds
+    Then another entry dispatches within 4 seconds
+
+  Scenario: An office that is won while the entry stops is given up at once
+    Given a site with 3 entries and 4 minions
+    When the dispatcher is killed and the entry that claims its office stops
+    Then another entry dispatches within 0.6 seconds
+
+  Scenario: A dispatcher that loses the store orders no machines
+    Given a site with 3 entries, 8 minions and 4 spare machines
+    When the dispatcher is cut from the store after 0 seconds
+    And 6 seconds pass
+    Then it has ordered no machine
+    And another entry has ordered machines
+
+  Scenario: Ends that are not stored yet are not lost with their minion
+    Given a site with 3 entries, 8 minions and 4 spare machines
+    When a job of 1 steps with 24 tasks is submitted
+    And no append is carried out after 0.25 seconds
+    And 6 seconds pass
+    And the dispatcher is killed and appends are answered again
+    Then every entry says that the job is "completed" within 15 seconds
+    And 24 runs began
+    And no rule was broken
+
   Scenario: Nothing is accepted while the store refuses
     Given a site with 3 entries and 4 minions
     When the store refuses every entry
@@ -112,3 +140,9 @@
     When each site runs for 25 seconds and then in peace
     Then every accepted job of every site is completed
     And no site broke a rule
+
+  Scenario: Random troubles with moving machines neither lose nor double work
+    Given 6 sites with spare machines and troubles drawn from seed 815
+    When each site runs for 25 seconds and then in peace
+    Then every accepted job of every site is completed
+    And no site broke a rule
--- a/features/job_world.py
+++ b/features/job_world.py
@@ -25,15 +25,17 @@
     timer,
     verdict,
 )
-from features import clock
+from features import clock, job_machines
 
 SILENT = (
     "activejob",
     "dispatcher",
     "dispatchdriver",
     "feed",
+    "fencedlog",
     "jobservice",
     "machinecontrol",
+    "officekeeper",
 )
 """Modules whose lines are of no use in tests that do not look at them."""
 
@@ -46,6 +48,9 @@
 MAX_LEASE_SECONDS = 6.0
 CRASH_SECONDS = 1.2
 WALL_OFFSET = 1_000_000.0
+QUOTES_POOL = identifiers.PoolId("quotes")
+SPARE_POOL = identifiers.PoolId("noticeboard")
+CAPACITY = job.Resources(8000, 65536)
 
 METRICS = metric.Metrics()
 
@@ -57,6 +62,7 @@
         self.down = False
         self.refuses = False
         self.lose_answers = 0.0
+        self.carried_out = 0.7
         self.late = 0.0
 
 
@@ -461,9 +467,11 @@
         entries: Number of entries.
         minions: Number of minions, spread over three zones.
         cap: Upper limit of the one team, in thousandths of a core.
+        spare: Number of machines in a spare pool; without it, machines do not
+            move.
     """
 
-    def __init__(self, seed=1, *, entries=3, minions=4, cap=0):
+    def __init__(self, seed=1, *, entries=3, minions=4, cap=0, spare=None):
         self.random = random.Random(seed)
         self.clock = clock.ManualClock(100.0)
         self.timers = timer.TimerService(clock=self.clock)
@@ -475,16 +483,23 @@
         self.done = {}
         self.minions = {}
         self.entries = []
+        self.machine_links = {}
         self.cancelled_at = {}
         queue = catalog.Queue(
             name=identifiers.QueueId("quotes"),
             host="guild",
             prefix="/quotes/",
-            pool=identifiers.PoolId("quotes"),
+            pool=QUOTES_POOL,
             max_attempts=2,
             stretch=2.0,
             slack=0.6,
         )
+        pools = {queue.pool: catalog.Pool(name=queue.pool)}
+        self.machine_service = None
+        if spare is not None:
+            pool = catalog.Pool(name=SPARE_POOL, spare=True)
+            pools[pool.name] = pool
+            self.machine_service = job_machines.MachineService(self, SPARE_POOL)
         team = catalog.Team(
             name=identifiers.TeamId("canvas"), cap=job.Resources(cap)
         )
@@ -492,7 +507,7 @@
             catalog.Configuration(
                 version=1,
                 queues={queue.name: queue},
-                pools={queue.pool: catalog.Pool(name=queue.pool)},
+                pools=pools,
                 teams={team.name: team},
                 keys={"key": team.name},
             ),
@@ -501,25 +516,45 @@
         )
         for number in range(minions):
             self.add_minion(f"m{number}", f"zone-{number % 3}")
+        for number in range(spare or 0):
+            minion = self.create_minion(
+                f"s{number}", f"zone-{number % 3}", SPARE_POOL
+            )
+            self.machine_service.add(minion)
         for number in range(entries):
             self.add_entry(f"entry-{number}")
         self.timers.subscribe_every(0.01, self._tick_minions)
         self.timers.subscribe_every(1.0, self._publish_minions)
 
     def add_minion(self, name, zone, cpu=8000):
-        minion = Minion(
-            self, name, "quotes", zone, job.Resources(cpu, 65536), ("a", zone)
+        minion = self.create_minion(
+            name, zone, QUOTES_POOL, job.Resources(cpu, 65536)
         )
-        self.minions[minion.minion_id] = minion
-        self.store.put(ports.Stream.MINIONS, name, b"1")
+        self.join_minion(minion)
+        if self.machine_service is not None:
+            self.machine_service.add(minion)
         return minion
 
+    def create_minion(self, name, zone, pool, capacity=CAPACITY):
+        return Minion(self, name, pool, zone, capacity, ("a", zone))
+
+    def join_minion(self, minion):
+        """Lists a minion that has started."""
+        self.minions[minion.minion_id] = minion
+        self.store.put(ports.Stream.MINIONS, minion.minion_id, b"1")
+
+    def remove_minion(self, minion):
+        """Ends a minion for good; what runs there and its ends are gone."""
+        minion.crash()
+        self.minions.pop(minion.minion_id, None)
+        self.store.put(ports.Stream.MINIONS, minion.minion_id, b"")
+
     def add_entry(self, name):
         service = jobservice.JobService(
             identifiers.EntryId(name),
             store=StoreAccess(self, self.store),
             minions=MinionAccess(self, name),
-            machines=None,
+            machines=self._create_machine_access(name),
             decoder=Decoder(self),
             timers=self.timers,
             metrics=METRICS,
@@ -530,13 +565,21 @@
         self.entries.append(service)
         return service
 
+    def _create_machine_access(self, name):
+        if self.machine_service is None:
+            return None
+        link = self.machine_links.setdefault(name, Link())
+        return job_machines.MachineAccess(self, self.machine_service, link)
+
     def wall(self):
         return self.clock() + WALL_OFFSET
 
     def kill(self, service):
         """Ends a process without notice."""
-        if service._driver is not None:
-            service._driver.stop()
+        if service.keeper.driver is not None:
+            service.keeper.driver.stop()
+        service.keeper._releasing = True
+        service.keeper._drop_claim()
         service._jobs_feed.stop()
         service._declarations_feed.stop()
         service.draining = True
@@ -605,7 +648,7 @@
             return
         if link.lose_answers and self.random.random() < link.lose_answers:
             delay = self.random.uniform(0, link.late) if link.late else 0.0
-            if self.random.random() < 0.7:
+            if self.random.random() < link.carried_out:
                 self.timers.subscribe_once(seconds + delay, lambda: apply())
             self.timers.subscribe_once(
                 SILENCE_SECONDS,
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -388,7 +388,7 @@
         identifiers.Incarnation("entry-2/0000000000002-b"), 0.5
     )
     context.now = 5.0
-    context.succession.note_fresh(context.now, 0.0)
+    context.succession.note_fresh(context.now)
     context.succession.note_office(
         jobtable.Office(
             identifiers.Term(1),
@@ -398,6 +398,57 @@
     )
 
 
+def create_office(*, released=False):
+    return jobtable.Office(
+        identifiers.Term(1),
+        identifiers.Incarnation("entry-1/0000000000001-a"),
+        released,
+    )
+
+
+@behave.given("an entry that hears a dispatcher give up the office")
+def hear_release(context):
+    hear_renewal(context)
+    context.succession.note_office(create_office(released=True), context.now)
+    context.now += 0.1
+    assert context.succession.is_vacant(context.now)
+
+
+@behave.when("its claim fails")
+def fail_claim(context):
+    context.succession.begin_claim()
+    context.succession.note_claim_failed(context.now)
+
+
+@behave.when("the dispatcher renews for {seconds:g} seconds")
+def renew(context, seconds):
+    end = context.now + seconds
+    while context.now < end:
+        context.now += 0.5
+        context.succession.note_office(create_office(), context.now)
+
+
+@behave.when("another entry wins the claim")
+def lose_claim(context):
+    context.succession.begin_claim()
+    context.now += 0.01
+    context.succession.leave(context.now)
+    context.now += 0.5
+
+
+@behave.when("its claim is stored")
+def win_claim(context):
+    context.succession.begin_claim()
+    context.succession.note_claimed()
+
+
+@behave.then("a renewal of the holder before changes nothing")
+def check_still_in_office(context):
+    change = context.succession.note_office(create_office(), context.now)
+    assert change is succession.Change.NONE
+    assert context.succession.standing is succession.Standing.IN_OFFICE
+
+
 @behave.given("an entry whose earlier process held the office")
 def hear_own(context):
     hear_renewal(context)
@@ -422,7 +473,7 @@
 def lose_log(context, seconds):
     context.succession.note_unreadable()
     context.now += seconds
-    context.succession.note_fresh(context.now, seconds)
+    context.succession.note_fresh(context.now)
 
 
 @behave.then("the office is vacant")
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -45,6 +45,17 @@
     context.world.run_for(2.0)
 
 
+@behave.given(
+    "a site with {entries:d} entries, {minions:d} minions and {spare:d} spare"
+    " machines"
+)
+def create_elastic_site(context, entries, minions, spare):
+    context.world = job_world.World(
+        entries=entries, minions=minions, spare=spare
+    )
+    context.world.run_for(2.0)
+
+
 def find_follower(world):
     return next(item for item in world.entries if not item.dispatching)
 
@@ -91,7 +102,52 @@
 @behave.when("the dispatcher is killed after {seconds:g} seconds")
 def kill_dispatcher(context, seconds):
     context.world.run_for(seconds)
-    context.world.kill(context.world.dispatcher())
+    context.before = context.world.dispatcher()
+    context.world.kill(context.before)
+
+
+@behave.when(
+    "the dispatcher is killed and the entry that claims its office stops"
+)
+def stop_claimant(context):
+    world = context.world
+    world.kill(world.dispatcher())
+
+    def find_claimants():
+        return [
+            item
+            for item in world.entries
+            if item.keeper.standing is succession.Standing.CLAIMING
+        ]
+
+    for _ in range(100000):
+        if find_claimants():
+            break
+        world.run_for(0.0002)
+    context.before = find_claimants()[0]
+    context.before.stop()
+
+
+@behave.when("no append is answered")
+def lose_appends(context):
+    for entry in context.world.entries:
+        entry._store.link.lose_answers = 1.0
+
+
+@behave.when("no append is carried out after {seconds:g} seconds")
+def drop_appends(context, seconds):
+    context.world.run_for(seconds)
+    lose_appends(context)
+    for entry in context.world.entries:
+        entry._store.link.carried_out = 0.0
+
+
+@behave.when("the dispatcher is killed and appends are answered again")
+def kill_and_answer(context):
+    world = context.world
+    world.kill(world.dispatcher())
+    for entry in world.entries:
+        entry._store.link.lose_answers = 0.0
 
 
 @behave.when("the dispatcher stops")
@@ -123,11 +179,11 @@
             world.submit(entry, f"{job_number:016x}", create_steps(1, 1))
             world.run_for(0.1)
         # Without a spread it would be the first to claim a vacant office.
-        entry._succession.jitter = 0.0
+        entry.keeper._succession.jitter = 0.0
         entry._store.link.down = True
         for _ in range(int(seconds / 0.05)):
             world.run_for(0.05)
-            context.standings.add(entry._succession.standing)
+            context.standings.add(entry.keeper._succession.standing)
 
 
 @behave.then("it has never claimed the office")
@@ -272,6 +328,18 @@
     )
 
 
+@behave.then("it has ordered no machine")
+def check_no_orders(context):
+    assert context.before.keeper.driver is None
+    terms = {order[0] for order in context.world.machine_service.orders}
+    assert 1 not in terms, terms
+
+
+@behave.then("another entry has ordered machines")
+def check_orders(context):
+    assert context.world.machine_service.orders
+
+
 @behave.then("{count:d} runs began")
 def check_begun(context, count):
     assert context.world.count("begin") == count, context.world.history
@@ -313,13 +381,14 @@
 @behave.given("{count:d} sites with troubles drawn from seed {seed:d}")
 def draw_sites(context, count, seed):
     context.seeds = [seed + number for number in range(count)]
+    context.spare = None
     context.worlds = []
 
 
 @behave.when("each site runs for {seconds:g} seconds and then in peace")
 def run_sites(context, seconds):
     for seed in context.seeds:
-        world = run_troubled_site(seed, seconds)
+        world = run_troubled_site(seed, seconds, context.spare)
         context.worlds.append((seed, world))
 
 
@@ -349,10 +418,18 @@
 )
 
 
-def run_troubled_site(seed, seconds):
+@behave.given(
+    "{count:d} sites with spare machines and troubles drawn from seed {seed:d}"
+)
+def draw_elastic_sites(context, count, seed):
+    draw_sites(context, count, seed)
+    context.spare = 4
+
+
+def run_troubled_site(seed, seconds, spare=None):
     """Runs one site under overlapping troubles, then long enough to settle."""
     dice = random.Random(seed)
-    world = job_world.World(seed, entries=4, minions=5)
+    world = job_world.World(seed, entries=4, minions=5, spare=spare)
     world.run_for(2.0)
     answers = {}
     end = world.clock() + seconds
