Give the dispatcher a log of its own; store callers' records in batches

Cause: while the store is slow, each append takes some 0.24 s and the appends of a partition follow each other. Each submission was an append of its own; after a lost answer it waited 1.15 s for the next.

Change: jobs and cancellings go to one log, the dispatcher's records to another. A claimant also reads the log of jobs to its end after its claim is stored, since the two logs have no common order. jobwriter keeps three appends of an entry on their way, sends what arrived meanwhile with the next one, and tries again after a few times the usual delay (hedge). The dispatcher no longer reads back its own records after each append.

Replays of that load: features/job_writing.feature (60 jobs in 2 s over appends of 0.24 s: stored within 1.5 s; one append each would take 14.4 s).

--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -76,6 +76,7 @@
         self._load_sent = 0.0
         self._run = 0
         self._paused: timer.Subscription | None = None
+        self._waiting: list[Callable[[], None]] = []
 
     def start(self) -> None:
         """Starts to read, from the newest record of each key."""
@@ -110,6 +111,32 @@
             self._paused = None
             self._read()
 
+    def call_when_read(
+        self, callback: Callable[[], None], limit: float
+    ) -> None:
+        """Calls back after the next reading, or after `limit` seconds."""
+        done = False
+
+        def finish() -> None:
+            nonlocal done
+            if not done:
+                done = True
+                callback()
+
+        self._waiting.append(finish)
+        self._timers.subscribe_once(limit, finish)
+        self.hasten()
+
+    def refresh(self) -> None:
+        """Reads up to the end now, also while a read waits for a record."""
+        if self.state is not State.FOLLOWING:
+            return
+        if self._paused is not None:
+            self._paused.cancel()
+            self._paused = None
+        self._run += 1
+        self._read(wait=0.0)
+
     def _load(self) -> None:
         self.state = State.LOADING
         self._pages = []
@@ -143,19 +170,19 @@
                 self.state = State.FOLLOWING
                 self.fresh_at = self._load_sent
                 self._on_snapshot(pages)
-                self._on_fresh()
+                self._note_fresh()
                 self._read()
             case _:
                 self._note_failure(outcome)
                 self._later(self._load, self._pause())
 
-    def _read(self) -> None:
+    def _read(self, wait: float = WAIT_SECONDS) -> None:
         run = self._run
         self._sent = self._timers.clock()
         self._store.read(
             self._stream,
             self.next,
-            WAIT_SECONDS,
+            wait,
             lambda outcome: self._on_read(run, outcome),
         )
 
@@ -170,7 +197,7 @@
                     self._on_records(records)
                 if following >= end:
                     self.fresh_at = self._sent
-                    self._on_fresh()
+                    self._note_fresh()
                 if run == self._run:
                     self._read_after_gap()
             case ports.Expired():
@@ -184,6 +211,12 @@
                 self._note_failure(outcome)
                 self._later(self._read, self._pause())
 
+    def _note_fresh(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for callback in waiting:
+            callback()
+        self._on_fresh()
+
     def _read_after_gap(self) -> None:
         left = self._sent + self.gap - self._timers.clock()
         if left <= 0:
--- a/clementinewood/fencedlog.py
+++ b/clementinewood/fencedlog.py
@@ -3,39 +3,20 @@
 Load pattern: the store loses answers, answers late or refuses for seconds
 while a dispatcher's renewals and the places of new runs wait behind each
 other. An append without an answer is sent again under the same number, on
-another connection, after a few times the usual delay; the store carries out
-one of the tries.
+another connection; the store carries out one of the tries.
 """
 
 import dataclasses
 from collections.abc import Callable, Sequence
 
-from clementinewood import event, identifiers, ports, timer
+from clementinewood import event, hedge, identifiers, ports, timer
 
 RETRY_SECONDS = 0.1
 """Pause before an append that was refused is sent again."""
 
-FIRST_HEDGE_SECONDS = 0.3
-"""Time without an answer after which an append is sent again, while nothing is
-known of the store's usual delay."""
-
-MIN_HEDGE_SECONDS = 0.1
-"""Least such time: the store answers in 4 ms, and stalls of a few tens of
-milliseconds need no second try."""
-
-MAX_HEDGE_SECONDS = 0.8
-"""Longest such time, below the time limit of one call."""
-
-HEDGE_FACTOR = 5.0
-"""Such time as a multiple of the usual delay; a store that has become slow is
-not asked twice for each append for long."""
-
 MAX_TRIES = 3
 """Tries of one append on their way at a time."""
 
-SMOOTHING = 0.2
-"""Weight of the newest delay in the usual one."""
-
 FAILURES_A_LINE = 20
 """Failed tries in a row for which one line is logged."""
 
@@ -88,7 +69,7 @@
         self._first_sent = 0.0
         self._tries = 0
         self._failures = 0
-        self._delay: float | None = None
+        self._hedge = hedge.Hedge()
         self._next_try: timer.Subscription | None = None
 
     @property
@@ -130,22 +111,16 @@
         sent = self._timers.clock()
         self._tries += 1
         self._store.append(
-            ports.Stream.JOBS,
+            ports.Stream.DISPATCH,
             self._items,
             lambda outcome: self._on_answer(sequence, sent, outcome),
             fence=ports.Fence(self._term, sequence),
         )
         if self._on_outcome is not None and self._tries < MAX_TRIES:
             self._next_try = self._timers.subscribe_once(
-                self._hedge_after(), self._send
+                self._hedge.seconds, self._send
             )
 
-    def _hedge_after(self) -> float:
-        if self._delay is None:
-            return FIRST_HEDGE_SECONDS
-        wait = HEDGE_FACTOR * self._delay
-        return min(max(wait, MIN_HEDGE_SECONDS), MAX_HEDGE_SECONDS)
-
     def _on_answer(
         self, sequence: int, sent: float, outcome: ports.AppendResult
     ) -> None:
@@ -154,7 +129,7 @@
         self._tries -= 1
         match outcome:
             case ports.Appended(offset):
-                self._observe(self._timers.clock() - sent)
+                self._hedge.observe(self._timers.clock() - sent)
                 self._finish(Stored(offset, self._first_sent))
             case ports.OutOfOrder(expected) if expected == sequence + 1:
                 # An earlier try without an answer was carried out.
@@ -169,10 +144,6 @@
                         RETRY_SECONDS, self._send
                     )
 
-    def _observe(self, delay: float) -> None:
-        known = delay if self._delay is None else self._delay
-        self._delay = known + SMOOTHING * (delay - known)
-
     def _note_failure(self, failed: ports.Failed) -> None:
         self._failures += 1
         if self._failures % FAILURES_A_LINE == 1:
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -19,6 +19,7 @@
     identifiers,
     job,
     jobtable,
+    jobwriter,
     metric,
     officekeeper,
     ports,
@@ -35,15 +36,19 @@
 idle reading gets two waits and a gap old, and a job must be known everywhere
 after three seconds."""
 
-FOLLOWER_GAP_SECONDS = 0.25
-"""Least time between two reads of the job log by an entry that does not
-dispatch; each read is paid for, and a question about a job reads at once."""
+FOLLOWER_JOBS_GAP_SECONDS = 0.5
+"""Least time between two reads of new jobs by an entry that does not dispatch;
+each read is paid for, and a question about an unknown job reads at once."""
 
-DISPATCHER_GAP_SECONDS = 0.015
-"""The same for the dispatcher: its own appends would wake it each time."""
+FOLLOWER_DISPATCH_GAP_SECONDS = 0.25
+"""The same for the dispatcher's records, which also tell that it has left."""
 
-ACCEPT_TRY_SECONDS = 0.15
-"""Pause before the append of a job is tried again after a lost answer."""
+DISPATCHER_JOBS_GAP_SECONDS = 0.015
+"""The same for new jobs at the dispatcher, which are waiting to start."""
+
+DISPATCHER_DISPATCH_GAP_SECONDS = 1.0
+"""The same for its own records: the store fences it before it could read that
+another entry has begun a term."""
 
 DEADLINE_MARGIN_SECONDS = 0.15
 """Time before a caller's deadline at which it gets its answer."""
@@ -129,23 +134,6 @@
     rest: str
 
 
-@dataclasses.dataclass(slots=True)
-class _Pending:
-    """A job or a cancelling that is being stored.
-
-    Attributes:
-        items: What is appended.
-        deadline: When the callers get their answer at the latest.
-        waiting: Callers that wait for the outcome.
-        maybe_stored: Whether a try may have taken effect.
-    """
-
-    items: Sequence[ports.Item]
-    deadline: float
-    waiting: list[Callable[[ports.AppendResult], None]]
-    maybe_stored: bool = False
-
-
 class JobService:
     """One entry.
 
@@ -196,8 +184,12 @@
         self._metrics = metrics
         self._early_seconds = early_seconds
         self._wall = wall
-        self._pending: dict[str, _Pending] = {}
-        self._refreshing: list[Callable[[], None]] = []
+        self._writer = jobwriter.JobWriter(
+            store,
+            timers,
+            on_stored=self._apply_own,
+            is_silent=self._is_store_silent,
+        )
         metrics.observe(
             metric.DISPATCHING, lambda: [({}, float(self.dispatching))]
         )
@@ -207,12 +199,22 @@
             timers,
             on_snapshot=self._fold,
             on_records=self._fold,
-            on_fresh=self._note_fresh,
-            gap=FOLLOWER_GAP_SECONDS,
+            on_fresh=lambda: self.keeper.note_jobs_read(),
+            gap=FOLLOWER_JOBS_GAP_SECONDS,
+        )
+        self._dispatch_feed = feed.Feed(
+            store,
+            ports.Stream.DISPATCH,
+            timers,
+            on_snapshot=self._fold,
+            on_records=self._fold,
+            on_fresh=lambda: self.keeper.note_fresh(),
+            gap=FOLLOWER_DISPATCH_GAP_SECONDS,
         )
         self.keeper = officekeeper.OfficeKeeper(
             self.incarnation,
             store=store,
+            dispatch_feed=self._dispatch_feed,
             jobs_feed=self._jobs_feed,
             timers=timers,
             chance=chance,
@@ -232,6 +234,7 @@
     def start(self) -> None:
         """Starts to follow the store."""
         self._jobs_feed.start()
+        self._dispatch_feed.start()
         self._declarations_feed.start()
         self.keeper.start()
 
@@ -253,7 +256,7 @@
             return False, "no configuration yet"
         if self._declarations_feed.age() > KEY_STALE_SECONDS:
             return False, "configuration is stale"
-        if self._jobs_feed.age() > TABLE_STALE_SECONDS:
+        if self._table_age() > TABLE_STALE_SECONDS:
             return False, "job log is stale"
         return True, "ready"
 
@@ -332,8 +335,7 @@
                 case _:
                     on_answer(self._refuse_append(outcome))
 
-        items = [ports.Item(key, job.encode_job(accepted))]
-        self._append(key, items, patience, answer)
+        self._append(key, job.encode_job(accepted), patience, answer)
 
     def cancel(
         self,
@@ -373,7 +375,7 @@
                 case _:
                     on_answer(self._refuse_append(outcome))
 
-        self._append(key, [ports.Item(key, b"1")], patience, answer)
+        self._append(key, b"1", patience, answer)
 
     def describe(self, job_id: identifiers.JobId, on_answer: OnAnswer) -> None:
         """Tells how a job stands, by a reading made after the question."""
@@ -389,7 +391,7 @@
 
     def count_pending(self, queue: catalog.Queue, on_answer: OnAnswer) -> None:
         """Tells how many jobs of a queue have not begun."""
-        if self._jobs_feed.age() > TABLE_STALE_SECONDS:
+        if self._table_age() > TABLE_STALE_SECONDS:
             on_answer(
                 _refuse(
                     verdict.Reason.STORE_UNAVAILABLE,
@@ -406,28 +408,30 @@
         *,
         fresh: bool,
     ) -> None:
+        """Finds a job, after another reading where that may tell more.
+
+        Args:
+            job_id: The job.
+            on_found: Called once with the job, or None if there is none.
+            fresh: Whether the newest state of the job is wanted.
+        """
         entry = self.table.find(job_id)
-        settled = entry is not None and (
-            not fresh or entry.state in job.TERMINAL
-        )
-        if settled or self._driver is not None:
-            # The dispatcher is the one whose records end jobs.
+        source = None
+        if entry is None:
+            source = self._jobs_feed
+        elif fresh and entry.state not in job.TERMINAL and not self.dispatching:
+            # The dispatcher itself has nothing newer to read.
+            source = self._dispatch_feed
+        if source is None:
             on_found(entry)
             return
-        self._refresh(lambda: on_found(self.table.find(job_id)))
-
-    def _refresh(self, callback: Callable[[], None]) -> None:
-        """Calls back after the log was read once more, or soon anyway."""
-        done = [False]
-
-        def finish() -> None:
-            if not done[0]:
-                done[0] = True
-                callback()
+        source.call_when_read(
+            lambda: on_found(self.table.find(job_id)), REFRESH_SECONDS
+        )
 
-        self._refreshing.append(finish)
-        self._jobs_feed.hasten()
-        self._timers.subscribe_once(REFRESH_SECONDS, finish)
+    def _table_age(self) -> float:
+        """Returns seconds since both logs of jobs had been read."""
+        return max(self._jobs_feed.age(), self._dispatch_feed.age())
 
     def _refuse_unknown(self) -> verdict.Refusal:
         if self._jobs_feed.age() > TABLE_STALE_SECONDS:
@@ -443,98 +447,25 @@
     def _append(
         self,
         key: str,
-        items: Sequence[ports.Item],
+        value: bytes,
         patience: float,
         on_result: Callable[[ports.AppendResult], None],
     ) -> None:
-        """Appends until the outcome is certain or the caller's time is over.
-
-        Records are idempotent, so that one may be stored twice.
-        """
-        deadline = self._timers.clock() + max(
-            0.0, patience - DEADLINE_MARGIN_SECONDS
-        )
-        known = self._pending.get(key)
-        if (
-            known is None
-            and self._jobs_feed.silence() > officekeeper.STORE_SILENT_SECONDS
-        ):
-            on_result(
-                ports.Failed(
-                    verdict.Execution.NOT_RUN, "the store does not answer"
-                )
-            )
-            return
-        if known is not None:
-            known.waiting.append(on_result)
-            known.deadline = max(known.deadline, deadline)
-            return
-        pending = _Pending(items, deadline, [on_result])
-        self._pending[key] = pending
-        self._try_append(key, pending)
-
-    def _try_append(self, key: str, pending: _Pending) -> None:
-        if self._pending.get(key) is not pending:
-            return
-        self._store.append(
-            ports.Stream.JOBS,
-            pending.items,
-            lambda outcome: self._on_append(key, pending, outcome),
-        )
-
-    def _on_append(
-        self, key: str, pending: _Pending, outcome: ports.AppendResult
-    ) -> None:
-        if self._pending.get(key) is not pending:
-            return
-        match outcome:
-            case ports.Appended(offset):
-                self._finish(key, pending, outcome)
-                self._apply_own(pending.items, offset)
-            case ports.Failed(execution, detail):
-                if execution is not verdict.Execution.NOT_RUN:
-                    pending.maybe_stored = True
-                if not pending.maybe_stored:
-                    # The store said that nothing was done: so can the caller
-                    # be told, at once.
-                    self._finish(key, pending, outcome)
-                elif self._is_given_up(pending):
-                    self._finish(
-                        key,
-                        pending,
-                        ports.Failed(verdict.Execution.MAY_HAVE_RUN, detail),
-                    )
-                else:
-                    self._timers.subscribe_once(
-                        ACCEPT_TRY_SECONDS,
-                        lambda: self._try_append(key, pending),
-                    )
-            case _:
-                self._finish(key, pending, outcome)
+        """Stores a record before the caller's time is over."""
+        seconds = max(0.0, patience - DEADLINE_MARGIN_SECONDS)
+        deadline = self._timers.clock() + seconds
+        self._writer.write(ports.Item(key, value), deadline, on_result)
 
-    def _is_given_up(self, pending: _Pending) -> bool:
-        """Whether trying on would only keep the caller waiting."""
-        return (
-            self._timers.clock() >= pending.deadline
-            or self._jobs_feed.silence() > officekeeper.STORE_SILENT_SECONDS
-        )
+    def _is_store_silent(self) -> bool:
+        heard = min(self._jobs_feed.silence(), self._dispatch_feed.silence())
+        return heard > officekeeper.STORE_SILENT_SECONDS
 
     def _apply_own(self, items: Sequence[ports.Item], offset: int) -> None:
         records = [
             jobtable.StoredRecord(item.key, item.value, offset + place)
             for place, item in enumerate(items)
         ]
-        # The head stays where the feed has read to.
-        head = self.table.head
         self._fold(records)
-        self.table.head = head
-
-    def _finish(
-        self, key: str, pending: _Pending, outcome: ports.AppendResult
-    ) -> None:
-        self._pending.pop(key, None)
-        for on_result in pending.waiting:
-            on_result(outcome)
 
     def _refuse_append(self, outcome: ports.AppendResult) -> verdict.Refusal:
         match outcome:
@@ -559,9 +490,10 @@
                     self.keeper.note_office(office, record.offset)
                 case jobtable.Entry() as entry:
                     self._note_entry(entry)
-        for key in [key for key in self._pending if self._is_folded(key)]:
-            # The answer to the append was lost, but the record is there.
-            self._finish(key, self._pending[key], ports.Appended(0))
+        for key in self._writer.pending():
+            if self._is_folded(key):
+                # The answer to the append was lost, but the record is there.
+                self._writer.confirm(key)
 
     def _is_folded(self, key: str) -> bool:
         prefix, _, name = key.partition("/")
@@ -574,12 +506,6 @@
         if self._driver is not None:
             self._driver.take_entry(entry)
 
-    def _note_fresh(self) -> None:
-        waiting, self._refreshing = self._refreshing, []
-        for callback in waiting:
-            callback()
-        self.keeper.note_fresh()
-
     def _load_declarations(
         self, records: Sequence[jobtable.StoredRecord]
     ) -> None:
@@ -643,11 +569,13 @@
         return driver
 
     def _begin_office(self, driver: dispatchdriver.DispatchDriver) -> None:
-        self._jobs_feed.gap = DISPATCHER_GAP_SECONDS
+        self._jobs_feed.gap = DISPATCHER_JOBS_GAP_SECONDS
+        self._dispatch_feed.gap = DISPATCHER_DISPATCH_GAP_SECONDS
         driver.start(self.declared)
 
     def _end_office(self) -> None:
-        self._jobs_feed.gap = FOLLOWER_GAP_SECONDS
+        self._jobs_feed.gap = FOLLOWER_JOBS_GAP_SECONDS
+        self._dispatch_feed.gap = FOLLOWER_DISPATCH_GAP_SECONDS
 
 
 def _refuse(reason: verdict.Reason, detail: str) -> verdict.Refusal:
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -134,14 +134,12 @@
 
     Attributes:
         office: Who dispatches, by the newest record.
-        head: Offset after the last record applied.
         cursors: Ends that stored progress reflects, by minion.
         waves: Machines that have had their upkeep, by wave.
     """
 
     def __init__(self) -> None:
         self.office: Office | None = None
-        self.head = 0
         self.cursors: dict[identifiers.MinionId, Cursor] = {}
         self.waves: dict[int, frozenset[identifiers.MachineId]] = {}
         self._entries: dict[identifiers.JobId, Entry] = {}
@@ -163,7 +161,6 @@
         Returns:
             What it changed, or None when it changed nothing.
         """
-        self.head = max(self.head, record.offset + 1)
         if self._offsets.get(record.key, -1) >= record.offset:
             return None
         self._offsets[record.key] = record.offset
--- /dev/null
+++ b/clementinewood/jobwriter.py
@@ -0,0 +1,226 @@
+"""Stores the jobs and cancellings that callers hand in.
+
+Load pattern: a peak, or a store that has become slow, brings more records than
+the store takes appends: each takes its turn in the partition. Few appends are
+on their way at a time, and what arrives meanwhile is stored with the next one.
+Records are idempotent, so that one without an answer is simply sent again.
+"""
+
+import dataclasses
+from collections.abc import Callable, Sequence
+
+from clementinewood import hedge, ports, timer, verdict
+
+MAX_APPENDS = 3
+"""Appends of one entry on their way at a time; six entries then wait at most
+for eighteen appends, 0.1 s of a sound store."""
+
+MAX_BATCH_BYTES = 1 << 20
+"""Size of one append; the store takes 2 MB at once."""
+
+RETRY_SECONDS = 0.15
+"""Pause before a record whose outcome is unknown is sent again."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Write:
+    """A record on its way to the store.
+
+    Attributes:
+        item: The record.
+        deadline: Monotonic time at which callers get their answer at the
+            latest.
+        waiting: Callers that wait for the outcome.
+        tries: Appends with it that have no outcome yet.
+        maybe_stored: Whether a try may have taken effect.
+        queued: Whether it waits for the next append.
+    """
+
+    item: ports.Item
+    deadline: float
+    waiting: list[Callable[[ports.AppendResult], None]]
+    tries: int = 0
+    maybe_stored: bool = False
+    queued: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Append:
+    """One append on its way.
+
+    Attributes:
+        writes: Its records.
+        sent: Monotonic time at which it was sent.
+        counted: Whether it counts among the appends on their way; one without
+            an answer gives its turn to another.
+        next_try: Sends the records again.
+    """
+
+    writes: list[_Write]
+    sent: float
+    counted: bool = True
+    next_try: timer.Subscription | None = None
+
+
+class JobWriter:
+    """Appends callers' records in batches until their outcome is certain.
+
+    Args:
+        store: The platform's store.
+        timers: Timer service.
+        on_stored: Called with records that were stored and their offset.
+        is_silent: Whether the store has not answered this entry for a while,
+            so that trying on would only keep callers waiting.
+    """
+
+    def __init__(
+        self,
+        store: ports.Store,
+        timers: timer.TimerService,
+        *,
+        on_stored: Callable[[Sequence[ports.Item], int], None],
+        is_silent: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._timers = timers
+        self._on_stored = on_stored
+        self._is_silent = is_silent
+        self._hedge = hedge.Hedge()
+        self._writes: dict[str, _Write] = {}
+        self._queue: list[_Write] = []
+        self._appends = 0
+
+    def write(
+        self,
+        item: ports.Item,
+        deadline: float,
+        on_result: Callable[[ports.AppendResult], None],
+    ) -> None:
+        """Stores `item`.
+
+        Args:
+            item: The record; two records with one key are taken for one.
+            deadline: Monotonic time at which the outcome is wanted at the
+                latest.
+            on_result: Called once.
+        """
+        known = self._writes.get(item.key)
+        if known is not None:
+            known.waiting.append(on_result)
+            return
+        if self._is_silent():
+            on_result(
+                ports.Failed(
+                    verdict.Execution.NOT_RUN, "the store does not answer"
+                )
+            )
+            return
+        write = _Write(item=item, deadline=deadline, waiting=[on_result])
+        self._writes[item.key] = write
+        self._timers.subscribe_once(
+            deadline - self._timers.clock(), lambda: self._give_up(write)
+        )
+        self._enqueue(write)
+
+    def pending(self) -> tuple[str, ...]:
+        """Returns the keys of records whose outcome is not known."""
+        return tuple(self._writes)
+
+    def confirm(self, key: str) -> None:
+        """Takes a record as stored: it was read from the log."""
+        write = self._writes.get(key)
+        if write is not None:
+            self._finish(write, ports.Appended(0))
+
+    def _enqueue(self, write: _Write) -> None:
+        if not write.queued and self._writes.get(write.item.key) is write:
+            write.queued = True
+            self._queue.append(write)
+            self._send_queued()
+
+    def _send_queued(self) -> None:
+        while self._queue and self._appends < MAX_APPENDS:
+            batch: list[_Write] = []
+            size = 0
+            while self._queue and size < MAX_BATCH_BYTES:
+                write = self._queue.pop(0)
+                write.queued = False
+                if self._writes.get(write.item.key) is write:
+                    batch.append(write)
+                    size += len(write.item.value)
+            if batch:
+                self._send(batch)
+
+    def _send(self, writes: list[_Write]) -> None:
+        append = _Append(writes, self._timers.clock())
+        self._appends += 1
+        for write in writes:
+            write.tries += 1
+        append.next_try = self._timers.subscribe_once(
+            self._hedge.seconds, lambda: self._send_again(append)
+        )
+        self._store.append(
+            ports.Stream.JOBS,
+            [write.item for write in writes],
+            lambda outcome: self._on_answer(append, outcome),
+        )
+
+    def _send_again(self, append: _Append) -> None:
+        self._release(append)
+        for write in append.writes:
+            self._enqueue(write)
+
+    def _release(self, append: _Append) -> None:
+        if append.counted:
+            append.counted = False
+            self._appends -= 1
+
+    def _on_answer(self, append: _Append, outcome: ports.AppendResult) -> None:
+        self._release(append)
+        if append.next_try is not None:
+            append.next_try.cancel()
+        for write in append.writes:
+            write.tries -= 1
+        match outcome:
+            case ports.Appended(offset):
+                self._hedge.observe(self._timers.clock() - append.sent)
+                self._on_stored([write.item for write in append.writes], offset)
+                for write in append.writes:
+                    self._finish(write, outcome)
+            case ports.Failed(verdict.Execution.NOT_RUN):
+                for write in append.writes:
+                    if write.maybe_stored or write.tries:
+                        self._note_unknown(write)
+                    else:
+                        # The store said that nothing was done, and so can
+                        # callers be told at once.
+                        self._finish(write, outcome)
+            case _:
+                for write in append.writes:
+                    self._note_unknown(write)
+        self._send_queued()
+
+    def _give_up(self, write: _Write) -> None:
+        execution = verdict.Execution.NOT_RUN
+        if write.maybe_stored or write.tries:
+            execution = verdict.Execution.MAY_HAVE_RUN
+        self._finish(
+            write, ports.Failed(execution, "the store did not answer in time")
+        )
+
+    def _note_unknown(self, write: _Write) -> None:
+        """Goes on with a record that may or may not be stored."""
+        write.maybe_stored = True
+        if self._is_silent():
+            self._give_up(write)
+        elif not write.tries:
+            self._timers.subscribe_once(
+                RETRY_SECONDS, lambda: self._enqueue(write)
+            )
+
+    def _finish(self, write: _Write, outcome: ports.AppendResult) -> None:
+        if self._writes.get(write.item.key) is not write:
+            return
+        del self._writes[write.item.key]
+        for on_result in write.waiting:
+            on_result(outcome)
--- a/clementinewood/officekeeper.py
+++ b/clementinewood/officekeeper.py
@@ -41,7 +41,8 @@
     Args:
         holder: This process.
         store: The platform's store.
-        jobs_feed: Feed of the log that the office is recorded in.
+        dispatch_feed: Feed of the log that the office is recorded in.
+        jobs_feed: Feed of the log of jobs.
         timers: Timer service.
         chance: Source of random numbers from 0 to 1.
         lease_seconds: Least time between machine orders of two dispatchers.
@@ -59,6 +60,7 @@
         holder: identifiers.Incarnation,
         *,
         store: ports.Store,
+        dispatch_feed: feed.Feed,
         jobs_feed: feed.Feed,
         timers: timer.TimerService,
         chance: Callable[[], float],
@@ -70,7 +72,8 @@
         self.driver: dispatchdriver.DispatchDriver | None = None
         self._holder = holder
         self._store = store
-        self._feed = jobs_feed
+        self._feed = dispatch_feed
+        self._jobs_feed = jobs_feed
         self._timers = timers
         self._chance = chance
         self._lease_seconds = lease_seconds
@@ -81,6 +84,7 @@
         self._log: fencedlog.FencedLog | None = None
         self._claim_limit: timer.Subscription | None = None
         self._claim_head: int | None = None
+        self._claimed_at = 0.0
         self._releasing = False
         self._before: jobtable.Office | None = None
         self._heard_before = 0.0
@@ -117,6 +121,10 @@
         self._succession.note_fresh(self._timers.clock())
         self._check_claim()
 
+    def note_jobs_read(self) -> None:
+        """Notes that the log of jobs could be read up to its end."""
+        self._check_claim()
+
     def note_office(self, office: jobtable.Office, offset: int) -> None:
         """Takes a record of the office and its position in the log."""
         now = self._timers.clock()
@@ -179,6 +187,10 @@
     def _note_claim_stored(self, offset: int) -> None:
         if self._claim_head is None:
             self._claim_head = offset + 1
+            self._claimed_at = self._timers.clock()
+            # The dispatcher before may have placed tasks of jobs that this
+            # entry has not read yet.
+            self._jobs_feed.refresh()
             self._check_claim()
 
     def _give_up_claim(self) -> None:
@@ -196,12 +208,13 @@
         self._claim_head = None
 
     def _check_claim(self) -> None:
-        """Starts to dispatch once every record before the claim is folded."""
+        """Starts to dispatch once every record before the claim is read."""
         log = self._log
         if (
             self._succession.standing is not succession.Standing.CLAIMING
             or self._claim_head is None
             or self._feed.next < self._claim_head
+            or self._jobs_feed.fresh_at < self._claimed_at
             or log is None
             or log.busy
         ):
--- a/clementinewood/ports.py
+++ b/clementinewood/ports.py
@@ -23,7 +23,12 @@
     """Keyed logs of the platform's store."""
 
     JOBS = "jobs"
-    """The system's own: jobs, progress and who dispatches."""
+    """The system's own: jobs and cancellings that callers handed in."""
+
+    DISPATCH = "dispatch"
+    """The system's own: progress of jobs and who dispatches. Appends take
+    their turn in each log, so that the dispatcher does not wait for callers'
+    records."""
 
     DECLARATIONS = "declarations"
     """What operators declare."""
--- a/features/job_world.py
+++ b/features/job_world.py
@@ -34,6 +34,7 @@
     "feed",
     "fencedlog",
     "jobservice",
+    "jobwriter",
     "machinecontrol",
     "officekeeper",
 )
@@ -581,6 +582,7 @@
         service.keeper._releasing = True
         service.keeper._drop_claim()
         service._jobs_feed.stop()
+        service._dispatch_feed.stop()
         service._declarations_feed.stop()
         service.draining = True
         self.entries.remove(service)
--- /dev/null
+++ b/features/job_writing.feature
@@ -0,0 +1,24 @@
+Feature: Storing what callers hand in
+  Guards against callers that wait behind each other while the store is slow,
+  and against outcomes that are told wrongly.
+
+  Scenario: Jobs of a peak share appends while the store is slow
+    Given a store that takes 0.24 seconds for each append, one after the other
+    When 60 jobs arrive within 2 seconds
+    Then every job is stored within 1.5 seconds
+    And one append for each job would have taken more than 10 seconds
+
+  Scenario: A lost answer delays a job by a fraction of a second
+    Given a store that takes 0.004 seconds for each append, one after the other
+    When 60 jobs arrive within 2 seconds and each third append is not answered
+    Then every job is stored within 0.6 seconds
+
+  Scenario: A record that is refused once and unknown once may have been stored
+    Given a store that takes 0.004 seconds for each append, one after the other
+    When a job's first append is not answered and every later one is refused
+    Then its caller is told at its deadline that it may have been stored
+
+  Scenario: A record that was only refused has certainly not been stored
+    Given a store that takes 0.004 seconds for each append, one after the other
+    When every append of a job is refused
+    Then its caller is told at once that it has not been stored
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -244,6 +244,7 @@
     entry._store.link.refuses = True
     world.run_for(2.0)
     world.store.drop_history(ports.Stream.JOBS)
+    world.store.drop_history(ports.Stream.DISPATCH)
     entry._store.link.refuses = False
 
 
@@ -257,7 +258,7 @@
 def kill_after_failure(context):
     world = context.world
     key = f"p/{NAME}"
-    newest = world.store.newest[ports.Stream.JOBS]
+    newest = world.store.newest[ports.Stream.DISPATCH]
 
     def is_stored():
         record = newest.get(key)
