Pack short tasks beside long-running ones

Change: a short task goes beside long-running ones first, then to the fullest minion that has room; near data and sound minions still come first.

--- a/clementinewood/placement.py
+++ b/clementinewood/placement.py
@@ -118,7 +118,8 @@
             rank = (
                 near,
                 -round(candidate.view.bad_starts),
-                candidate.free.cpu,
+                candidate.anchored,
+                -candidate.free.cpu,
             )
         if best is None or rank > best_rank:
             best, best_rank = candidate, rank
