Ask the policy service where steps may run

Cause: a queue with `advice` started nothing: every start was refused for want of a ticket, so an accepted job of such a queue never ran.

Change: advice keeps what the service has said of each minion and step, and asks about one step at a time, the most urgent first, with as many minions as it needs by the share allowed so far. Job objectives count one call a step.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -1,9 +1,10 @@
 """Carries out a dispatcher's decisions while it is in office."""
 
 import json
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from clementinewood import (
+    advice,
     catalog,
     dispatcher,
     event,
@@ -65,6 +66,7 @@
         store: The platform's store.
         minions: Orders to minions.
         machines: Orders about machines; None where there are none.
+        policy: The policy service; None where there is none.
         decoder: Reads the platform's records.
         timers: Timer service.
         wall: Source of Unix time.
@@ -84,6 +86,7 @@
         store: ports.Store,
         minions: ports.Minions,
         machines: ports.Machines | None,
+        policy: ports.Policy | None,
         decoder: ports.Decoder,
         timers: timer.TimerService,
         wall: Callable[[], float],
@@ -99,6 +102,7 @@
         self._table = table
         self._store = store
         self._minions = minions
+        self._policy = policy
         self._decoder = decoder
         self._timers = timers
         self._wall = wall
@@ -354,9 +358,25 @@
             return
         for order in self.dispatcher.plan(self._timers.clock(), self._wall()):
             self._send(order)
+        question = self.dispatcher.advisor.take_question()
+        if question is not None:
+            self._ask(question)
         self._flush()
         self._schedule_wake()
 
+    def _ask(self, question: advice.Question) -> None:
+        def note(answer: Mapping[identifiers.MinionId, str] | None) -> None:
+            if self._active:
+                self.dispatcher.advisor.note_answer(
+                    question, answer, self._timers.clock()
+                )
+                self._schedule_plan()
+
+        if self._policy is None:
+            note(None)
+        else:
+            self._policy.ask(question, note)
+
     def _schedule_wake(self) -> None:
         """Plans again when the next timed job is due."""
         if self._wake is not None:
@@ -378,7 +398,6 @@
                     view.minion,
                     self.term,
                     order,
-                    "",
                     lambda outcome: self._on_start(order, outcome),
                 )
             case dispatcher.StopRun():
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -11,6 +11,7 @@
 
 from clementinewood import (
     activejob,
+    advice,
     catalog,
     event,
     identifiers,
@@ -84,6 +85,7 @@
         spec: What it runs.
         checkpoint: Saved progress to go on from; empty for none.
         deadline: End of the lease on the minion's clock, in seconds.
+        ticket: Leave of the policy service; empty where none is needed.
     """
 
     minion_id: identifiers.MinionId
@@ -92,6 +94,7 @@
     spec: str
     checkpoint: str
     deadline: float
+    ticket: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,6 +147,8 @@
         evacuated: Zones that get no new work.
         config: Configuration in force, once known.
         early: Seconds by which a due time may be anticipated.
+        times: Learned run times.
+        advisor: Which minions may run which step, on queues with a policy.
     """
 
     def __init__(self, term: identifiers.Term, now: float) -> None:
@@ -154,6 +159,7 @@
         self.config: catalog.Configuration | None = None
         self.early = 0.0
         self.times = joborder.RunTimes()
+        self.advisor = advice.Advisor()
         self.cursors: dict[identifiers.MinionId, jobtable.Cursor] = {}
         self._began = now
         self._dirty: set[identifiers.JobId] = set()
@@ -377,7 +383,15 @@
             case StartOutcome.FENCED:
                 pass
             case _:
-                if outcome is not StartOutcome.NO_ROOM:
+                if outcome is StartOutcome.TICKET:
+                    self.advisor.drop_ticket(
+                        advice.StepKey(
+                            item.task.job, item.task.occurrence, item.task.step
+                        ),
+                        view.minion_id,
+                        view.minion.incarnation,
+                    )
+                elif outcome is not StartOutcome.NO_ROOM:
                     self._note_bad(view, now, outcome.value)
                 elif item.state is run.RunState.STARTING:
                     # The minion knows its room better than this count.
@@ -476,7 +490,7 @@
             assert active.queue is not None
             options = candidates.get(active.queue.pool)
             if options:
-                self._place_job(active, options)
+                self._place_job(active, options, now)
 
     def _rank(
         self,
@@ -485,8 +499,11 @@
         now: float,
     ) -> tuple[float, ...]:
         accepted = active.job
+        asking = 0.0
+        if queue.advice is not None:
+            asking = advice.expect_seconds(queue.advice)
         whole, left = active.chain(
-            self.times.expect(queue.name, step.estimate)
+            asking + self.times.expect(queue.name, step.estimate)
             for step in accepted.steps
         )
         return joborder.rank(
@@ -515,16 +532,29 @@
         self,
         active: activejob.ActiveJob,
         options: list[placement.Candidate],
+        now: float,
     ) -> None:
+        queue = active.queue
+        assert queue is not None
         for work in list(active.work.values()):
             if not work.pending:
                 continue
+            allowed = options
+            key = _get_step_key(active, work)
+            if queue.advice is not None:
+                allowed = self.advisor.list_allowed(key, options, now)
             if work.step.gang:
-                chosen = self._place_gang(active, work, options)
+                chosen = self._place_gang(active, work, allowed)
             else:
-                chosen = self._place_tasks(active, work, options)
+                chosen = self._place_tasks(active, work, allowed)
             for index, candidate in chosen:
                 self._plan_run(active, work, index, candidate)
+            if queue.advice is not None and work.pending:
+                # A gang needs minions for all of its tasks at once.
+                count = work.step.count if work.step.gang else len(work.pending)
+                self.advisor.note_wanted(
+                    key, queue, work.step, count, options, now
+                )
 
     def _place_tasks(
         self,
@@ -625,6 +655,9 @@
             checkpoint = active.checkpoints.get(first, "")
         deadline = view.lease_deadline(now)
         view.note_lease(now)
+        key = advice.StepKey(
+            item.task.job, item.task.occurrence, item.task.step
+        )
         return StartRun(
             view.minion_id,
             item.task,
@@ -632,6 +665,9 @@
             active.job.spec,
             checkpoint,
             deadline or 0.0,
+            self.advisor.find_ticket(
+                key, view.minion_id, view.minion.incarnation
+            ),
         )
 
     def _create_run(
@@ -855,6 +891,7 @@
         stored = active.job.job_id not in self._dirty
         if not active.live and (stored or active.cancelled):
             self.jobs.pop(active.job.job_id, None)
+            self.advisor.forget_job(active.job.job_id)
 
     def _apply_running(
         self,
@@ -1033,6 +1070,12 @@
     return count + int(item.at_work) <= item.max_unavailable
 
 
+def _get_step_key(
+    active: activejob.ActiveJob, work: activejob.StepWork
+) -> advice.StepKey:
+    return advice.StepKey(active.job.job_id, work.occurrence, work.number)
+
+
 def _create_unlisted(minion_id: identifiers.MinionId) -> catalog.Minion:
     """Returns a minion that the store names and the platform does not list."""
     return catalog.Minion(
--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -72,6 +72,7 @@
     STORE_REFUSES = (1707, "WARNING", "store does not take an append")
     DECLARATION_REFUSED = (1708, "WARNING", "platform record is malformed")
     CONFIGURATION_IN_FORCE = (1709, "INFO", "configuration is in force")
+    POLICY_UNANSWERED = (1710, "WARNING", "policy service gave no advice")
     MACHINE_ORDERED = (1801, "INFO", "machine ordered to move or to upkeep")
     MACHINE_REFUSED = (1802, "WARNING", "order about a machine refused")
     MACHINES_UNREACHABLE = (1803, "WARNING", "machines can't be listed")
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -146,6 +146,7 @@
         store: The platform's store.
         minions: Orders to minions.
         machines: Orders about machines; None where there are none.
+        policy: The policy service; None where there is none.
         decoder: Reads the platform's records.
         timers: Timer service.
         metrics: Instruments.
@@ -168,6 +169,7 @@
         store: ports.Store,
         minions: ports.Minions,
         machines: ports.Machines | None,
+        policy: ports.Policy | None,
         decoder: ports.Decoder,
         timers: timer.TimerService,
         metrics: metric.Metrics,
@@ -183,6 +185,7 @@
         self._store = store
         self._minions = minions
         self._machines = machines
+        self._policy = policy
         self._decoder = decoder
         self._timers = timers
         self._metrics = metrics
@@ -560,6 +563,7 @@
             store=self._store,
             minions=self._minions,
             machines=self._machines,
+            policy=self._policy,
             decoder=self._decoder,
             timers=self._timers,
             wall=self._wall,
--- a/clementinewood/ports.py
+++ b/clementinewood/ports.py
@@ -6,10 +6,11 @@
 
 import dataclasses
 import enum
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
 from clementinewood import (
+    advice,
     catalog,
     dispatcher,
     identifiers,
@@ -189,7 +190,6 @@
         minion: catalog.Minion,
         term: identifiers.Term,
         order: dispatcher.StartRun,
-        ticket: str,
         on_result: Callable[[dispatcher.StartOutcome], None],
     ) -> None:
         """Starts a run."""
@@ -230,6 +230,17 @@
     """No answer; it may be carried out, even later."""
 
 
+class Policy(Protocol):
+    """The service that knows which minions may run a step."""
+
+    def ask(
+        self,
+        question: advice.Question,
+        on_answer: Callable[[Mapping[identifiers.MinionId, str] | None], None],
+    ) -> None:
+        """Asks for tickets; None means that there was no answer."""
+
+
 class Machines(Protocol):
     """The platform's machine service."""
 
--- /dev/null
+++ b/features/job_policy.py
@@ -0,0 +1,62 @@
+"""A stand-in for the platform's policy service in sites of `job_world`."""
+
+import zlib
+
+from clementinewood import catalog
+
+ADVICE = catalog.Advice(decide=0.05, per_minion=0.002, valid=1.5)
+
+
+class PolicyService:
+    """Allows some minions to run a step and answers one call at a time."""
+
+    def __init__(self, world, share):
+        self.world = world
+        self.share = share
+        self.silent = False
+        self.free_at = 0.0
+        self.named = []
+        self.refused = 0
+        self.tickets = {}
+
+    def allows(self, step, minion_id):
+        # A fixed choice for each step and minion that no order of calls moves.
+        return (
+            zlib.crc32(f"{step} {minion_id}".encode()) % 1000
+            < 1000 * self.share
+        )
+
+    def ask(self, question, on_answer):
+        now = self.world.clock()
+        if self.silent:
+            self.world.timers.subscribe_once(1.0, lambda: on_answer(None))
+            return
+        self.named.append(len(question.minions))
+        seconds = ADVICE.decide + len(question.minions) * ADVICE.per_minion
+        self.free_at = max(self.free_at, now) + seconds
+
+        def answer():
+            step = question.key.render()
+            expires = self.world.clock() + ADVICE.valid
+            good = {}
+            for minion_id in question.minions:
+                minion = self.world.minions.get(minion_id)
+                if minion is not None and self.allows(step, minion_id):
+                    text = f"ticket-{len(self.tickets)}"
+                    life = minion.incarnation
+                    self.tickets[text] = (step, minion_id, life, expires)
+                    good[minion_id] = text
+            on_answer(good)
+
+        self.world.timers.subscribe_once(self.free_at - now, answer)
+
+    def is_valid(self, task, minion, text):
+        step = f"{task.job}.{task.occurrence}.{task.step}"
+        known = self.tickets.get(text)
+        valid = (
+            known is not None
+            and known[:3] == (step, minion.minion_id, minion.incarnation)
+            and self.world.clock() <= known[3]
+        )
+        self.refused += not valid
+        return valid
--- a/features/job_world.py
+++ b/features/job_world.py
@@ -25,7 +25,7 @@
     timer,
     verdict,
 )
-from features import clock, job_machines
+from features import clock, job_machines, job_policy
 
 SILENT = (
     "activejob",
@@ -286,6 +286,10 @@
             return dispatcher.StartOutcome.SUPERSEDED
         accepted = self.world.accepted[order.task.job]
         step = accepted.steps[order.task.step]
+        if self.world.policy is not None:
+            valid = self.world.policy.is_valid(order.task, self, order.ticket)
+            if not valid:
+                return dispatcher.StartOutcome.TICKET
         used = job.Resources()
         for task in self.running:
             other = self.world.accepted[task.job].steps[task.step]
@@ -407,7 +411,7 @@
             lambda execution: ports.Failed(execution, "lost"),
         )
 
-    def start(self, minion, term, order, ticket, on_result):
+    def start(self, minion, term, order, on_result):
         self._call(
             minion,
             lambda found: found.start(term, order, self.name),
@@ -470,9 +474,20 @@
         cap: Upper limit of the one team, in thousandths of a core.
         spare: Number of machines in a spare pool; without it, machines do not
             move.
+        policy_share: Share of minions that a policy allows for a step;
+            without it, there is no policy.
     """
 
-    def __init__(self, seed=1, *, entries=3, minions=4, cap=0, spare=None):
+    def __init__(
+        self,
+        seed=1,
+        *,
+        entries=3,
+        minions=4,
+        cap=0,
+        spare=None,
+        policy_share=None,
+    ):
         self.random = random.Random(seed)
         self.clock = clock.ManualClock(100.0)
         self.timers = timer.TimerService(clock=self.clock)
@@ -485,6 +500,9 @@
         self.minions = {}
         self.entries = []
         self.machine_links = {}
+        self.policy = None
+        if policy_share is not None:
+            self.policy = job_policy.PolicyService(self, policy_share)
         self.cancelled_at = {}
         queue = catalog.Queue(
             name=identifiers.QueueId("quotes"),
@@ -494,6 +512,7 @@
             max_attempts=2,
             stretch=2.0,
             slack=0.6,
+            advice=job_policy.ADVICE if self.policy else None,
         )
         pools = {queue.pool: catalog.Pool(name=queue.pool)}
         self.machine_service = None
@@ -559,6 +578,7 @@
             store=StoreAccess(self, self.store),
             minions=MinionAccess(self, name),
             machines=self._create_machine_access(name),
+            policy=self.policy,
             decoder=Decoder(self),
             timers=self.timers,
             metrics=METRICS,
