Add a fault soak of real entry processes

Promises are checked from callers' answers and minions' histories. Ports lie below the ephemeral range: an entry that restarted once found its own port taken by a connection.

--- a/features/job_world.py
+++ b/features/job_world.py
@@ -476,6 +476,7 @@
             move.
         policy_share: Share of minions that a policy allows for a step;
             without it, there is no policy.
+        timers: Timer service; by default one on a manual clock.
     """
 
     def __init__(
@@ -487,10 +488,13 @@
         cap=0,
         spare=None,
         policy_share=None,
+        timers=None,
     ):
         self.random = random.Random(seed)
-        self.clock = clock.ManualClock(100.0)
-        self.timers = timer.TimerService(clock=self.clock)
+        if timers is None:
+            timers = timer.TimerService(clock=clock.ManualClock(100.0))
+        self.clock = timers.clock
+        self.timers = timers
         self.store = Store(self)
         self.accepted = {}
         self.history = []
@@ -564,7 +568,17 @@
     def join_minion(self, minion):
         """Lists a minion that has started."""
         self.minions[minion.minion_id] = minion
-        self.store.put(ports.Stream.MINIONS, minion.minion_id, b"1")
+        self.publish(minion)
+
+    def publish(self, minion):
+        """Writes what a minion reports of itself."""
+        self.store.put(
+            ports.Stream.MINIONS, minion.minion_id, self.render_minion(minion)
+        )
+
+    def render_minion(self, minion):
+        """Returns a record that `Decoder` finds the minion by."""
+        return b"1"
 
     def remove_minion(self, minion):
         """Ends a minion for good; what runs there and its ends are gone."""
@@ -702,7 +716,8 @@
         if task in self.done:
             self.violations.append(f"{task.render()} starts after its end")
         cancelled = self.cancelled_at.get(task.job)
-        if cancelled is not None and self.clock() > cancelled + 3.0:
+        bound = self.find_cancel_bound()
+        if cancelled is not None and self.clock() > cancelled + bound:
             self.violations.append(f"{task.render()} starts after its cancel")
         step = self.accepted[task.job].steps[task.step]
         for earlier in step.after:
@@ -715,6 +730,10 @@
                     self.violations.append(f"{task.render()} starts too early")
         others.add(minion.minion_id)
 
+    def find_cancel_bound(self):
+        """Returns seconds after which nothing of a cancelled job starts."""
+        return 3.0
+
     def ended_done(self):
         return {
             entry[3]
@@ -744,4 +763,4 @@
     def _publish_minions(self):
         for minion in self.minions.values():
             if not minion.dark:
-                self.store.put(ports.Stream.MINIONS, minion.minion_id, b"1")
+                self.publish(minion)
--- /dev/null
+++ b/features/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real entry processes under random faults; see `python -m features.soak`."""
--- /dev/null
+++ b/features/soak/__main__.py
@@ -0,0 +1,200 @@
+"""Runs entry processes under random faults and checks their promises.
+
+    python -m features.soak --seed 1 --seeds 50 --seconds 25
+
+Real time decides which faults meet, so a seed repeats the faults and not their
+course. Prints one JSON object a seed; the exit status is 1 if any promise was
+broken. Logs and the list of faults of a broken seed are kept in `--out`.
+"""
+
+import argparse
+import json
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+from clementinewood import job, timer, transport
+from features.soak import callers, faults
+from features.soak import site as site_module
+
+CALLERS = 6
+READY_SECONDS = 4.0
+SETTLE_SECONDS = 25.0
+
+
+class Soak:
+    """One seed.
+
+    Args:
+        seed: Seed of every random choice.
+        seconds: How long faults come.
+        folder: Where settings and logs go.
+        entries: Number of entry processes.
+    """
+
+    def __init__(self, seed, seconds, folder, *, entries=4):
+        self.seed = seed
+        self.folder = pathlib.Path(folder)
+        self.timers = timer.GracefulTimers()
+        self.sockets = transport.Transport(self.timers).register(self.timers)
+        self.site = site_module.Site(
+            self.sockets, self.timers, seed, folder, entries=entries
+        )
+        self.began = time.monotonic()
+        self.lines = []
+        dice = random.Random(seed)
+        self.faults = faults.Faults(self.site, dice, self._note)
+        self.callers = [
+            callers.Caller(
+                self.site, random.Random(seed * 1000 + number), number
+            )
+            for number in range(CALLERS)
+        ]
+        self.seconds = seconds
+        self.done = False
+
+    def _note(self, line):
+        self.lines.append(f"{time.monotonic() - self.began:8.3f} {line}")
+
+    def run(self):
+        """Runs the seed and returns what was seen."""
+        later = self.timers.subscribe_once
+        self.site.start()
+        for caller in self.callers:
+            later(READY_SECONDS, caller.start)
+        later(READY_SECONDS + 1.0, self.faults.start)
+        later(READY_SECONDS + 1.0 + self.seconds, self._settle)
+        self.timers.on_signal = self.timers.stop
+        try:
+            self.timers.run()
+        finally:
+            self.site.close()
+            self.sockets.close_all()
+        return self._report()
+
+    def _settle(self):
+        self._note("calm")
+        self.faults.calm()
+        for caller in self.callers:
+            caller.stopped = True
+        self.settled_at = self.timers.clock() + SETTLE_SECONDS
+        self.timers.subscribe_every(0.2, self._check_settled)
+
+    def _unfinished(self):
+        return [
+            item
+            for caller in self.callers
+            for item in caller.jobs
+            if item.accepted_at is not None
+            and not item.completed
+            and item.cancelled_at is None
+        ]
+
+    def _check_settled(self):
+        late = self.timers.clock() >= self.settled_at
+        if not late and self._unfinished():
+            return
+        if not self.done:
+            self.done = True
+            # What was cancelled last must have stopped as well.
+            self.timers.subscribe_once(4.0, self._finish)
+
+    def _finish(self):
+        broken = self.site.violations
+        for item in self._unfinished():
+            broken.append(f"{item.job_id} was accepted and is not completed")
+        world = self.site.world
+        begun = {entry[3].job for entry in world.history if entry[0] == "begin"}
+        for caller in self.callers:
+            for item in caller.jobs:
+                untaken = item.accepted_at is None and not item.maybe_accepted
+                if untaken and item.job_id in begun:
+                    broken.append(f"{item.job_id} was refused and has run")
+        for minion in world.minions.values():
+            for task in minion.running:
+                if task.job in world.cancelled_at and not minion.dark:
+                    broken.append(f"{task.render()} runs after its cancel")
+        if self.timers.failures:
+            broken.append("a callback of the stand-ins failed")
+        self.timers.stop()
+
+    def _report(self):
+        works = [item for caller in self.callers for item in caller.jobs]
+        world = self.site.world
+        return {
+            "seed": self.seed,
+            "entries": len(self.site.entries),
+            "faults": len(self.lines) - 1,
+            "jobs": len(works),
+            "accepted": sum(item.accepted_at is not None for item in works),
+            "completed": sum(item.completed for item in works),
+            "cancelled": sum(item.cancelled_at is not None for item in works),
+            "runs": world.count("begin"),
+            "moves": len(world.machine_service.orders),
+            "broken": sorted(set(self.site.violations)),
+        }
+
+    def keep(self, target):
+        """Keeps logs and faults of this seed for the trace."""
+        (self.folder / "faults.txt").write_text("\n".join(self.lines) + "\n")
+        history = [
+            [entry[0], round(entry[1] - self.began, 3), entry[2]]
+            + [entry[3].render(), str(entry[4])]
+            for entry in self.site.world.history
+            if isinstance(entry[3], job.TaskId)
+        ]
+        (self.folder / "history.json").write_text(
+            "\n".join(json.dumps(row) for row in history) + "\n"
+        )
+        shutil.copytree(self.folder, target, dirs_exist_ok=True)
+
+
+def run_seed(seed, seconds, entries, out=None, *, keep=False):
+    """Runs one seed; keeps its logs in `out` if a promise was broken."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(seed, seconds, folder, entries=entries)
+        report = soak.run()
+        if out is not None and (keep or report["broken"]):
+            soak.keep(pathlib.Path(out) / f"seed-{seed}")
+        return report
+
+
+def main(arguments):
+    """Runs the seeds asked for.
+
+    Returns:
+        The process exit status.
+    """
+    parser = argparse.ArgumentParser(
+        prog="features.soak", description=__doc__.splitlines()[0]
+    )
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
+    parser.add_argument(
+        "--seconds", type=float, default=25.0, help="time of faults, each seed"
+    )
+    parser.add_argument("--entries", type=int, default=4)
+    parser.add_argument("--out", default=None, help="folder for broken seeds")
+    parser.add_argument(
+        "--keep", action="store_true", help="keep the logs of sound seeds too"
+    )
+    options = parser.parse_args(arguments)
+    broken = False
+    for seed in range(options.seed, options.seed + options.seeds):
+        report = run_seed(
+            seed,
+            options.seconds,
+            options.entries,
+            options.out,
+            keep=options.keep,
+        )
+        print(json.dumps(report), flush=True)
+        broken = broken or bool(report["broken"])
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/features/soak/faces.py
@@ -0,0 +1,367 @@
+"""The platform's HTTP interfaces over the stand-ins of `job_world`."""
+
+import base64
+import enum
+import json
+from urllib import parse
+
+from clementinewood import dispatcher, identifiers, job, ports
+from clementinewood_platform import storeclient, wire
+
+APPEND_SECONDS = 0.004
+SLOW_SECONDS = 0.24
+LATE_SECONDS = 3.0
+PAGE_ITEMS = 500
+JSON = [(b"content-type", b"application/json")]
+
+STREAMS = {topic: stream for stream, topic in storeclient.TOPICS.items()}
+START_REASONS = {
+    dispatcher.StartOutcome.FENCED: "fence",
+    dispatcher.StartOutcome.SUPERSEDED: "old",
+    dispatcher.StartOutcome.TOO_LATE: "late",
+    dispatcher.StartOutcome.NO_ROOM: "room",
+}
+MACHINE_REASONS = {
+    ports.MachineOutcome.FENCED: "fence",
+    ports.MachineOutcome.BUSY: "busy",
+}
+
+
+def answer(exchange, status, fields):
+    exchange.respond(status, JSON, json.dumps(fields).encode())
+
+
+class Face:
+    """Answers requests by the function for their path."""
+
+    def __init__(self, world):
+        self.world = world
+        self.calls = {}
+
+    def handle_exchange(self, exchange):
+        path, _, query = exchange.request.target.partition("?")
+        call = self.calls.get(path)
+        if call is None:
+            answer(exchange, 404, {"error": path})
+            return
+        call(exchange, dict(parse.parse_qsl(query)))
+
+    def render_refusal(self, refusal):
+        return refusal.status, JSON, b"{}"
+
+    def later(self, seconds, callback):
+        self.world.timers.subscribe_once(seconds, callback)
+
+
+class StoreMode(enum.Enum):
+    """How the store treats one entry."""
+
+    SOUND = "sound"
+    REFUSING = "refusing"
+    SILENT = "silent"
+    LOSSY = "lossy"
+    SLOW = "slow"
+
+
+class StoreFace(Face):
+    """The store as one entry sees it."""
+
+    def __init__(self, world):
+        super().__init__(world)
+        self.mode = StoreMode.SOUND
+        self.calls = {
+            "/-/log-append": self.append,
+            "/-/log-read": self.read,
+            "/-/log-newest": self.read_newest,
+        }
+
+    def handle_exchange(self, exchange):
+        match self.mode:
+            case StoreMode.SILENT:
+                return
+            case StoreMode.REFUSING:
+                answer(exchange, 503, {})
+            case _:
+                super().handle_exchange(exchange)
+
+    def append(self, exchange, query):
+        stream = STREAMS[query["topic"]]
+        fence = None
+        if "epoch" in query:
+            fence = ports.Fence(
+                identifiers.Term(int(query["epoch"])), int(query["seq"])
+            )
+        items = decode_items(exchange.request.body)
+        dice = self.world.random
+        lost = self.mode is StoreMode.LOSSY and dice.random() < 0.35
+        wait = self.world.take_turn(
+            stream,
+            SLOW_SECONDS if self.mode is StoreMode.SLOW else APPEND_SECONDS,
+        )
+        if lost and dice.random() < 0.5:
+            wait += dice.uniform(0.0, LATE_SECONDS)
+
+        def carry_out():
+            outcome = self.world.store.append(stream, items, fence)
+            if not lost:
+                self.answer_append(exchange, outcome)
+
+        self.later(wait, carry_out)
+
+    def answer_append(self, exchange, outcome):
+        match outcome:
+            case ports.Appended(offset):
+                answer(exchange, 200, {"offset": offset, "end": offset + 1})
+            case ports.Fenced():
+                answer(exchange, 409, {"reason": "fenced"})
+            case ports.OutOfOrder(expected):
+                answer(exchange, 409, {"reason": "seq", "seq": expected})
+
+    def read(self, exchange, query):
+        store = self.world.store
+        stream = STREAMS[query["topic"]]
+        offset = int(query["from"])
+        pause = SLOW_SECONDS if self.mode is StoreMode.SLOW else 0.001
+
+        def finish():
+            if exchange.answered or self.mode is StoreMode.SILENT:
+                return
+            first = store.first[stream]
+            if offset < first:
+                answer(exchange, 410, {"first": first})
+                return
+            records = store.records[stream]
+            parts = [
+                len(records).to_bytes(8, "big"),
+                first.to_bytes(8, "big"),
+                wire.encode_items(
+                    [
+                        ports.Item(item.key, item.value)
+                        for item in records[offset:]
+                    ]
+                ),
+            ]
+            exchange.respond(200, [], b"".join(parts))
+
+        def check():
+            ready = len(store.records[stream]) > offset
+            if ready or offset < store.first[stream]:
+                self.later(pause, finish)
+            elif not exchange.answered:
+                store.waiting.append(check)
+
+        check()
+        self.later(int(query.get("wait_ms", 0)) / 1000.0 + pause, finish)
+
+    def read_newest(self, exchange, query):
+        store = self.world.store
+        stream = STREAMS[query["topic"]]
+        after = query.get("after", "")
+        newest = store.newest[stream]
+        keys = sorted(key for key in newest if key > after)
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(newest[key].value).decode(),
+                "offset": newest[key].offset,
+            }
+            for key in keys[:PAGE_ITEMS]
+        ]
+        fields = {
+            "items": items,
+            "more": len(keys) > PAGE_ITEMS,
+            "end": len(store.records[stream]),
+        }
+        pause = SLOW_SECONDS if self.mode is StoreMode.SLOW else APPEND_SECONDS
+        self.later(pause, lambda: answer(exchange, 200, fields))
+
+
+def decode_items(body):
+    """Reads the keyed records of an append."""
+    items = []
+    place = 0
+    while place < len(body):
+        size = int.from_bytes(body[place : place + 4], "big")
+        record = body[place + 4 : place + 4 + size]
+        place += 4 + size
+        length = record[0]
+        key = record[1 : 1 + length].decode()
+        items.append(ports.Item(key, record[1 + length :]))
+    return items
+
+
+class MinionFace(Face):
+    """The minion that runs at one address."""
+
+    def __init__(self, world, minion):
+        super().__init__(world)
+        self.minion = minion
+        self.calls = {
+            "/-/run-start": self.start,
+            "/-/run-stop": self.stop,
+            "/-/hold": self.hold,
+            "/-/pace": self.pace,
+        }
+
+    def handle_exchange(self, exchange):
+        if self.minion.dark:
+            return
+        wanted = exchange.request.find_header(b"x-expect-instance")
+        if wanted != self.minion.minion_id:
+            answer(exchange, 421, {})
+            return
+        super().handle_exchange(exchange)
+
+    def reply(self, exchange, status, **fields):
+        if self.minion.dark:
+            return
+        fields["clock_ms"] = int(self.minion.now * 1000)
+        answer(exchange, status, fields)
+
+    def start(self, exchange, query):
+        fields = json.loads(exchange.request.body)
+        task = job.parse_task_id(fields["task"])
+        order = dispatcher.StartRun(
+            minion_id=self.minion.minion_id,
+            task=task,
+            number=fields["run"],
+            spec=fields["spec"],
+            checkpoint=fields.get("checkpoint", ""),
+            deadline=fields["deadline_ms"] / 1000.0,
+        )
+        if task.job not in self.world.accepted:
+            self.world.violations.append(f"{fields['task']} was never asked")
+            self.reply(exchange, 400)
+            return
+        outcome = self.minion.start(fields["fencing_token"], order, "")
+        if outcome is dispatcher.StartOutcome.STARTED:
+            self.reply(exchange, 200)
+        else:
+            self.reply(exchange, 409, reason=START_REASONS[outcome])
+
+    def stop(self, exchange, query):
+        fields = json.loads(exchange.request.body)
+        order = dispatcher.StopRun(
+            self.minion.minion_id,
+            job.parse_task_id(fields["task"]),
+            fields["run"],
+        )
+        if self.minion.stop(fields["fencing_token"], order):
+            self.reply(exchange, 200)
+        else:
+            self.reply(exchange, 409, reason="fence")
+
+    def hold(self, exchange, query):
+        fields = json.loads(exchange.request.body)
+        deadline = fields.get("deadline_ms")
+        life = self.minion.incarnation
+        state = {"done": False}
+
+        def look(extend):
+            return self.minion.look(
+                fields["fencing_token"],
+                fields["ack_cursor"],
+                deadline / 1000.0 if extend and deadline is not None else None,
+            )
+
+        def finish():
+            if state["done"] or life != self.minion.incarnation:
+                return
+            state["done"] = True
+            self.send_report(exchange, look(False))
+
+        report = look(True)
+        wait = fields.get("wait_ms", 0) / 1000.0
+        idle = not isinstance(report, ports.LookFenced) and not report.ended
+        if not idle or not wait:
+            self.send_report(exchange, report)
+            return
+        self.minion.waiting.append(finish)
+        self.later(wait, finish)
+
+    def send_report(self, exchange, report):
+        if isinstance(report, ports.LookFenced):
+            self.reply(exchange, 409, reason="fence")
+            return
+        self.reply(
+            exchange,
+            200,
+            born=report.incarnation,
+            running=[
+                [row.task.render(), row.number, row.checkpoint, row.percent, 0]
+                for row in report.running
+            ],
+            ended=[
+                [
+                    row.sequence,
+                    row.task.render(),
+                    row.number,
+                    row.end.value,
+                    row.checkpoint,
+                ]
+                for row in report.ended
+            ],
+        )
+
+    def pace(self, exchange, query):
+        self.reply(exchange, 200)
+
+
+class MachineFace(Face):
+    """The machine service; `down` makes it silent for everybody."""
+
+    def __init__(self, world):
+        super().__init__(world)
+        self.down = False
+        self.calls = {
+            "/-/machines": self.list_machines,
+            "/-/machine-move": self.move,
+            "/-/machine-upkeep": self.upkeep,
+        }
+
+    def handle_exchange(self, exchange):
+        if not self.down:
+            super().handle_exchange(exchange)
+
+    def list_machines(self, exchange, query):
+        found = [
+            item.describe()
+            for item in self.world.machine_service.machines.values()
+        ]
+        rows = [
+            {
+                "machine": item.machine_id,
+                "pool": item.pool,
+                "state": item.state.value,
+                "zone": item.zone,
+                "labels": list(item.labels),
+                "capacity": render_room(item.capacity),
+                "id": item.minion_id,
+            }
+            for item in found
+        ]
+        answer(exchange, 200, {"machines": rows, "next_page_token": None})
+
+    def move(self, exchange, query):
+        fields = json.loads(exchange.request.body)
+        pool = identifiers.PoolId(fields["pool"])
+        self.order(exchange, "move", fields["machine"], pool)
+
+    def upkeep(self, exchange, query):
+        fields = json.loads(exchange.request.body)
+        machine = self.world.machine_service.machines[fields["machine"]]
+        self.order(exchange, "upkeep", fields["machine"], machine.pool)
+
+    def order(self, exchange, kind, machine_id, pool):
+        term = int(exchange.request.find_header(b"x-fencing-token"))
+        outcome = self.world.machine_service.order(
+            kind, identifiers.MachineId(machine_id), pool, term, 1.5
+        )
+        if outcome is ports.MachineOutcome.ACCEPTED:
+            answer(exchange, 200, {})
+        else:
+            answer(exchange, 409, {"reason": MACHINE_REASONS[outcome]})
+
+
+def render_room(room):
+    return {"cpu": room.cpu, "mem_mb": room.memory, "gpu": room.gpu}
--- /dev/null
+++ b/features/soak/proxy.py
@@ -0,0 +1,132 @@
+"""Loopback TCP proxies that delay, reset, silence or cut connections."""
+
+import enum
+
+
+class Mode(enum.Enum):
+    """What a proxy does with the bytes that it gets."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    """Nothing passes either way; connections stay open."""
+
+    ONE_WAY = "one-way"
+    """Requests pass, answers do not."""
+
+
+class _End:
+    """One end of a relayed connection."""
+
+    def __init__(self, pair, name):
+        self.pair = pair
+        self.name = name
+        self.connection = None
+        self.early = []
+
+    def on_open(self, connection):
+        self.connection = connection
+        for data in self.early:
+            connection.send(data)
+        self.early = []
+
+    def on_data(self, connection, data):
+        self.pair.relay(self, data)
+
+    def on_drained(self, connection):
+        pass
+
+    def on_closed(self, connection, reason):
+        self.pair.close(self)
+
+    def send(self, data):
+        if self.connection is None:
+            self.early.append(data)
+        elif self.connection.is_open:
+            self.connection.send(data)
+
+
+class _Pair:
+    """A connection of a caller and the one opened for it."""
+
+    def __init__(self, proxy):
+        self.proxy = proxy
+        self.caller = _End(self, "caller")
+        self.server = _End(self, "server")
+        self.silenced = False
+        self.closed = False
+
+    def relay(self, end, data):
+        proxy = self.proxy
+        if self.silenced or proxy.mode is Mode.SILENT:
+            return
+        if proxy.mode is Mode.ONE_WAY and end is self.server:
+            return
+        other = self.server if end is self.caller else self.caller
+        if proxy.mode is Mode.DELAY:
+            proxy.timers.subscribe_once(proxy.delay, lambda: other.send(data))
+        else:
+            other.send(data)
+
+    def close(self, end):
+        if self.closed:
+            return
+        self.closed = True
+        self.proxy.pairs.discard(self)
+        other = self.server if end is self.caller else self.caller
+        if other.connection is None or self.silenced:
+            return
+        if self.proxy.mode not in (Mode.SILENT, Mode.ONE_WAY):
+            other.connection.close()
+
+    def abort(self):
+        for end in (self.caller, self.server):
+            if end.connection is not None:
+                end.connection.abort("reset by the proxy")
+
+
+class Proxy:
+    """Relays connections to one address.
+
+    Args:
+        sockets: Opens the connections.
+        timers: Timer service.
+        target: Address that is proxied.
+    """
+
+    def __init__(self, sockets, timers, target):
+        self.sockets = sockets
+        self.timers = timers
+        self.target = target
+        self.mode = Mode.PASS
+        self.delay = 0.0
+        self.troubled_at = float("-inf")
+        self.pairs = set()
+        self.address = sockets.listen(("127.0.0.1", 0), self._accept)
+
+    def _accept(self, peer):
+        pair = _Pair(self)
+        self.pairs.add(pair)
+        self.sockets.connect(self.target, pair.server, timeout=1.0)
+        return pair.caller
+
+    def trouble(self, mode, seconds, delay=0.0):
+        """Changes the mode for a while; overlapping troubles end together."""
+        self.mode, self.delay = mode, delay
+        self.troubled_at = self.timers.clock() + seconds
+        self.timers.subscribe_once(seconds + 0.001, self._calm)
+
+    def _calm(self):
+        if self.timers.clock() >= self.troubled_at:
+            self.mode = Mode.PASS
+
+    def reset(self):
+        self.troubled_at = max(self.troubled_at, self.timers.clock())
+        for pair in list(self.pairs):
+            pair.abort()
+
+    def silence_open(self):
+        """Silences the connections that are open now; new ones work."""
+        self.troubled_at = max(self.troubled_at, self.timers.clock())
+        for pair in self.pairs:
+            pair.silenced = True
--- /dev/null
+++ b/features/soak/site.py
@@ -0,0 +1,421 @@
+"""A site of real entry processes on the platform's stand-ins."""
+
+import dataclasses
+import enum
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+from clementinewood import catalog, edge, identifiers, job, ports
+from features import dev_process, job_world, runner
+from features.soak import faces, proxy
+
+ZONES = ("zone-0", "zone-1", "zone-2")
+GRACE_SECONDS = 6.0
+RESTART_SECONDS = 0.5
+CALM_SECONDS = 3.0
+DRAIN_SECONDS = 4.0
+PORTS = 3
+TEAMS = ("canvas", "shade", "tarp")
+CAP_CPU = 24000
+
+SETTINGS = """node = "{name}"
+role = "entry"
+ip = "127.0.0.1"
+zone = "{zone}"
+internal_ports = [{metrics},{metrics}]
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[limits]
+memory_mb = 300
+[bounds]
+grace_s = {grace}
+lease_ms = 3000
+[platform]
+address = "{store}"
+[cloud]
+address = "{machines}"
+"""
+
+
+class Life(enum.Enum):
+    """What an entry process does."""
+
+    RUNNING = "running"
+    PAUSED = "paused"
+    STOPPING = "stopping"
+    DEAD = "dead"
+
+
+class EntryProcess:
+    """One entry, its proxies and its settings."""
+
+    def __init__(self, site, name, zone, folder, first_port):
+        self.site = site
+        self.name = name
+        self.life = Life.DEAD
+        self.disturbed_at = float("-inf")
+        self.child = None
+        self.path = folder / f"{name}.toml"
+        self.output = (folder / f"{name}.log").open("ab")
+        front, ready, metrics = range(first_port, first_port + PORTS)
+        self.store = faces.StoreFace(site.world)
+        store_edge = edge.Edge(site.sockets, site.timers, self.store)
+        store_address = store_edge.listen(("127.0.0.1", 0))
+        self.store_proxy = self._proxy(store_address)
+        machine_edge = edge.Edge(site.sockets, site.timers, site.machines)
+        machine_address = machine_edge.listen(("127.0.0.1", 0))
+        self.machine_proxy = self._proxy(machine_address)
+        self.front_proxy = self._proxy(("127.0.0.1", front))
+        self.path.write_text(
+            SETTINGS.format(
+                name=name,
+                zone=zone,
+                front=front,
+                ready=ready,
+                metrics=metrics,
+                grace=GRACE_SECONDS,
+                store="{}:{}".format(*self.store_proxy.address),
+                machines="{}:{}".format(*self.machine_proxy.address),
+            )
+        )
+
+    def _proxy(self, target):
+        return proxy.Proxy(self.site.sockets, self.site.timers, target)
+
+    @property
+    def pid(self):
+        return self.child.pid if self.child is not None else None
+
+    def start(self):
+        if self.life is not Life.DEAD or self.site.closing:
+            return
+        environment = dict(os.environ, CLEMENTINEWOOD_CONFIG=str(self.path))
+        self.child = subprocess.Popen(
+            [sys.executable, "-m", "clementinewood_platform.main"],
+            stdout=self.output,
+            stderr=subprocess.STDOUT,
+            cwd=runner.ROOT,
+            env=environment,
+        )
+        self.life = Life.RUNNING
+        self.disturbed_at = self.site.timers.clock()
+
+    def watch(self):
+        """Starts the process again after it has ended."""
+        if self.child is None or self.child.poll() is None:
+            return
+        if self.life is Life.RUNNING:
+            self.site.violations.append(f"{self.name} ended by itself")
+        self.child = None
+        self.life = Life.DEAD
+        self.disturbed_at = self.site.timers.clock()
+        self.site.timers.subscribe_once(RESTART_SECONDS, self.start)
+
+    def send(self, number):
+        if self.child is not None and self.child.poll() is None:
+            self.child.send_signal(number)
+            return True
+        return False
+
+    def kill(self):
+        self.life = Life.DEAD if self.child is None else Life.STOPPING
+        self.disturbed_at = self.site.timers.clock()
+        self.send(signal.SIGKILL)
+
+    def stop(self):
+        if self.life is not Life.RUNNING:
+            return
+        self.life = Life.STOPPING
+        self.send(signal.SIGTERM)
+        child = self.child
+
+        def end():
+            # The platform kills what outlives its grace.
+            if child is self.child and child.poll() is None:
+                self.disturbed_at = self.site.timers.clock()
+                self.send(signal.SIGKILL)
+
+        self.site.timers.subscribe_once(GRACE_SECONDS, end)
+
+    def pause(self, seconds):
+        if self.life is not Life.RUNNING or not self.send(signal.SIGSTOP):
+            return
+        self.life = Life.PAUSED
+        self.disturbed_at = self.site.timers.clock() + seconds
+
+        def resume():
+            self.send(signal.SIGCONT)
+            if self.life is Life.PAUSED:
+                self.life = Life.RUNNING
+
+        self.site.timers.subscribe_once(seconds, resume)
+
+    def hang_up(self):
+        self.send(signal.SIGHUP)
+
+    def close(self):
+        if self.child is not None and self.child.poll() is None:
+            self.child.send_signal(signal.SIGCONT)
+            self.child.kill()
+            self.child.wait()
+        self.output.close()
+
+
+class SoakWorld(job_world.World):
+    """The stand-ins, with the records that real processes read."""
+
+    def __init__(self, site, seed, minions, spare):
+        self.site = site
+        site.world = self
+        self.turns = {}
+        self.evacuated_at = {}
+        self.shown_completed = set()
+        self.refused = {}
+        super().__init__(
+            seed, entries=0, minions=minions, spare=spare, timers=site.timers
+        )
+
+    def find_cancel_bound(self):
+        # The bound holds for entries that are in touch with the platform.
+        return 3.0 if self.site.is_calm() else float("inf")
+
+    def take_turn(self, stream, seconds):
+        """Returns the wait for an append's turn in its partition."""
+        now = self.clock()
+        free_at = max(self.turns.get(stream, 0.0), now) + seconds
+        self.turns[stream] = free_at
+        return free_at - now
+
+    def join_minion(self, minion):
+        self.site.serve_minion(minion)
+        super().join_minion(minion)
+
+    def render_minion(self, minion):
+        return json.dumps(
+            {
+                "service": minion.pool,
+                "address": "{}:{}".format(*self.site.find_address(minion)),
+                "zone": minion.zone,
+                "state": minion.state.value,
+                "capacity": faces.render_room(minion.capacity),
+                "labels": list(minion.labels),
+                "born": minion.incarnation,
+            }
+        ).encode()
+
+    def note_begin(self, minion, task, number, entry):
+        super().note_begin(minion, task, number, entry)
+        name = task.render()
+        now = self.clock()
+        if task.job in self.shown_completed:
+            self.violations.append(f"{name} starts after its job was completed")
+        left = self.evacuated_at.get(minion.zone)
+        if left is not None and now > left + 5.0 and self.site.is_calm():
+            self.violations.append(f"{name} starts in an evacuated zone")
+        self.check_cap(self.accepted[task.job].team)
+
+    def check_cap(self, team):
+        used = most = 0
+        for minion in self.minions.values():
+            for task in minion.running:
+                accepted = self.accepted[task.job]
+                if accepted.team == team:
+                    cpu = accepted.steps[task.step].need.cpu
+                    used, most = used + cpu, max(most, cpu)
+        if used > CAP_CPU * 1.1 + most:
+            self.violations.append(f"team {team} runs {used} of {CAP_CPU}")
+
+
+class Site:
+    """Entries, minions, machines and what operators declare.
+
+    Args:
+        sockets: Serves and opens connections.
+        timers: Timer service.
+        seed: Seed of the random choices.
+        folder: Where settings and logs go.
+        entries: Number of entry processes.
+        minions: Number of minions in the one pool.
+        spare: Number of spare machines.
+    """
+
+    def __init__(
+        self, sockets, timers, seed, folder, *, entries=4, minions=8, spare=4
+    ):
+        self.sockets = sockets
+        self.timers = timers
+        self.closing = False
+        self.violations = []
+        self.addresses = {}
+        self.minion_proxies = {}
+        SoakWorld(self, seed, minions, spare)
+        self.world.violations = self.violations
+        self.machines = faces.MachineFace(self.world)
+        self.version = 0
+        self.keys = {f"key-{team}-0": team for team in TEAMS}
+        self.revoked_at = {}
+        self.declare()
+        self.store_troubled_at = float("-inf")
+        self.minion_troubled_at = float("-inf")
+        self.entries = []
+        # Below the range that connections take their ports from.
+        base = dev_process.find_base_port()
+        self.entries = [
+            EntryProcess(
+                self,
+                f"entry-{number}",
+                ZONES[number % len(ZONES)],
+                pathlib.Path(folder),
+                base + number * PORTS,
+            )
+            for number in range(entries)
+        ]
+        timers.subscribe_every(0.1, self._watch)
+
+    def start(self):
+        for entry in self.entries:
+            entry.start()
+
+    def _watch(self):
+        for entry in self.entries:
+            entry.watch()
+
+    def note_store_trouble(self, seconds):
+        end = self.timers.clock() + seconds
+        self.store_troubled_at = max(self.store_troubled_at, end)
+
+    def note_minion_trouble(self, seconds=0.0):
+        end = self.timers.clock() + seconds
+        self.minion_troubled_at = max(self.minion_troubled_at, end)
+
+    def is_calm(self):
+        """Whether nothing was disturbed for a while."""
+        since = self.timers.clock() - CALM_SECONDS
+        return (
+            self.store_troubled_at < since
+            and self.minion_troubled_at < since
+            and all(entry.disturbed_at < since for entry in self.entries)
+        )
+
+    def serve_minion(self, minion):
+        """Gives a minion that starts an address behind a proxy."""
+        face = faces.MinionFace(self.world, minion)
+        server = edge.Edge(self.sockets, self.timers, face)
+        address = server.listen(("127.0.0.1", 0))
+        found = proxy.Proxy(self.sockets, self.timers, address)
+        self.minion_proxies[minion.minion_id] = found
+        self.addresses[minion.minion_id] = found.address
+
+    def find_address(self, minion):
+        return self.addresses[minion.minion_id]
+
+    # What operators declare.
+
+    def declare(self):
+        """Writes a new version of the configuration."""
+        self.version += 1
+        routes = [
+            {
+                "name": "quotes",
+                "host": "guild",
+                "path_prefix": "/quotes/",
+                "service": "quotes",
+                "priority": 0,
+                "max_attempts": 3,
+                "stretch": 2.0,
+                "target_duration_ms": 600,
+                "public": False,
+            }
+        ]
+        services = [
+            {"name": "quotes", "enforces_capacity": True, "spare": False},
+            {"name": "noticeboard", "enforces_capacity": True, "spare": True},
+        ]
+        tenants = [
+            {
+                "name": team,
+                "api_keys": [
+                    key for key, owner in self.keys.items() if owner == team
+                ],
+                "weight": 5,
+                "cap": {"cpu": CAP_CPU, "mem_mb": 0, "gpu": 0},
+            }
+            for team in TEAMS
+        ]
+        fields = {
+            "version": self.version,
+            "routes": routes,
+            "services": services,
+            "tenants": tenants,
+            "limits": {"max_body_bytes": 262144},
+        }
+        self.world.store.put(
+            ports.Stream.DECLARATIONS, "config", json.dumps(fields).encode()
+        )
+
+    def exchange_key(self, team):
+        """Grants a team a new key and withdraws the one before."""
+        old = next(key for key, owner in self.keys.items() if owner == team)
+        del self.keys[old]
+        self.keys[f"key-{team}-{self.version}"] = team
+        self.revoked_at[old] = self.timers.clock()
+        self.declare()
+
+    def evacuate(self, zone, seconds):
+        if zone in self.world.evacuated_at:
+            return
+        self.world.store.put(
+            ports.Stream.DECLARATIONS, f"evacuate/{zone}", b"{}"
+        )
+        self.world.evacuated_at[zone] = self.timers.clock()
+
+        def take_back():
+            self.world.evacuated_at.pop(zone)
+            self.world.store.put(
+                ports.Stream.DECLARATIONS, f"evacuate/{zone}", b""
+            )
+
+        self.timers.subscribe_once(seconds, take_back)
+
+    def accept(self, job_id, team, steps):
+        """Remembers what a caller asks for, so that minions know the tasks."""
+        self.world.accepted[job_id] = job.Job(
+            job_id=job_id,
+            queue=identifiers.QueueId("quotes"),
+            team=identifiers.TeamId(team),
+            spec="soak",
+            steps=tuple(steps),
+            accepted=0.0,
+        )
+
+    def drain_minion(self, minion):
+        """Announces that a minion leaves, and ends it later."""
+        minion.state = catalog.MinionState.DRAINING
+        self.world.publish(minion)
+
+        def leave():
+            minion.state = catalog.MinionState.READY
+            minion.crash()
+
+        self.timers.subscribe_once(DRAIN_SECONDS, leave)
+
+    def close(self):
+        self.closing = True
+        for entry in self.entries:
+            entry.close()
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One try of a request at one entry."""
+
+    entry: EntryProcess
+    sent: float
+    status: int = 0
+    lost: str = ""
+    ended: float = 0.0
