Do not flood a slow store; do not call a job unknown unread

Appends took 0.24 s each, waited for their turn longer than the client's limit of one second and were sent again each 0.8 s, so the partition's queue grew faster than it drained, long after the store was sound again. The harness now waits for open requests and reports the delay of its own loop. The harness's own fault: callers queued for connections of their own and took that for a held request ("no whole answer in time").

Tests: features/job_writing.feature (entries that share a slow store), features/job_service.feature (cancelling elsewhere, log unreadable, floods of questions); the first two fail without the change.

--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -1,5 +1,6 @@
 """Follows one keyed stream of the store."""
 
+import dataclasses
 import enum
 from collections.abc import Callable, Sequence
 
@@ -26,6 +27,14 @@
     FOLLOWING = "following"
 
 
+@dataclasses.dataclass(eq=False, frozen=True, slots=True)
+class _Question:
+    """Somebody who waits for a reading that began after `asked`."""
+
+    asked: float
+    callback: Callable[[bool], None]
+
+
 class Feed:
     """Reads the newest record of each key, then every later record.
 
@@ -80,6 +89,8 @@
         self._run = 0
         self._paused: timer.Subscription | None = None
         self._waiting: list[Callable[[], None]] = []
+        self._questions: list[_Question] = []
+        self._refreshing = False
 
     def start(self) -> None:
         """Starts to read, from the newest record of each key."""
@@ -130,6 +141,23 @@
         self._timers.subscribe_once(limit, finish)
         self.hasten()
 
+    def call_when_fresh(
+        self, callback: Callable[[bool], None], limit: float
+    ) -> None:
+        """Calls back once everything stored before this call has been read.
+
+        Args:
+            callback: Called once with whether that came within the limit.
+            limit: Longest wait in seconds.
+        """
+        question = _Question(self._timers.clock(), callback)
+        self._questions.append(question)
+        self._timers.subscribe_once(
+            limit, lambda: self._answer(question, fresh=False)
+        )
+        if not self._refreshing:
+            self.refresh()
+
     def refresh(self) -> None:
         """Reads up to the end now, also while a read waits for a record."""
         if self.state is not State.FOLLOWING:
@@ -138,6 +166,7 @@
             self._paused.cancel()
             self._paused = None
         self._run += 1
+        self._refreshing = True
         self._read(wait=0.0)
 
     def _load(self) -> None:
@@ -174,24 +203,28 @@
                 self.fresh_at = self._load_sent
                 self._on_snapshot(pages)
                 self._note_fresh()
-                self._read()
+                if run == self._run:
+                    self._read()
             case _:
                 self._note_failure(outcome)
                 self._later(self._load, self._pause())
 
     def _read(self, wait: float | None = None) -> None:
+        if wait is None:
+            wait = 0.0 if self._questions else self._wait
         run = self._run
         self._sent = self._timers.clock()
         self._store.read(
             self._stream,
             self.next,
-            self._wait if wait is None else wait,
+            wait,
             lambda outcome: self._on_read(run, outcome),
         )
 
     def _on_read(self, run: int, outcome: ports.ReadResult) -> None:
         if run != self._run:
             return
+        self._refreshing = False
         match outcome:
             case ports.Records(records, following, end):
                 self._note_success()
@@ -218,7 +251,18 @@
         waiting, self._waiting = self._waiting, []
         for callback in waiting:
             callback()
+        for question in list(self._questions):
+            if question.asked <= self.fresh_at:
+                self._answer(question, fresh=True)
         self._on_fresh()
+        if self._questions and not self._refreshing:
+            # They came after the last reading had begun.
+            self.refresh()
+
+    def _answer(self, question: "_Question", *, fresh: bool) -> None:
+        if question in self._questions:
+            self._questions.remove(question)
+            question.callback(fresh)
 
     def _read_after_gap(self) -> None:
         left = self._sent + self.gap - self._timers.clock()
--- a/clementinewood/fencedlog.py
+++ b/clementinewood/fencedlog.py
@@ -14,9 +14,6 @@
 RETRY_SECONDS = 0.1
 """Pause before an append that was refused is sent again."""
 
-MAX_TRIES = 3
-"""Tries of one append on their way at a time."""
-
 FAILURES_A_LINE = 20
 """Failed tries in a row for which one line is logged."""
 
@@ -116,7 +113,10 @@
             lambda outcome: self._on_answer(sequence, sent, outcome),
             fence=ports.Fence(self._term, sequence),
         )
-        if self._on_outcome is not None and self._tries < MAX_TRIES:
+        if (
+            self._on_outcome is not None
+            and self._tries < self._hedge.most_tries
+        ):
             self._next_try = self._timers.subscribe_once(
                 self._hedge.seconds, self._send
             )
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -32,9 +32,9 @@
 stop working within five seconds of its withdrawal."""
 
 TABLE_STALE_SECONDS = 2.6
-"""Age of the job table from which an unknown job may be known elsewhere: an
-idle reading gets two waits and a gap old, and a job must be known everywhere
-after three seconds."""
+"""Age of the job table from which the entry is not ready for callers: an idle
+reading gets two waits and a gap old, and a job must be known everywhere after
+three seconds."""
 
 FOLLOWER_JOBS_GAP_SECONDS = 0.5
 """Least time between two reads of new jobs by an entry that does not dispatch;
@@ -60,6 +60,10 @@
 REFRESH_SECONDS = 0.02
 """How long a question about a job waits for a newer reading of the log."""
 
+UNKNOWN_SECONDS = 1.0
+"""How long a question about an unknown job waits for a reading that began
+after it; without one, the entry can't say that there is no such job."""
+
 STORE_RETRY_AFTER_SECONDS = 1.0
 """What callers are told while the store does not take their job: outages last
 seconds, and another entry may reach it."""
@@ -354,8 +358,8 @@
         """Stores that a job is cancelled."""
         self._find(
             job_id,
-            lambda entry: self._cancel_found(
-                job_id, entry, patience, on_answer
+            lambda entry, known: self._cancel_found(
+                job_id, entry, patience, on_answer, known=known
             ),
             fresh=False,
         )
@@ -366,9 +370,11 @@
         entry: jobtable.Entry | None,
         patience: float,
         on_answer: OnAnswer,
+        *,
+        known: bool,
     ) -> None:
         if entry is None:
-            on_answer(self._refuse_unknown())
+            on_answer(_refuse_unknown(known=known))
             return
         if entry.state in job.TERMINAL:
             on_answer(Cancelled())
@@ -388,9 +394,9 @@
     def describe(self, job_id: identifiers.JobId, on_answer: OnAnswer) -> None:
         """Tells how a job stands, by a reading made after the question."""
 
-        def answer(entry: jobtable.Entry | None) -> None:
+        def answer(entry: jobtable.Entry | None, known: bool) -> None:
             on_answer(
-                self._refuse_unknown()
+                _refuse_unknown(known=known)
                 if entry is None
                 else Described(entry.state)
             )
@@ -412,7 +418,7 @@
     def _find(
         self,
         job_id: identifiers.JobId,
-        on_found: Callable[[jobtable.Entry | None], None],
+        on_found: Callable[[jobtable.Entry | None, bool], None],
         *,
         fresh: bool,
     ) -> None:
@@ -420,36 +426,30 @@
 
         Args:
             job_id: The job.
-            on_found: Called once with the job, or None if there is none.
+            on_found: Called once with the job or None, and whether everything
+                stored before the question is known.
             fresh: Whether the newest state of the job is wanted.
         """
         entry = self.table.find(job_id)
-        source = None
         if entry is None:
-            source = self._jobs_feed
+            # Another entry may have stored it a moment ago.
+            self._jobs_feed.call_when_fresh(
+                lambda known: on_found(self.table.find(job_id), known),
+                UNKNOWN_SECONDS,
+            )
         elif fresh and entry.state not in job.TERMINAL and not self.dispatching:
             # The dispatcher itself has nothing newer to read.
-            source = self._dispatch_feed
-        if source is None:
-            on_found(entry)
-            return
-        source.call_when_read(
-            lambda: on_found(self.table.find(job_id)), REFRESH_SECONDS
-        )
+            self._dispatch_feed.call_when_read(
+                lambda: on_found(self.table.find(job_id), True),
+                REFRESH_SECONDS,
+            )
+        else:
+            on_found(entry, True)
 
     def _table_age(self) -> float:
         """Returns seconds since both logs of jobs had been read."""
         return max(self._jobs_feed.age(), self._dispatch_feed.age())
 
-    def _refuse_unknown(self) -> verdict.Refusal:
-        if self._jobs_feed.age() > TABLE_STALE_SECONDS:
-            return _refuse(
-                verdict.Reason.STORE_UNAVAILABLE, "The job log can't be read."
-            )
-        return verdict.Refusal(
-            verdict.Reason.JOB_UNKNOWN, detail="No such job."
-        )
-
     # Appends of jobs and cancels.
 
     def _append(
@@ -587,6 +587,21 @@
         self._dispatch_feed.gap = FOLLOWER_DISPATCH_GAP_SECONDS
 
 
+def _refuse_unknown(*, known: bool) -> verdict.Refusal:
+    """Returns the answer about a job that is not in the table.
+
+    Args:
+        known: Whether everything stored before the question has been read.
+    """
+    if known:
+        return verdict.Refusal(
+            verdict.Reason.JOB_UNKNOWN, detail="No such job."
+        )
+    return _refuse(
+        verdict.Reason.STORE_UNAVAILABLE, "The job log can't be read."
+    )
+
+
 def _refuse(reason: verdict.Reason, detail: str) -> verdict.Refusal:
     """Returns a refusal that tells when to come back."""
     return verdict.Refusal(
--- a/clementinewood/jobwriter.py
+++ b/clementinewood/jobwriter.py
@@ -13,7 +13,15 @@
 
 MAX_APPENDS = 3
 """Appends of one entry on their way at a time; six entries then wait at most
-for eighteen appends, 0.1 s of a sound store."""
+for eighteen appends, 0.1 s of a sound store. A slow one gets one at a time:
+more would only wait for their turn longer than callers do."""
+
+MAX_UNANSWERED = 12
+"""Appends of one entry without an answer, with those that have given their
+turn to another."""
+
+SLOW_UNANSWERED = 2
+"""The same at a slow store."""
 
 MAX_BATCH_BYTES = 1 << 20
 """Size of one append; the store takes 2 MB at once."""
@@ -89,6 +97,7 @@
         self._writes: dict[str, _Write] = {}
         self._queue: list[_Write] = []
         self._appends = 0
+        self._unanswered = 0
 
     def write(
         self,
@@ -133,13 +142,22 @@
             self._finish(write, ports.Appended(0))
 
     def _enqueue(self, write: _Write) -> None:
-        if not write.queued and self._writes.get(write.item.key) is write:
+        if write.queued or write.tries >= self._hedge.most_tries:
+            return
+        if self._writes.get(write.item.key) is write:
             write.queued = True
             self._queue.append(write)
             self._send_queued()
 
     def _send_queued(self) -> None:
-        while self._queue and self._appends < MAX_APPENDS:
+        slow = self._hedge.is_slow
+        most = 1 if slow else MAX_APPENDS
+        most_unanswered = SLOW_UNANSWERED if slow else MAX_UNANSWERED
+        while (
+            self._queue
+            and self._appends < most
+            and self._unanswered < most_unanswered
+        ):
             batch: list[_Write] = []
             size = 0
             while self._queue and size < MAX_BATCH_BYTES:
@@ -154,6 +172,7 @@
     def _send(self, writes: list[_Write]) -> None:
         append = _Append(writes, self._timers.clock())
         self._appends += 1
+        self._unanswered += 1
         for write in writes:
             write.tries += 1
         append.next_try = self._timers.subscribe_once(
@@ -177,6 +196,7 @@
 
     def _on_answer(self, append: _Append, outcome: ports.AppendResult) -> None:
         self._release(append)
+        self._unanswered -= 1
         if append.next_try is not None:
             append.next_try.cancel()
         for write in append.writes:
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -119,6 +119,23 @@
     And a job of 1 steps with 6 tasks is submitted
     Then the job is refused as not run within 0.2 seconds
 
+  Scenario: A job that another entry has just taken can be cancelled at once
+    Given a site with 3 entries and 4 minions
+    When a job is taken by one entry and cancelled at another whose reading is slow
+    Then the cancelling is confirmed
+    And nothing of the job starts afterwards
+
+  Scenario: An entry that can't read the log does not say that a job is unknown
+    Given a site with 3 entries and 4 minions
+    When the store is silent for every entry for 0.1 seconds
+    And an unknown job is asked for
+    Then the answer is that the log can't be read
+
+  Scenario: Many questions about unknown jobs are answered
+    Given a site with 3 entries and 4 minions
+    When 50 unknown jobs are asked for within 0.2 seconds
+    Then each is answered as unknown within 0.1 seconds
+
   Scenario: A cancelled job stops everywhere
     Given a site with 3 entries and 4 minions
     When a long-running job of 4 tasks is submitted
--- a/features/job_world.py
+++ b/features/job_world.py
@@ -119,6 +119,7 @@
         self.world = world
         self.store = store
         self.link = Link()
+        self.slow_reads = 0.0
 
     def append(self, stream, items, on_result, *, fence=None):
         self.world.call(
@@ -131,6 +132,7 @@
 
     def read(self, stream, offset, wait, on_result):
         state = {"done": False, "link": self.link}
+        pause = STORE_SECONDS + self.slow_reads
 
         def fetch():
             if offset < self.store.first[stream]:
@@ -153,7 +155,7 @@
                 return
             ready = len(self.store.records[stream]) > offset
             if ready or offset < self.store.first[stream]:
-                self.world.timers.subscribe_once(STORE_SECONDS, finish)
+                self.world.timers.subscribe_once(pause, finish)
             else:
                 self.store.waiting.append(check)
 
@@ -166,7 +168,7 @@
             )
             return
         check()
-        self.world.timers.subscribe_once(wait + STORE_SECONDS, finish)
+        self.world.timers.subscribe_once(wait + pause, finish)
 
     def read_newest(self, stream, after, on_result):
         self.world.call(
--- a/features/job_writing.feature
+++ b/features/job_writing.feature
@@ -8,6 +8,12 @@
     Then every job is stored within 1.5 seconds
     And one append for each job would have taken more than 10 seconds
 
+  Scenario: Entries that share a slow store do not flood it
+    Given a store that takes 0.24 seconds for each append, one after the other
+    And 4 entries that share it
+    When 120 jobs arrive within 6 seconds
+    Then every job is stored within 2.85 seconds
+
   Scenario: A lost answer delays a job by a fraction of a second
     Given a store that takes 0.004 seconds for each append, one after the other
     When 60 jobs arrive within 2 seconds and each third append is not answered
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -3,7 +3,8 @@
     python -m features.soak --seed 1 --seeds 50 --seconds 25
 
 Real time decides which faults meet, so a seed repeats the faults and not their
-course. Prints one JSON object a seed; the exit status is 1 if any promise was
+course. Prints one JSON object a seed, with the longest delay of this process's
+own loop as `lag`; the exit status is 1 if any promise was
 broken. Logs and the list of faults of a broken seed are kept in `--out`.
 """
 
@@ -22,7 +23,9 @@
 
 CALLERS = 6
 READY_SECONDS = 4.0
-SETTLE_SECONDS = 25.0
+SETTLE_SECONDS = 30.0
+IDLE_SECONDS = 4.0
+CHECK_SECONDS = 0.1
 
 
 class Soak:
@@ -55,6 +58,9 @@
         ]
         self.seconds = seconds
         self.done = False
+        self.lag = 0.0
+        self.checked_at = self.busy_at = self.timers.clock()
+        self.settled_at = float("inf")
 
     def _note(self, line):
         self.lines.append(f"{time.monotonic() - self.began:8.3f} {line}")
@@ -67,6 +73,7 @@
             later(READY_SECONDS, caller.start)
         later(READY_SECONDS + 1.0, self.faults.start)
         later(READY_SECONDS + 1.0 + self.seconds, self._settle)
+        self.timers.subscribe_every(CHECK_SECONDS, self._check_settled)
         self.timers.on_signal = self.timers.stop
         try:
             self.timers.run()
@@ -81,7 +88,7 @@
         for caller in self.callers:
             caller.stopped = True
         self.settled_at = self.timers.clock() + SETTLE_SECONDS
-        self.timers.subscribe_every(0.2, self._check_settled)
+        self.busy_at = self.timers.clock()
 
     def _unfinished(self):
         return [
@@ -94,13 +101,19 @@
         ]
 
     def _check_settled(self):
-        late = self.timers.clock() >= self.settled_at
-        if not late and self._unfinished():
+        now = self.timers.clock()
+        self.lag = max(self.lag, now - self.checked_at - CHECK_SECONDS)
+        self.checked_at = now
+        if self._unfinished() or self.site.open_requests:
+            self.busy_at = now
+        # What was cancelled last must have stopped as well.
+        idle = now - self.busy_at > IDLE_SECONDS
+        if self.settled_at == float("inf"):
             return
-        if not self.done:
+        if not self.done and (idle or now >= self.settled_at):
             self.done = True
-            # What was cancelled last must have stopped as well.
-            self.timers.subscribe_once(4.0, self._finish)
+            self._note("settled" if idle else "not settled in time")
+            self._finish()
 
     def _finish(self):
         broken = self.site.violations
@@ -134,6 +147,7 @@
             "cancelled": sum(item.cancelled_at is not None for item in works),
             "runs": world.count("begin"),
             "moves": len(world.machine_service.orders),
+            "lag": round(self.lag, 3),
             "broken": sorted(set(self.site.violations)),
         }
 
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -37,7 +37,9 @@
                 entry.front_proxy.target
                 if self.direct
                 else entry.front_proxy.address,
-                max_connections=4,
+                # Requests never wait here for a connection, so that their
+                # time counts from when they were sent.
+                max_connections=256,
             )
             for entry in site.entries
         }
@@ -115,7 +117,10 @@
             (b"x-deadline-ms", str(PATIENCE_MS).encode()),
         ]
 
+        site.open_requests += 1
+
         def finish(outcome):
+            site.open_requests -= 1
             attempt.ended = site.timers.clock()
             match outcome:
                 case httpclient.Answer(status=status):
--- a/features/soak/faces.py
+++ b/features/soak/faces.py
@@ -11,6 +11,7 @@
 APPEND_SECONDS = 0.004
 SLOW_SECONDS = 0.24
 LATE_SECONDS = 3.0
+MOST_WAITING_SECONDS = 2.0
 PAGE_ITEMS = 500
 JSON = [(b"content-type", b"application/json")]
 
@@ -94,6 +95,9 @@
         items = decode_items(exchange.request.body)
         dice = self.world.random
         lost = self.mode is StoreMode.LOSSY and dice.random() < 0.35
+        if self.world.read_waiting(stream) > MOST_WAITING_SECONDS:
+            answer(exchange, 503, {})
+            return
         wait = self.world.take_turn(
             stream,
             SLOW_SECONDS if self.mode is StoreMode.SLOW else APPEND_SECONDS,
--- a/features/soak/site.py
+++ b/features/soak/site.py
@@ -184,6 +184,10 @@
         # The bound holds for entries that are in touch with the platform.
         return 3.0 if self.site.is_calm() else float("inf")
 
+    def read_waiting(self, stream):
+        """Returns seconds of appends that wait in a partition."""
+        return self.turns.get(stream, 0.0) - self.clock()
+
     def take_turn(self, stream, seconds):
         """Returns the wait for an append's turn in its partition."""
         now = self.clock()
@@ -260,6 +264,7 @@
         self.keys = {f"key-{team}-0": team for team in TEAMS}
         self.revoked_at = {}
         self.declare()
+        self.open_requests = 0
         self.store_troubled_at = float("-inf")
         self.minion_troubled_at = float("-inf")
         self.entries = []
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -258,6 +258,78 @@
     )
 
 
+@behave.when(
+    "a job is taken by one entry and cancelled at another whose reading is slow"
+)
+def cancel_elsewhere(context):
+    world = context.world
+    first, second = [item for item in world.entries if not item.dispatching]
+    # The other entry's reading of new jobs takes longer than a question may
+    # wait for newer states.
+    second._store.slow_reads = 0.2
+    world.run_for(2.0)
+    context.answers = world.submit(first, NAME, create_steps(2, 6))
+    world.run_until(lambda: context.answers, 3.0)
+    assert second.table.find(identifiers.JobId(NAME)) is None
+    context.cancels = []
+    second.cancel(identifiers.JobId(NAME), 3.0, context.cancels.append)
+
+
+@behave.then("the cancelling is confirmed")
+def check_cancelled(context):
+    context.world.run_until(lambda: context.cancels, 3.0)
+    assert isinstance(context.cancels[0], jobservice.Cancelled), context.cancels
+    context.begun = context.world.count("begin")
+
+
+@behave.then("nothing of the job starts afterwards")
+def check_no_start(context):
+    context.world.run_for(0.1)
+    begun = context.world.count("begin")
+    context.world.run_for(4.0)
+    assert context.world.count("begin") == begun
+
+
+@behave.when("an unknown job is asked for")
+def ask_unknown(context):
+    context.answers = []
+    context.world.entries[0].describe(
+        identifiers.JobId(NAME), context.answers.append
+    )
+    context.world.run_until(lambda: context.answers, 3.0)
+
+
+@behave.then("the answer is that the log can't be read")
+def check_unreadable(context):
+    answer = context.answers[0]
+    assert answer.reason is verdict.Reason.STORE_UNAVAILABLE, answer
+    assert answer.retry_after
+
+
+@behave.when("{count:d} unknown jobs are asked for within {seconds:g} seconds")
+def ask_many(context, count, seconds):
+    world = context.world
+    context.waits = []
+    for number in range(count):
+        asked = world.clock()
+
+        def note(answer, asked=asked):
+            assert answer.reason is verdict.Reason.JOB_UNKNOWN, answer
+            context.waits.append(world.clock() - asked)
+
+        name = identifiers.JobId(f"{number:016x}")
+        find_follower(world).describe(name, note)
+        world.run_for(seconds / count)
+    context.count = count
+    world.run_for(2.0)
+
+
+@behave.then("each is answered as unknown within {seconds:g} seconds")
+def check_waits(context, seconds):
+    assert len(context.waits) == context.count
+    assert max(context.waits) <= seconds, max(context.waits)
+
+
 @behave.when("{seconds:g} seconds pass")
 def pass_time(context, seconds):
     context.world.run_for(seconds)
--- a/features/steps/job_writing_steps.py
+++ b/features/steps/job_writing_steps.py
@@ -51,13 +51,22 @@
     context.clock = clock.ManualClock(50.0)
     context.timers = timer.TimerService(clock=context.clock)
     context.store = SerialStore(context.timers, seconds)
-    context.writer = jobwriter.JobWriter(
+    context.writers = [create_writer(context)]
+    context.outcomes = {}
+
+
+def create_writer(context):
+    return jobwriter.JobWriter(
         context.store,
         context.timers,
         on_stored=lambda items, offset: None,
         is_silent=lambda: False,
     )
-    context.outcomes = {}
+
+
+@behave.given("{count:d} entries that share it")
+def share_store(context, count):
+    context.writers = [create_writer(context) for _ in range(count)]
 
 
 def run_for(context, seconds):
@@ -76,7 +85,9 @@
         assert name not in context.outcomes
         context.outcomes[name] = (outcome, context.clock.now - asked)
 
-    context.writer.write(ports.Item(name, b"{}"), asked + PATIENCE, note)
+    number = int(name.partition("/")[2])
+    writer = context.writers[number % len(context.writers)]
+    writer.write(ports.Item(name, b"{}"), asked + PATIENCE, note)
 
 
 @behave.when("{count:d} jobs arrive within {seconds:g} seconds")
