Log and count what reads of the store bring and how loads progress

Change: CW1201 names the state, position, bytes and seconds of one failed read in ten; CW1210 tells what a load took. An incomplete response reports the bytes that were received.

No logic changed.

--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -38,6 +38,7 @@
     HOSTS_UNREACHABLE = (1207, "WARNING", "host list can't be read")
     HOSTS_REACHABLE = (1208, "INFO", "host list can be read again")
     SNAPSHOT_FAILED = (1209, "WARNING", "appending a snapshot failed")
+    LOG_LOADED = (1210, "INFO", "newest records of a stream were read")
     PEER_UP = (1301, "INFO", "link to another entry is up")
     PEER_DOWN = (1302, "WARNING", "link to another entry is down")
     PEER_REFUSED = (1303, "WARNING", "peer failed authentication")
--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -17,6 +17,9 @@
 """Longest pause after a failed read. It is short, since a configuration must be
 in force soon after an outage."""
 
+FAILURES_PER_LOG_LINE = 10
+"""Consecutive failed reads per log line."""
+
 _OnRecords = Callable[[Sequence[jobtable.StoredRecord]], None]
 
 
@@ -50,6 +53,7 @@
         min_read_interval: Least time in seconds between two reads, so that a
             busy stream is read in batches.
         long_poll_seconds: Seconds that one read waits for a record.
+        record_load: Called with the seconds that a load took.
 
     Attributes:
         caught_up_at: Monotonic time in seconds up to which all records
@@ -71,6 +75,7 @@
         on_caught_up: Callable[[], None] = lambda: None,
         min_read_interval: float = 0.0,
         long_poll_seconds: float = LONG_POLL_SECONDS,
+        record_load: Callable[[float], None] = lambda seconds: None,
     ) -> None:
         self.caught_up_at = float("-inf")
         self.last_response_at = float("-inf")
@@ -84,11 +89,14 @@
         self._on_snapshot = on_snapshot
         self._on_records = on_records
         self._on_caught_up = on_caught_up
+        self._record_load = record_load
         self._read_sent_at = 0.0
         self._failures = 0
         self._pages: list[jobtable.StoredRecord] = []
         self._first_page_end = 0
         self._load_sent_at = 0.0
+        self._loaded_pages = 0
+        self._loaded_bytes = 0
         self._generation = 0
         self._next_read: timer.Subscription | None = None
         self._read_waiters: list[Callable[[], None]] = []
@@ -176,6 +184,8 @@
         self.state = State.LOADING
         self._pages = []
         self._first_page_end = -1
+        self._loaded_pages = 0
+        self._loaded_bytes = 0
         self._load_sent_at = self._timers.clock()
         self._load_page("")
 
@@ -192,8 +202,10 @@
         if generation != self._generation:
             return
         match outcome:
-            case ports.Records(records, more, end):
+            case ports.Records(records, more, end, size):
                 self._record_success()
+                self._loaded_pages += 1
+                self._loaded_bytes += size
                 self._pages.extend(records)
                 if self._first_page_end < 0:
                     self._first_page_end = end
@@ -201,6 +213,7 @@
                     self._load_page(records[-1].key)
                     return
                 pages, self._pages = self._pages, []
+                self._report_load(len(pages))
                 # The pages are no consistent snapshot, so records after the
                 # end as of the first page are read again.
                 self.next_offset = self._first_page_end
@@ -214,6 +227,18 @@
                 self._record_failure(outcome)
                 self._schedule(self._load, self._compute_retry_delay())
 
+    def _report_load(self, records: int) -> None:
+        seconds = self._timers.clock() - self._load_sent_at
+        self._record_load(seconds)
+        event.emit(
+            event.Event.LOG_LOADED,
+            stream=self._stream.value,
+            seconds=round(seconds, 3),
+            pages=self._loaded_pages,
+            records=records,
+            bytes=self._loaded_bytes,
+        )
+
     def _read(self, long_poll_seconds: float | None = None) -> None:
         if long_poll_seconds is None:
             long_poll_seconds = (
@@ -307,9 +332,17 @@
 
     def _record_failure(self, outcome: object) -> None:
         self._failures += 1
-        if self._failures == 1:
+        if self._failures % FAILURES_PER_LOG_LINE == 1:
+            pages = self._pages
             event.emit(
                 event.Event.LOG_UNREACHABLE,
                 stream=self._stream.value,
+                state=self.state.value,
+                failures=self._failures,
+                offset=self.next_offset,
+                after=pages[-1].key if pages else "",
+                pages=self._loaded_pages,
+                bytes=self._loaded_bytes,
+                seconds=round(self._timers.clock() - self._read_sent_at, 3),
                 detail=str(outcome),
             )
--- a/clementinewood/httpclient.py
+++ b/clementinewood/httpclient.py
@@ -60,11 +60,13 @@
         detail: What happened.
         timed_out: Whether the call timed out.
         invalid: Whether a truncated or malformed response was received.
+        received_bytes: Bytes of the response that were received.
     """
 
     detail: str
     timed_out: bool = False
     invalid: bool = False
+    received_bytes: int = 0
 
 
 Result = Response | NotSent | Lost
@@ -137,6 +139,7 @@
         "call",
         "connection",
         "last_received",
+        "received_bytes",
     )
 
     def __init__(self, client: "HttpClient", call: Call) -> None:
@@ -149,6 +152,7 @@
         self._reset()
 
     def _reset(self) -> None:
+        self.received_bytes = 0
         self._buffer = b""
         self._head: framing.ResponseHead | None = None
         self._body_parts: list[bytes] = []
@@ -193,6 +197,7 @@
             # one.
             connection.abort(f"{len(data)} bytes received without a request")
             return
+        self.received_bytes += len(data)
         self._buffer = self._buffer + data if self._buffer else data
         try:
             if self._read_response():
@@ -289,6 +294,7 @@
                     "timed out without a complete response",
                     timed_out=True,
                     invalid=self._head is not None,
+                    received_bytes=self.received_bytes,
                 ),
                 "timed out",
             )
@@ -313,7 +319,11 @@
         call.connection = None
         if self.has_sent:
             partial = self._head is not None or bool(self._buffer)
-            call.finish(Lost(reason, invalid=partial))
+            call.finish(
+                Lost(
+                    reason, invalid=partial, received_bytes=self.received_bytes
+                )
+            )
         else:
             # Sending may have failed inside `HttpClient.send`.
             self._client.finish_later(call, NotSent(reason))
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -215,6 +215,9 @@
             on_records=self._fold,
             on_caught_up=lambda: self.elector.handle_jobs_caught_up(),
             min_read_interval=FOLLOWER_JOBS_READ_INTERVAL_SECONDS,
+            record_load=lambda seconds: self._record_load(
+                ports.Stream.JOBS, seconds
+            ),
         )
         self._dispatch_feed = feed.Feed(
             store,
@@ -225,6 +228,9 @@
             on_caught_up=lambda: self.elector.handle_log_caught_up(),
             min_read_interval=FOLLOWER_DISPATCH_READ_INTERVAL_SECONDS,
             long_poll_seconds=DISPATCH_LONG_POLL_SECONDS,
+            record_load=lambda seconds: self._record_load(
+                ports.Stream.DISPATCH, seconds
+            ),
         )
         self.elector = leaderelector.LeaderElector(
             self.incarnation,
@@ -244,6 +250,9 @@
             timers,
             on_snapshot=self._load_declarations,
             on_records=self._fold_declarations,
+            record_load=lambda seconds: self._record_load(
+                ports.Stream.DECLARATIONS, seconds
+            ),
         )
 
     def start(self) -> None:
@@ -519,6 +528,11 @@
 
     # Records from the store.
 
+    def _record_load(self, stream: ports.Stream, seconds: float) -> None:
+        self._metrics.record(
+            metric.STORE_LOAD_SECONDS, seconds, stream=stream.value
+        )
+
     def _fold(self, records: Sequence[jobtable.StoredRecord]) -> None:
         for record in records:
             match self.table.apply(record):
--- a/clementinewood/metric.py
+++ b/clementinewood/metric.py
@@ -177,6 +177,33 @@
     "Orders to start a run, by what the minion did.",
     ("outcome",),
 )
+STORE_READS = Instrument(
+    "clementinewood.store.reads",
+    Kind.COUNTER,
+    "1",
+    "Reads of the platform's store, by stream and outcome.",
+    ("stream", "outcome"),
+)
+STORE_READ_BYTES = Instrument(
+    "clementinewood.store.read",
+    Kind.COUNTER,
+    "By",
+    "Bytes received from the platform's store, also by reads that failed.",
+    ("stream",),
+)
+STORE_LOAD_SECONDS = Instrument(
+    "clementinewood.store.load.duration",
+    Kind.HISTOGRAM,
+    "s",
+    "Time from the start of a load of a stream's newest records to its end.",
+    ("stream",),
+)
+LINK_CAPACITY = Instrument(
+    "clementinewood.link.capacity",
+    Kind.GAUGE,
+    "By/s",
+    "Capacity of this host's link, from its settings.",
+)
 DISPATCHING = Instrument(
     "clementinewood.dispatching",
     Kind.GAUGE,
--- a/clementinewood/ports.py
+++ b/clementinewood/ports.py
@@ -96,10 +96,12 @@
     Attributes:
         execution: Whether it may have taken effect.
         detail: Cause of the failure, for logs and refusals.
+        received_bytes: Bytes of an incomplete response that were received.
     """
 
     execution: verdict.Execution
     detail: str
+    received_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,11 +112,13 @@
         records: In order of their offsets.
         next_offset: Offset of the next read.
         end: Offset after the last record of the stream.
+        received_bytes: Size of the response.
     """
 
     records: tuple[jobtable.StoredRecord, ...]
     next_offset: int
     end: int
+    received_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
