Limit large reads of the store by their progress, not by a fixed time

Cause: a page of newest records may have a megabyte and had 2 s, a read of new records up to 512 kB and had 0.8 s after its wait. A link of 5 Mbit/s carries 625 kB/s for all streams and callers. A read that was too large for its time was repeated in the same size, and the bytes of the aborted ones delayed the others.

Change: a call may have transfer limits.

--- a/clementinewood/httpclient.py
+++ b/clementinewood/httpclient.py
@@ -73,6 +73,19 @@
 OnResult = Callable[[Result], None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TransferLimits:
+    """Limits of a response whose transfer may take long on a slow link.
+
+    Attributes:
+        stall_seconds: Longest time without a byte once a response has begun.
+        total_seconds: Longest time from the request to the complete response.
+    """
+
+    stall_seconds: float
+    total_seconds: float
+
+
 class Call:
     """One request in progress; `cancel` closes its connection.
 
@@ -80,6 +93,9 @@
         method: HTTP method.
         data: Complete request as sent.
         on_result: Called once with the result unless cancelled.
+        started_at: Monotonic time of the request in seconds.
+        transfer: Limits of the response's transfer; without them the call's
+            timeout applies to the whole response.
     """
 
     __slots__ = (
@@ -89,11 +105,22 @@
         "data",
         "deadline",
         "method",
+        "started_at",
+        "transfer",
     )
 
-    def __init__(self, method: str, data: bytes, on_result: OnResult) -> None:
+    def __init__(
+        self,
+        method: str,
+        data: bytes,
+        on_result: OnResult,
+        started_at: float = 0.0,
+        transfer: TransferLimits | None = None,
+    ) -> None:
         self.method = method
         self.data = data
+        self.started_at = started_at
+        self.transfer = transfer
         self._on_result = on_result
         self._done = False
         self.deadline: timer.Subscription | None = None
@@ -394,6 +421,7 @@
         timeout: float,
         on_result: OnResult,
         reuse_careful: bool = False,
+        transfer: TransferLimits | None = None,
     ) -> Call:
         """Sends one request.
 
@@ -402,11 +430,15 @@
             target: Origin-form request target.
             headers: Headers; Host and framing headers are replaced.
             body: Complete body.
-            timeout: Seconds until the call times out.
+            timeout: Seconds until the call times out; with `transfer`, seconds
+                until the response must have begun.
             on_result: Called once with the result, after `send` has returned.
             reuse_careful: Whether to reuse only a connection that was active
                 within `careful_seconds`, which the server is unlikely to be
                 closing.
+            transfer: Limits of a response that may be large. A timeout of the
+                whole call would abort it on a slow link, however often it is
+                repeated.
 
         Returns:
             The call, which can be cancelled.
@@ -417,7 +449,7 @@
             )
         except framing.FramingError as error:
             return self._fail_soon(method, on_result, str(error))
-        call = Call(method, data, on_result)
+        call = Call(method, data, on_result, self.clock(), transfer)
         call.deadline = self._timers.subscribe_once(
             timeout, lambda: self._time_out(call)
         )
@@ -550,11 +582,31 @@
         self._timers.subscribe_once(0.0, lambda: call.finish(result))
 
     def _time_out(self, call: Call) -> None:
-        if call.connection is not None:
+        seconds_left = self._compute_transfer_time_left(call)
+        if seconds_left > 0:
+            call.deadline = self._timers.subscribe_once(
+                seconds_left, lambda: self._time_out(call)
+            )
+        elif call.connection is not None:
             call.connection.time_out()
         else:
             call.finish(NotSent("timed out while waiting for a connection"))
 
+    def _compute_transfer_time_left(self, call: Call) -> float:
+        """Returns seconds until a response that has begun times out."""
+        limits, connection = call.transfer, call.connection
+        if limits is None or connection is None:
+            return 0.0
+        if not connection.received_bytes:
+            return 0.0
+        return (
+            min(
+                connection.last_received + limits.stall_seconds,
+                call.started_at + limits.total_seconds,
+            )
+            - self.clock()
+        )
+
 
 if __name__ == "__main__":
     service = timer.TimerService()
