Go on with the page that failed when a load of the log fails

Cause: a page that failed sent the feed back to the first page. What had been read was thrown away and read again, beside the other streams. And a load that outlasts the store's history of 20 s started over as well, since the records after its first page had expired when it ended.

Change: a load asks again for the page that failed and keeps the others. At most every two seconds it also reads the records stored since its first page, and applies them after the pages.

The new scenario on expired history fails without the reads of later records, also if the load goes on with the page that failed.

--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -17,6 +17,10 @@
 """Longest pause after a failed read. It is short, since a configuration must be
 in force soon after an outage."""
 
+LOAD_TAIL_INTERVAL_SECONDS = 2.0
+"""Least time between two reads of later records during a load. The store keeps
+a history of tens of seconds, which a load over a slow link may outlast."""
+
 FAILURES_PER_LOG_LINE = 10
 """Consecutive failed reads per log line."""
 
@@ -42,6 +46,10 @@
 class Feed:
     """Reads the newest record of each key, then every later record.
 
+    A load of several pages goes on with the page that failed, and also reads
+    the records stored since its first page, so that it ends however slow the
+    link is.
+
     Args:
         store: The store.
         stream: The stream to follow.
@@ -93,8 +101,11 @@
         self._read_sent_at = 0.0
         self._failures = 0
         self._pages: list[jobtable.StoredRecord] = []
-        self._first_page_end = 0
-        self._load_sent_at = 0.0
+        self._tail: list[jobtable.StoredRecord] = []
+        self._tail_read_at = 0.0
+        self._load_started_at = 0.0
+        self._first_page_sent_at = 0.0
+        self._behind = False
         self._loaded_pages = 0
         self._loaded_bytes = 0
         self._generation = 0
@@ -183,13 +194,16 @@
     def _load(self) -> None:
         self.state = State.LOADING
         self._pages = []
-        self._first_page_end = -1
+        self._tail = []
+        self._behind = False
         self._loaded_pages = 0
         self._loaded_bytes = 0
-        self._load_sent_at = self._timers.clock()
-        self._load_page("")
+        self._load_started_at = self._timers.clock()
+        self._load_page()
 
-    def _load_page(self, after: str) -> None:
+    def _load_page(self) -> None:
+        """Reads the page after the last record that was loaded."""
+        after = self._pages[-1].key if self._pages else ""
         generation = self._generation
         self._read_sent_at = self._timers.clock()
         self._store.read_newest(
@@ -206,29 +220,45 @@
                 self._record_success()
                 self._loaded_pages += 1
                 self._loaded_bytes += size
+                if not self._pages:
+                    # The pages are no consistent snapshot, so records after
+                    # the end as of the first page are read as well.
+                    self.next_offset = end
+                    self._first_page_sent_at = self._read_sent_at
+                    self._tail_read_at = self._read_sent_at
                 self._pages.extend(records)
-                if self._first_page_end < 0:
-                    self._first_page_end = end
                 if more >= 0 and records:
-                    self._load_page(records[-1].key)
-                    return
-                pages, self._pages = self._pages, []
-                self._report_load(len(pages))
-                # The pages are no consistent snapshot, so records after the
-                # end as of the first page are read again.
-                self.next_offset = self._first_page_end
-                self.state = State.FOLLOWING
-                self.caught_up_at = self._load_sent_at
-                self._on_snapshot(pages)
-                self._handle_caught_up()
-                if generation == self._generation:
-                    self._read()
+                    self._continue_load()
+                else:
+                    self._finish_load()
             case _:
                 self._record_failure(outcome)
-                self._schedule(self._load, self._compute_retry_delay())
+                self._schedule(self._load_page, self._compute_retry_delay())
+
+    def _continue_load(self) -> None:
+        now = self._timers.clock()
+        if now - self._tail_read_at < LOAD_TAIL_INTERVAL_SECONDS:
+            self._load_page()
+            return
+        self._tail_read_at = now
+        self._read(long_poll_seconds=0.0)
+
+    def _finish_load(self) -> None:
+        generation = self._generation
+        pages, self._pages = self._pages, []
+        tail, self._tail = self._tail, []
+        self._report_load(len(pages))
+        self.state = State.FOLLOWING
+        self.caught_up_at = self._first_page_sent_at
+        self._on_snapshot(pages)
+        if tail:
+            self._on_records(tail)
+        self._handle_caught_up()
+        if generation == self._generation:
+            self._read()
 
     def _report_load(self, records: int) -> None:
-        seconds = self._timers.clock() - self._load_sent_at
+        seconds = self._timers.clock() - self._load_started_at
         self._record_load(seconds)
         event.emit(
             event.Event.LOG_LOADED,
@@ -261,9 +291,14 @@
             case ports.Records(records, following, end):
                 self._record_success()
                 self.next_offset = following
+                self._behind = following < end
+                if self.state is State.LOADING:
+                    self._tail.extend(records)
+                    self._load_page()
+                    return
                 if records:
                     self._on_records(records)
-                if following >= end:
+                if not self._behind:
                     self.caught_up_at = self._read_sent_at
                     self._handle_caught_up()
                 if generation == self._generation:
@@ -277,7 +312,11 @@
                 self._load()
             case ports.Failed():
                 self._record_failure(outcome)
-                self._schedule(self._read, self._compute_retry_delay())
+                loading = self.state is State.LOADING
+                self._schedule(
+                    self._load_page if loading else self._read,
+                    self._compute_retry_delay(),
+                )
 
     def _handle_caught_up(self) -> None:
         waiting, self._read_waiters = self._read_waiters, []
@@ -302,7 +341,7 @@
         left = (
             self._read_sent_at + self.min_read_interval - self._timers.clock()
         )
-        if left <= 0:
+        if left <= 0 or self._behind:
             self._read()
             return
         self._next_read = self._timers.subscribe_once(left, self.read_now)
--- a/features/job_log_load.feature
+++ b/features/job_log_load.feature
@@ -59,3 +59,12 @@
     And a caller that asks it about an unknown job every 0.5 s
     When 1000 jobs of 1000 bytes with 1000 bytes of progress are stored
     Then the entry knows all 1000 jobs within 15 s
+
+  Scenario: Records that expire while an entry loads are not missed
+    Given a link of 200000 bytes/s to a store
+    And 1100 jobs of 1100 bytes with 100 bytes of progress in the store
+    When an entry starts
+    And after 4 s, 100 jobs of 1000 bytes with 100 bytes of progress are stored
+    And after 4 s, the store's history expires
+    Then the entry knows all 1200 jobs within 15 s
+    And after 1 s, every page was requested once
--- a/features/steps/job_log_load_steps.py
+++ b/features/steps/job_log_load_steps.py
@@ -79,7 +79,8 @@
     """Stores jobs of this size, and progress of at least this size."""
     put = context.store.log.put
     job_value, progress_value = render_job(size), render_progress(progress)
-    for number in range(count):
+    first = len(context.store.log.newest[ports.Stream.JOBS])
+    for number in range(first, first + count):
         job_id = identifiers.JobId(f"{number:016x}")
         put(
             ports.Stream.JOBS,
@@ -93,6 +94,22 @@
         )
 
 
+@behave.when(
+    "after {seconds:d} s, {count:d} jobs of {size:d} bytes with {progress:d}"
+    " bytes of progress are stored"
+)
+def put_later_jobs(context, seconds, count, size, progress):
+    context.loop.run_for(seconds)
+    put_jobs(context, count, size, progress)
+
+
+@behave.when("after {seconds:d} s, the store's history expires")
+def drop_history(context, seconds):
+    context.loop.run_for(seconds)
+    for stream in LOADED_STREAMS:
+        context.store.log.drop_history(stream)
+
+
 @behave.given("the store {fault} in the middle of page {number:d} of the jobs")
 def fail_page(context, fault, number):
     context.store.fail_page(ports.Stream.JOBS, number, thin_store.Fault(fault))
@@ -172,6 +189,14 @@
     assert requests == expected, f"requests for each page: {requests}"
 
 
+@behave.then("after {seconds:d} s, every page was requested once")
+def expect_no_repeat(context, seconds):
+    context.loop.run_for(seconds)
+    for stream in LOADED_STREAMS:
+        requests = context.store.count_requests(stream)
+        assert set(requests) == {1}, f"{stream.value}: {requests}"
+
+
 @behave.then("the entry knows all {count:d} jobs within {seconds:d} s")
 def expect_known(context, count, seconds):
     def count_known():
