Keep a read in flight that brings records when a newer one is asked for

What callers saw: entries on thin links fell further behind while callers asked about jobs that the entry did not know yet.

Cause: each request about an unknown job dropped the read in flight and sent another from the same offset, also when that read was not waiting for a record but bringing a backlog. The dropped response still crossed the link.

--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -184,6 +184,10 @@
         """Reads without waiting, and drops a read that waits for a record."""
         if self.state is not State.FOLLOWING:
             return
+        if self._behind and self._next_read is None:
+            # The read in flight does not wait for a record. Dropping it would
+            # transfer the same records twice.
+            return
         if self._next_read is not None:
             self._next_read.cancel()
             self._next_read = None
--- a/features/job_log_load.feature
+++ b/features/job_log_load.feature
@@ -60,6 +60,14 @@
     When 1000 jobs of 1000 bytes with 1000 bytes of progress are stored
     Then the entry knows all 1000 jobs within 15 s
 
+  Scenario: Requests about unknown jobs don't transfer records twice
+    Given a link of 625000 bytes/s to a store
+    And an entry that is ready
+    And a caller that asks it about an unknown job every 0.25 s
+    When 1000 jobs of 1000 bytes with 1000 bytes of progress are stored
+    Then the entry knows all 1000 jobs within 15 s
+    And the store has sent less than 1.5 times the new records
+
   Scenario: Records that expire while an entry loads are not missed
     Given a link of 200000 bytes/s to a store
     And 1100 jobs of 1100 bytes with 100 bytes of progress in the store
--- a/features/steps/job_log_load_steps.py
+++ b/features/steps/job_log_load_steps.py
@@ -80,6 +80,8 @@
     put = context.store.log.put
     job_value, progress_value = render_job(size), render_progress(progress)
     first = len(context.store.log.newest[ports.Stream.JOBS])
+    context.sent_before = context.store.sent_bytes
+    context.stored_bytes = count * (len(job_value) + len(progress_value))
     for number in range(first, first + count):
         job_id = identifiers.JobId(f"{number:016x}")
         put(
@@ -181,6 +183,14 @@
     assert sent < factor * size, f"sent {sent} bytes for {size}"
 
 
+@behave.then("the store has sent less than {factor:g} times the new records")
+def expect_new_records_once(context, factor):
+    sent = context.store.sent_bytes - context.sent_before
+    assert sent < factor * context.stored_bytes, (
+        f"sent {sent} bytes for {context.stored_bytes}"
+    )
+
+
 @behave.then("only page {number:d} of the jobs was requested twice")
 def expect_one_repeat(context, number):
     requests = context.store.count_requests(ports.Stream.JOBS)
