Take submissions while the logs of jobs are still being read

Cause: whether the store responds was judged by reads of the two logs of jobs alone. On a thin link one of their responses takes seconds.

Change: a response to a read of the declarations counts as well. It is small, and due every second.

--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -500,6 +500,7 @@
         response_age_seconds = min(
             self._jobs_feed.seconds_since_response(),
             self._dispatch_feed.seconds_since_response(),
+            self._declarations_feed.seconds_since_response(),
         )
         return response_age_seconds > leaderelector.STORE_UNRESPONSIVE_SECONDS
 
--- a/features/job_log_load.feature
+++ b/features/job_log_load.feature
@@ -76,3 +76,10 @@
     And after 4 s, the store's history expires
     Then the entry knows all 1200 jobs within 15 s
     And after 1 s, every page was requested once
+
+  Scenario: A load in progress does not make the entry refuse submissions
+    Given a link of 200000 bytes/s to a store
+    And 1100 jobs of 1100 bytes with 1100 bytes of progress in the store
+    When an entry starts
+    And after 4 s, a caller submits a job
+    Then the entry has sent the job to the store
--- a/features/steps/job_log_load_steps.py
+++ b/features/steps/job_log_load_steps.py
@@ -24,6 +24,9 @@
 
 MINION = identifiers.MinionId("minion-of-a-thin-site")
 
+TIMEOUT_SECONDS = 3.0
+"""How long a caller waits for an answer."""
+
 DECLARED = ports.Declarations(
     catalog.Configuration(version=1, queues={}, pools={}, teams={}, keys={}),
     frozenset(),
@@ -31,18 +34,20 @@
 )
 
 
+def create_job(job_id, spec=""):
+    return job.Job(
+        job_id=identifiers.JobId(job_id),
+        queue=identifiers.QueueId("quotes"),
+        team=identifiers.TeamId("canvas"),
+        spec=spec,
+        steps=(job.Step(count=1),),
+        accepted=1e9,
+    )
+
+
 def render_job(size):
     def render(spec):
-        return job.encode_job(
-            job.Job(
-                job_id=identifiers.JobId(""),
-                queue=identifiers.QueueId("quotes"),
-                team=identifiers.TeamId("canvas"),
-                spec=spec,
-                steps=(job.Step(count=1),),
-                accepted=1e9,
-            )
-        )
+        return job.encode_job(create_job("", spec))
 
     return render("x" * (size - len(render(""))))
 
@@ -105,6 +110,22 @@
     put_jobs(context, count, size, progress)
 
 
+@behave.when("after {seconds:d} s, a caller submits a job")
+def submit_job(context, seconds):
+    context.loop.run_for(seconds)
+    assert not context.service.read_readiness()[0], "the load has ended"
+    context.answers = []
+    context.service.submit(
+        create_job("a" * 16), TIMEOUT_SECONDS, context.answers.append
+    )
+
+
+@behave.then("the entry has sent the job to the store")
+def expect_append(context):
+    context.loop.run_until(lambda: context.answers)
+    assert context.store.appends, context.answers
+
+
 @behave.when("after {seconds:d} s, the store's history expires")
 def drop_history(context, seconds):
     context.loop.run_for(seconds)
--- a/features/thin_store.py
+++ b/features/thin_store.py
@@ -134,6 +134,7 @@
         log: The records; add to them with its `put`.
         pages: Answers with a page of newest records, in order of the requests.
         sent_bytes: Bytes sent on all connections.
+        appends: Number of appends that arrived.
         links: Open connections.
     """
 
@@ -141,6 +142,7 @@
         self.log = job_harness.Store(None)
         self.pages = []
         self.sent_bytes = 0
+        self.appends = 0
         self.links = []
         self._timers = timers
         self._slice_bytes = round(rate * SLICE_SECONDS)
@@ -204,6 +206,7 @@
             ready = [link for link in ready if link.pending]
 
     def _refuse(self, link, query):
+        self.appends += 1
         link.answer(Answer(None, "", _render(503, b"")))
 
     def _answer_newest(self, link, query):
