Leave the leadership to entries with faster links

Every entry had the same chance to become the leader, so that 26 of 32 elections gave the office to a link that the orders and the reports of all minions fill. Starts then get no answer in time (CW1609 unknown, not-sent), are sent again and stopped, and the repeats fill the link further.

An entry now waits for as long as its link takes to carry a takeover, 0.5 s at most, before it becomes a candidate. The delay covers the jitter, so that an entry with a fast link comes first if one is there. On a site with equal links nothing changes but that delay.

Run: python -m features.runner features/job_decisions.feature. Its three draws fail with the delay set to 0.

--- a/clementinewood/election.py
+++ b/clementinewood/election.py
@@ -28,6 +28,20 @@
 nothing is dispatched until the next election; the store rejects all but one of
 the candidacies that collide."""
 
+TAKEOVER_BYTES = 500_000
+"""Bytes that a new leader exchanges with the minions of a large site at once.
+An entry waits for as long as its link takes for them, so that one with a faster
+link becomes the leader if there is one."""
+
+MAX_LINK_DELAY_SECONDS = 0.5
+"""Longest delay of a slow link. It exceeds ELECTION_JITTER_SECONDS and one
+check, so that an entry with a fast link comes first whatever its jitter; a site
+that has only slow links loses no more than this."""
+
+RESIGNATION_LINK_DELAY_RATIO = 0.4
+"""Share of the delay of a slow link after the leader has resigned, whose jitter
+is short as well."""
+
 CANDIDACY_RETRY_DELAY_SECONDS = 0.3
 """Pause after a candidacy that the store did not accept; a host that the store
 rejects would otherwise become a candidate in every check."""
@@ -55,6 +69,17 @@
     """Another entry has become leader in place of this one."""
 
 
+def compute_link_delay(bytes_per_second: float) -> float:
+    """Returns the seconds that an entry leaves to those with faster links.
+
+    Args:
+        bytes_per_second: Capacity of its link; 0 if unknown.
+    """
+    if bytes_per_second <= 0:
+        return 0.0
+    return min(MAX_LINK_DELAY_SECONDS, TAKEOVER_BYTES / bytes_per_second)
+
+
 @dataclasses.dataclass(slots=True)
 class ElectionState:
     """State of the leader election as seen by one entry.
@@ -62,6 +87,7 @@
     Attributes:
         own_incarnation: Incarnation of this process.
         jitter: This entry's fraction of the largest random delays, 0 to 1.
+        link_delay: Seconds that this entry leaves to those with faster links.
         role: Current role of this entry.
         term: Term of this entry's last candidacy or leadership.
         highest_term: Highest term seen in a LeaderRecord.
@@ -69,6 +95,7 @@
 
     own_incarnation: identifiers.Incarnation
     jitter: float
+    link_delay: float = 0.0
     role: ElectionRole = ElectionRole.FOLLOWER
     term: identifiers.Term = identifiers.Term(0)
     highest_term: int = 0
@@ -142,13 +169,21 @@
             return False
         if now < self._not_before:
             return False
-        if self._no_leader or not self.highest_term:
-            return (
-                now
-                >= self._leader_seen_at
-                + self.jitter * RESIGNATION_JITTER_SECONDS
+        if not self.highest_term:
+            # Entries of a new site start up to 0.3 s apart.
+            wait = self.jitter * RESIGNATION_JITTER_SECONDS + self.link_delay
+            return now >= self._leader_seen_at + wait
+        if self._no_leader:
+            wait = (
+                self.jitter * RESIGNATION_JITTER_SECONDS
+                + self.link_delay * RESIGNATION_LINK_DELAY_RATIO
             )
-        wait = LEADER_TIMEOUT_SECONDS + self.jitter * ELECTION_JITTER_SECONDS
+            return now >= self._leader_seen_at + wait
+        wait = (
+            LEADER_TIMEOUT_SECONDS
+            + self.jitter * ELECTION_JITTER_SECONDS
+            + self.link_delay
+        )
         return read_until >= self._leader_seen_at + wait
 
     def become_candidate(self) -> identifiers.Term:
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -159,6 +159,7 @@
         lease_seconds: Least time in seconds between machine orders of two
             dispatchers.
         early_seconds: Seconds by which a timed job may start early.
+        link_bytes_per_second: Capacity of this host's link; 0 if unknown.
         wall: Source of Unix time in seconds.
         random_fraction: Source of random numbers from 0 to 1.
 
@@ -182,6 +183,7 @@
         metrics: metric.Metrics,
         lease_seconds: float = 3.0,
         early_seconds: float = 0.0,
+        link_bytes_per_second: float = 0.0,
         wall: Callable[[], float] = time.time,
         random_fraction: Callable[[], float] = _SYSTEM_RANDOM.random,
     ) -> None:
@@ -234,6 +236,7 @@
             timers=timers,
             random_fraction=random_fraction,
             lease_seconds=lease_seconds,
+            link_bytes_per_second=link_bytes_per_second,
             create_driver=self._create_driver,
             on_elected=self._on_elected,
             on_stepped_down=self._on_stepped_down,
--- a/clementinewood/leaderelector.py
+++ b/clementinewood/leaderelector.py
@@ -47,6 +47,7 @@
         random_fraction: Source of random numbers from 0 to 1.
         lease_seconds: Least time in seconds between machine orders of two
             dispatchers.
+        link_bytes_per_second: Capacity of this entry's link; 0 if unknown.
         create_driver: Creates a driver from its term, its log and the delay in
             seconds before its first machine order.
         on_elected: Called with the driver to start.
@@ -66,6 +67,7 @@
         timers: timer.TimerService,
         random_fraction: Callable[[], float],
         lease_seconds: float,
+        link_bytes_per_second: float = 0.0,
         create_driver: CreateDriver,
         on_elected: Callable[[dispatchdriver.DispatchDriver], None],
         on_stepped_down: Callable[[], None],
@@ -82,7 +84,9 @@
         self._on_elected = on_elected
         self._on_stepped_down = on_stepped_down
         self._election = election.ElectionState(
-            own_incarnation, random_fraction()
+            own_incarnation,
+            random_fraction(),
+            election.compute_link_delay(link_bytes_per_second),
         )
         self._log: fencedlog.FencedLog | None = None
         self._candidacy_timeout: timer.Subscription | None = None
--- a/features/operations.feature
+++ b/features/operations.feature
@@ -41,6 +41,15 @@
     Then 2 lines "CW1608" name a task of the job with end "failed"
     And a line "CW1604" names the job with state "failed"
 
+  Scenario Outline: The link of an entry is read from the settings file
+    When a settings file with <limits> is read
+    Then the entry's link carries <bytes> bytes a second
+
+    Examples:
+      | limits            | bytes  |
+      | link_mbps = 5.0   | 625000 |
+      | memory_mb = 200   | 0      |
+
   Scenario: An error in a settings file names the file
     When a settings file without addresses is read
     Then the fault names the file and what is missing
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -14,6 +14,7 @@
     job,
     joborder,
     jobtable,
+    leaderelector,
     pacing,
     run,
     teamrate,
@@ -354,6 +355,82 @@
     assert context.election.should_become_candidate(context.now, context.now)
 
 
+def create_entries(fast, slow, draw):
+    """Creates the elections of a site's entries and when each checks them."""
+    speeds = [(100, fast), (5, slow)]
+    return [
+        (
+            megabits,
+            draw.random() * leaderelector.CANDIDACY_CHECK_INTERVAL_SECONDS,
+            election.ElectionState(
+                identifiers.Incarnation(f"entry-{megabits}-{number}/1-a"),
+                draw.random(),
+                election.compute_link_delay(megabits * 1e6 / 8),
+            ),
+        )
+        for megabits, count in speeds
+        for number in range(count)
+    ]
+
+
+def find_first_candidate(entries):
+    """Returns the delay and the link of the first candidate of a site."""
+    found = []
+    for megabits, offset, state in entries:
+        now = offset
+        while not state.should_become_candidate(now, now):
+            now += leaderelector.CANDIDACY_CHECK_INTERVAL_SECONDS
+        found.append((now, megabits))
+    return min(found)
+
+
+@behave.given(
+    "{fast:d} entries with 100 Mbit/s and {slow:d} entries with 5 Mbit/s hear"
+    " a dispatcher"
+)
+def create_linked_entries(context, fast, slow):
+    draw = random.Random(7)
+    context.draws = [create_entries(fast, slow, draw) for _ in range(200)]
+    for entries in context.draws:
+        for _, _, state in entries:
+            state.mark_log_current(0.0)
+
+
+@behave.when("the dispatcher is silent")
+def silence_dispatcher(context):
+    for entries in context.draws:
+        for _, _, state in entries:
+            state.observe_leadership(create_leader_record(), 0.0)
+
+
+@behave.when("the dispatcher has given up the office")
+def release_office(context):
+    for entries in context.draws:
+        for _, _, state in entries:
+            state.observe_leadership(create_leader_record(released=True), 0.0)
+
+
+@behave.when("the dispatcher has never been there")
+def hear_no_dispatcher(context):
+    del context
+
+
+@behave.then(
+    "an entry with a fast link is the first candidate in each of 200 draws"
+)
+def check_fast_first(context):
+    links = [find_first_candidate(entries)[1] for entries in context.draws]
+    assert links.count(100) == len(links) == 200, links.count(100)
+
+
+@behave.then(
+    "the first candidate comes within {seconds:g} seconds in each of 200 draws"
+)
+def check_soon(context, seconds):
+    delays = [find_first_candidate(entries)[0] for entries in context.draws]
+    assert len(delays) == 200 and max(delays) <= seconds, max(delays)
+
+
 @behave.when("its claim fails")
 def fail_claim(context):
     context.election.become_candidate()
--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -165,6 +165,25 @@
     context.outcome = platformsettings.read_settings(str(context.path))
 
 
+@behave.when("a settings file with {limits} is read")
+def read_limits(context, limits):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    path = pathlib.Path(folder.name) / "settings.toml"
+    path.write_text(
+        'node = "edge-1"\nip = "10.0.0.1"\n'
+        '[listen]\nfront = "10.0.0.1:1"\nready = "10.0.0.1:2"\n'
+        '[platform]\naddress = "10.0.0.2:1"\n'
+        f"[limits]\n{limits}\n"
+    )
+    context.settings = platformsettings.read_settings(str(path)).unwrap()
+
+
+@behave.then("the entry's link carries {amount:d} bytes a second")
+def check_link(context, amount):
+    assert context.settings.link_bytes_per_second == amount
+
+
 @behave.then("the fault names the file and what is missing")
 def check_fault(context):
     match context.outcome:
