Drop the assignments of tasks that are done from progress records

Callers saw entries on thin links fall behind the dispatcher's log in a peak, and requests refused because "the job log can't be read". Each change of a job is stored as a whole record, which every entry reads, and each record repeated where every task had been started, also of tasks that were done, and fields that were empty.

A task that is done has no assignment any more, and empty fields are left out. Nothing reads the assignment of a done task: a new dispatcher recovers only tasks that are not done and numbers its runs above its term's base, so no run number depends on the dropped rows. A gang is done as a whole. An older run of a done task at a silent minion wasn't recovered before either: it is found by the first poll that the minion answers.

Field names and rows are unchanged. The previous build reads a missing field as empty, and its records are read as before, so both can run side by side.

The scenarios on stored records in features/job_decisions.feature fail before; the one on recovery and run numbers holds before and after.

--- a/clementinewood/job.py
+++ b/clementinewood/job.py
@@ -282,9 +282,9 @@
         state: State reported to callers.
         done: Bit set of the tasks that are done, by occurrence and step.
         failed: Failed runs of each task that is not done.
-        assignments: Number and minion of the newest start of each task. Stored
-            before the start is ordered, so that the next leader knows where
-            a task may run.
+        assignments: Number and minion of the newest start of each task that is
+            not done. Stored before the start is ordered, so that the next
+            leader knows where a task may run.
     """
 
     state: JobState = JobState.QUEUED
@@ -311,14 +311,19 @@
         return bool(bits >> task.position & 1)
 
     def set_done(self, task: TaskId) -> None:
-        """Marks `task` as done and clears its failures."""
+        """Marks `task` as done; clears its failures and its assignment."""
         key = (task.occurrence, task.step)
         self.done[key] = self.done.get(key, 0) | 1 << task.position
-        self.failed.pop((task.occurrence, task.step, task.position), None)
+        place = (task.occurrence, task.step, task.position)
+        self.failed.pop(place, None)
+        self.assignments.pop(place, None)
 
     def set_step_done(self, occurrence: int, step: int, count: int) -> None:
         """Marks all `count` tasks of a step as done."""
         self.done[occurrence, step] = (1 << count) - 1
+        for position in range(count):
+            self.failed.pop((occurrence, step, position), None)
+            self.assignments.pop((occurrence, step, position), None)
 
     def is_step_done(self, occurrence: int, step: int, count: int) -> bool:
         """Whether all `count` tasks of a step are done."""
@@ -332,18 +337,19 @@
 
 
 def encode_progress(progress: Progress) -> bytes:
-    """Returns the stored form of `progress`."""
+    """Returns the stored form of `progress`, without empty fields."""
     document: dict[str, Any] = {"state": progress.state.value}
     if progress.state not in TERMINAL:
-        document["done"] = [
-            [*key, f"{bits:x}"] for key, bits in progress.done.items()
-        ]
-        document["failed"] = [
-            [*key, count] for key, count in progress.failed.items()
-        ]
-        document["placed"] = [
-            [*key, *place] for key, place in progress.assignments.items()
-        ]
+        fields = {
+            "done": [
+                [*key, f"{bits:x}"] for key, bits in progress.done.items()
+            ],
+            "failed": [[*key, count] for key, count in progress.failed.items()],
+            "placed": [
+                [*key, *place] for key, place in progress.assignments.items()
+            ],
+        }
+        document.update((name, rows) for name, rows in fields.items() if rows)
     return json.dumps(document, separators=(",", ":")).encode()
 
 
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -78,3 +78,23 @@
     Given a dispatcher whose job has ended and was dropped
     When an older record of the job's progress arrives
     Then the dispatcher does not take the job again
+
+  Scenario: A stored record does not repeat where tasks that are done have run
+    Given stored progress of 4 placed tasks
+    When 3 of them are done
+    Then its record names 1 minion
+    When the whole step is done
+    Then its record names 0 minions
+    And its record has no empty fields
+
+  Scenario: Records of the previous build are read, and it reads the new ones
+    Given a record of the previous build with 4 placed tasks of which 3 are done
+    Then it is read with 3 tasks done and 4 tasks placed
+    And a record with empty fields and one without them mean the same
+
+  Scenario: Dropped assignments neither restart a done task nor reuse a number
+    Given a job of 4 tasks of which 3 are done in term 3
+    When the dispatcher of term 4 takes the job over while its last minion is silent
+    Then only the task that is not done may still run
+    When the lease of that run has expired
+    Then exactly that task starts again, under a number above those of term 3
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -1,6 +1,7 @@
 """Steps for the decision functions of the job service."""
 
 import heapq
+import json
 import random
 from typing import NamedTuple
 
@@ -31,6 +32,7 @@
 TEAMS = ("canvas", "shade", "tarp", "tent")
 HOT_TEAM = "tarp"
 CORES = 32
+JOB_ID = identifiers.JobId("00000000000000aa")
 
 
 @behave.given(
@@ -435,17 +437,19 @@
     assert not context.election.should_become_candidate(context.now, read_until)
 
 
-@behave.given("a dispatcher whose job has ended and was dropped")
-def create_ended(context):
-    context.accepted = job.Job(
-        job_id=identifiers.JobId("00000000000000aa"),
+def create_job(count):
+    return job.Job(
+        job_id=JOB_ID,
         queue=QUEUE.name,
         team=identifiers.TeamId("canvas"),
         spec="",
-        steps=(job.Step(count=1, need=job.Resources(1000, 10)),),
+        steps=(job.Step(count=count, need=job.Resources(1000, 10)),),
         accepted=0.0,
     )
-    dispatch = dispatcher.Dispatcher(identifiers.Term(1), 0.0)
+
+
+def create_dispatcher(term):
+    dispatch = dispatcher.Dispatcher(identifiers.Term(term), 0.0)
     dispatch.config = catalog.Configuration(
         version=1,
         queues={QUEUE.name: QUEUE},
@@ -453,8 +457,14 @@
         teams={},
         keys={},
     )
-    minion = create_minion().minion
-    dispatch.update_minions([minion], 0.0)
+    dispatch.update_minions([create_minion().minion], 0.0)
+    return dispatch
+
+
+@behave.given("a dispatcher whose job has ended and was dropped")
+def create_ended(context):
+    context.accepted = create_job(1)
+    dispatch = create_dispatcher(1)
     dispatch.add_job(context.accepted, job.Progress(), 0.0)
     poll(dispatch, 0.0)
     dispatch.plan(0.1, 0.1)
@@ -493,3 +503,124 @@
 @behave.then("the dispatcher does not take the job again")
 def check_not_taken(context):
     assert not context.dispatch.jobs
+
+
+def create_placed(count):
+    progress = job.Progress(job.JobState.RUNNING)
+    for position in range(count):
+        place = (0, 0, position)
+        progress.assignments[place] = (2001, identifiers.MinionId("m1"))
+    return progress
+
+
+@behave.given("stored progress of {count:d} placed tasks")
+def create_stored_progress(context, count):
+    context.progress = create_placed(count)
+
+
+@behave.when("{count:d} of them are done")
+def end_tasks(context, count):
+    for position in range(count):
+        context.progress.set_done(job.TaskId(JOB_ID, 0, 0, position))
+
+
+@behave.when("the whole step is done")
+def end_step(context):
+    context.progress.set_step_done(0, 0, 4)
+
+
+@behave.then("its record names {count:d} minion")
+@behave.then("its record names {count:d} minions")
+def check_minions_named(context, count):
+    record = job.encode_progress(context.progress)
+    assert record.count(b'"m1"') == count, record
+    assert job.decode_progress(record).unwrap() == context.progress
+
+
+@behave.then("its record has no empty fields")
+def check_no_empty_fields(context):
+    document = json.loads(job.encode_progress(context.progress))
+    assert document == {"state": "running", "done": [[0, 0, "f"]]}, document
+
+
+@behave.given(
+    "a record of the previous build with 4 placed tasks of which 3 are done"
+)
+def create_previous_record(context):
+    context.record = json.dumps(
+        {
+            "state": "running",
+            "done": [[0, 0, "7"]],
+            "failed": [],
+            "placed": [[0, 0, position, 2001, "m1"] for position in range(4)],
+        }
+    ).encode()
+
+
+@behave.then("it is read with 3 tasks done and 4 tasks placed")
+def check_previous_record(context):
+    progress = job.decode_progress(context.record).unwrap()
+    done = [
+        progress.is_done(job.TaskId(JOB_ID, 0, 0, index)) for index in range(4)
+    ]
+    assert done == [True, True, True, False], done
+    assert len(progress.assignments) == 4, progress
+
+
+@behave.then("a record with empty fields and one without them mean the same")
+def check_empty_fields(context):
+    # The previous build writes empty fields and reads missing ones as empty.
+    empty = b'{"state":"running","done":[],"failed":[],"placed":[]}'
+    progress = job.decode_progress(empty).unwrap()
+    record = job.encode_progress(progress)
+    assert json.loads(record) == {"state": "running"}, record
+    assert job.decode_progress(record).unwrap() == progress
+
+
+@behave.given("a job of 4 tasks of which 3 are done in term 3")
+def create_partly_done(context):
+    context.progress = create_placed(4)
+    end_tasks(context, 3)
+
+
+def take_over(context):
+    stored = job.encode_progress(context.progress)
+    context.dispatch = create_dispatcher(4)
+    context.dispatch.add_job(
+        create_job(4), job.decode_progress(stored).unwrap(), 0.0
+    )
+
+
+@behave.when(
+    "the dispatcher of term 4 takes the job over while its last minion is"
+    " silent"
+)
+def take_over_from_silent(context):
+    take_over(context)
+    context.dispatch.handle_poll_failure(identifiers.MinionId("m1"), 1.0)
+
+
+@behave.then("only the task that is not done may still run")
+def check_recovered(context):
+    context.dispatch.plan(1.0, 1.0)
+    assert not context.dispatch.take_batch().planned
+    live = context.dispatch.jobs[JOB_ID].live
+    assert {task.position for task in live} == {3}, live
+
+
+@behave.when("the lease of that run has expired")
+def expire_lease(context):
+    context.now = dispatcher.MAX_PRIOR_LEASE_SECONDS + 0.1
+    minion_id = identifiers.MinionId("m1")
+    context.dispatch.handle_poll_failure(minion_id, context.now)
+    poll(context.dispatch, context.now)
+
+
+@behave.then(
+    "exactly that task starts again, under a number above those of term 3"
+)
+def check_restarted(context):
+    context.dispatch.plan(context.now + 1.0, context.now + 1.0)
+    (item,) = context.dispatch.take_batch().planned
+    assert item.task.position == 3, item
+    assert item.number > 3 * dispatcher.NUMBERS_PER_TERM, item
