Stop a reported run that its job no longer needs

A task of a cancelled or ended job could go on running after a change of leader, and so could an older run of a task that is done: the new dispatcher reads of the run in the minion's report, finds that nothing needs it, and then ordered no stop. The run was created as planned, and stopping a planned run only forgets it. It was found again by the next poll and forgotten again; while other runs at the minion kept its lease extended, it never ended.

Such a run counts as running, so it is stopped. The scenario "A run of a done task that a silent minion still has is stopped" in features/job_decisions.feature fails before: no stop was ordered.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -1001,6 +1001,7 @@
                 queue=identifiers.QueueId(""),
                 room=job.Resources(),
                 need=job.Resources(),
+                state=run.RunState.RUNNING,
             )
             view.add_run(item)
             self._stop(item)
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -98,3 +98,9 @@
     Then only the task that is not done may still run
     When the lease of that run has expired
     Then exactly that task starts again, under a number above those of term 3
+
+  Scenario: A run of a done task that a silent minion still has is stopped
+    Given a job of 4 tasks of which 3 are done in term 3
+    When the dispatcher of term 4 takes the job over
+    And a minion reports a run of a task that is done
+    Then that run is stopped and does not count as one of the job
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -624,3 +624,34 @@
     (item,) = context.dispatch.take_batch().planned
     assert item.task.position == 3, item
     assert item.number > 3 * dispatcher.NUMBERS_PER_TERM, item
+
+
+@behave.when("the dispatcher of term 4 takes the job over")
+def take_over_plainly(context):
+    take_over(context)
+
+
+@behave.when("a minion reports a run of a task that is done")
+def report_done_task(context):
+    row = run.ReportedRun(
+        task=job.TaskId(JOB_ID, 0, 0, 0),
+        number=2000,
+        checkpoint="",
+        percent=100,
+    )
+    report = run.MinionReport(
+        incarnation=1, clock=1.0, running=(row,), ended=()
+    )
+    context.dispatch.handle_report(
+        identifiers.MinionId("m1"), report, sent=1.0, now=1.01
+    )
+
+
+@behave.then("that run is stopped and does not count as one of the job")
+def check_stray_stopped(context):
+    orders = context.dispatch.plan(1.1, 1.1)
+    stops = [item for item in orders if isinstance(item, dispatcher.StopRun)]
+    found = [(item.task.position, item.number) for item in stops]
+    assert found == [(0, 2000)], found
+    live = context.dispatch.jobs[JOB_ID].live
+    assert all(task.position != 0 for task in live), live
