Forward what an entry can't serve to another entry

Another time eleven entries refused for ten seconds while 21 were healthy. Callers keep their connections, so the balancer can't move them.

Cause: every entry answers from its own copy of the job log only.

Change: entries publish the address of a second listener in the stream `entries` and forward what they would refuse as not run with store-unavailable or stale-configuration. `forwarding` chooses the entry (same zone, the less loaded of two, recent failures last, three attempts, 64 in flight, a budget for further attempts), a silent entry is hedged, and after an attempt whose outcome is unknown the final refusal says "may have run". What is forwarded is never forwarded again. A stale job table refuses an unknown job at once, so that it is forwarded at once; a table that is not stale still waits for a read.

A feed may have its own longest pause after failed reads: the directory would otherwise add a call every 0.4 s to a store that refuses calls.

Run: python -m features.runner features/forwarding.feature

--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -82,6 +82,8 @@
     DECLARATION_REFUSED = (1708, "WARNING", "platform record is malformed")
     CONFIGURATION_IN_FORCE = (1709, "INFO", "configuration is in force")
     POLICY_UNANSWERED = (1710, "WARNING", "policy service returned no tickets")
+    ENTRY_UNRESPONSIVE = (1711, "WARNING", "entry does not answer another")
+    ENTRY_RESPONSIVE = (1712, "INFO", "entry answers another again")
     MACHINE_ORDERED = (1801, "INFO", "machine move or maintenance ordered")
     MACHINE_REFUSED = (1802, "WARNING", "order about a machine refused")
     MACHINES_UNREACHABLE = (1803, "WARNING", "machines can't be listed")
--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -50,6 +50,7 @@
         min_read_interval: Least time in seconds between two reads, so that a
             busy stream is read in batches.
         long_poll_seconds: Seconds that one read waits for a record.
+        max_retry_seconds: Longest pause in seconds after a failed read.
 
     Attributes:
         caught_up_at: Monotonic time in seconds up to which all records
@@ -71,12 +72,14 @@
         on_caught_up: Callable[[], None] = lambda: None,
         min_read_interval: float = 0.0,
         long_poll_seconds: float = LONG_POLL_SECONDS,
+        max_retry_seconds: float = MAX_RETRY_SECONDS,
     ) -> None:
         self.caught_up_at = float("-inf")
         self.last_response_at = float("-inf")
         self.next_offset = 0
         self.min_read_interval = min_read_interval
         self._long_poll_seconds = long_poll_seconds
+        self._max_retry_seconds = max_retry_seconds
         self.state = State.STOPPED
         self._store = store
         self._stream = stream
@@ -293,7 +296,10 @@
         )
 
     def _compute_retry_delay(self) -> float:
-        return min(RETRY_SECONDS * 2 ** (self._failures - 1), MAX_RETRY_SECONDS)
+        return min(
+            RETRY_SECONDS * 2 ** min(self._failures - 1, 16),
+            self._max_retry_seconds,
+        )
 
     def _record_success(self) -> None:
         if self._failures:
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -449,7 +449,10 @@
             newest: Whether to read the newest state of a known job.
         """
         entry = self.table.find(job_id)
-        if entry is None:
+        if entry is None and self._table_age() > TABLE_STALE_SECONDS:
+            # Another entry may know the job, so the caller should not wait.
+            on_found(None, False)
+        elif entry is None:
             # Another entry may have stored it since the last read.
             self._jobs_feed.call_when_caught_up(
                 lambda known: on_found(self.table.find(job_id), known),
--- a/clementinewood/metric.py
+++ b/clementinewood/metric.py
@@ -170,6 +170,13 @@
     "Time from a whole request about a job to its answer.",
     ("kind",),
 )
+FORWARDED = Instrument(
+    "clementinewood.forwarded",
+    Kind.COUNTER,
+    "1",
+    "Requests forwarded to another entry, by outcome.",
+    ("outcome",),
+)
 RUN_STARTS = Instrument(
     "clementinewood.runs.starts",
     Kind.COUNTER,
--- a/clementinewood/ports.py
+++ b/clementinewood/ports.py
@@ -12,6 +12,8 @@
 from clementinewood import (
     catalog,
     dispatcher,
+    edge,
+    httpclient,
     identifiers,
     jobtable,
     policycache,
@@ -40,6 +42,9 @@
     STATUS = "status"
     """Status that the system reports to operators."""
 
+    ENTRIES = "entries"
+    """Addresses at which entries take each other's requests."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fence:
@@ -157,6 +162,56 @@
         """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAnswered:
+    """Another entry has answered a forwarded request.
+
+    Attributes:
+        response: Its complete answer.
+        served: Whether the request was carried out; otherwise it was rejected
+            for a fault of the request.
+    """
+
+    response: httpclient.Response
+    served: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerRefused:
+    """Another entry could not serve a forwarded request.
+
+    Attributes:
+        execution: Whether it may have taken effect.
+        detail: Cause, for logs.
+    """
+
+    execution: verdict.Execution
+    detail: str
+
+
+PeerResult = PeerAnswered | PeerRefused | Failed
+
+
+class Peers(Protocol):
+    """Sends requests to other entries."""
+
+    def send(
+        self,
+        address: tuple[str, int],
+        request: edge.HttpRequest,
+        timeout: float,
+        on_result: Callable[[PeerResult], None],
+    ) -> Callable[[], None]:
+        """Sends a request and returns what cancels it without a result.
+
+        Args:
+            address: Address of the other entry's listener.
+            request: The request as the caller sent it.
+            timeout: Seconds until it times out.
+            on_result: Called once with the result, after `send` has returned.
+        """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PollFenced:
     """The minion has seen a higher token of another dispatcher."""
--- /dev/null
+++ b/features/forwarding_harness.py
@@ -0,0 +1,170 @@
+"""A site whose entries forward requests over loopback sockets.
+
+The store and the minions are those of `job_harness`; fronts, listeners for
+forwarded requests and the connections between entries are the real ones.
+"""
+
+import json
+
+from clementinewood import (
+    edge,
+    entrydirectory,
+    forwarder,
+    identifiers,
+    ports,
+    verdict,
+)
+from clementinewood_platform import ingress, peerclient
+from features import job_harness, loop, network
+
+LOCAL = ("127.0.0.1", 0)
+
+
+class Turner:
+    """Turns the loop for `network.Caller`."""
+
+    def __init__(self, site):
+        self._site = site
+
+    def turn_until(self, condition, what):
+        self._site.loop.run_until(condition)
+
+
+class Peers:
+    """Passes requests on to other entries, and loses answers when told to."""
+
+    def __init__(self, site):
+        self.client = peerclient.PeerClient(site.loop.sockets, site.loop.timers)
+        self.sent = []
+        self.lost = set()
+
+    def send(self, address, request, timeout, on_result):
+        self.sent.append(address)
+
+        def answer(outcome):
+            if address in self.lost:
+                outcome = ports.Failed(verdict.Execution.MAY_HAVE_RUN, "reset")
+            on_result(outcome)
+
+        return self.client.send(address, request, timeout, answer)
+
+
+class Entry:
+    """One entry with its listeners."""
+
+    def __init__(self, site, number, zone):
+        harness, timers = site.harness, site.loop.timers
+        self.name = f"entry-{number}"
+        self.service = harness.entries[number]
+        self.link = self.service._store.link
+        self.inner = self._create_edge(site, serves_peers=True)
+        self.address = self.inner.listen(LOCAL)
+        self.directory = entrydirectory.EntryDirectory(
+            entrydirectory.EntryAddress(
+                identifiers.EntryId(self.name),
+                identifiers.ZoneId(zone),
+                self.address,
+            ),
+            store=self.service._store,
+            timers=timers,
+            random_fraction=harness.random.random,
+        )
+        self.peers = Peers(site)
+        self.forwarder = forwarder.Forwarder(
+            self.directory,
+            self.peers,
+            timers,
+            job_harness.METRICS,
+            random_fraction=harness.random.random,
+        )
+        self.front = self._create_edge(site, forwarder=self.forwarder)
+        # Given a forwarder, it must not use it.
+        self.inner._handler = self._create_ingress(
+            site, serves_peers=True, forwarder=self.forwarder
+        )
+        self.front_address = self.front.listen(LOCAL)
+        self.directory.start()
+
+    def _create_ingress(self, site, **arguments):
+        return ingress.Ingress(
+            self.service,
+            job_harness.METRICS,
+            wall=site.harness.wall,
+            clock=site.loop.clock,
+            **arguments,
+        )
+
+    def _create_edge(self, site, **arguments):
+        return edge.Edge(
+            site.loop.sockets,
+            site.loop.timers,
+            self._create_ingress(site, **arguments),
+            clock=site.loop.clock,
+        )
+
+    def fall_silent(self):
+        """Accepts forwarded requests and answers none."""
+        self.inner._handler = network.RecordingHandler(answer_at_once=False)
+
+
+class ForwardingSite:
+    """Entries on one loop.
+
+    Args:
+        zones: Availability zone of each entry.
+        seed: Seed of every random choice.
+    """
+
+    def __init__(self, zones, seed=1):
+        self.loop = loop.Loop()
+        self.harness = job_harness.JobHarness(
+            seed, entries=len(zones), minions=0, timers=self.loop.timers
+        )
+        self.entries = [
+            Entry(self, number, zone) for number, zone in enumerate(zones)
+        ]
+        self.loop.run_until(self.is_complete)
+        self.loop.run_for(1.0)
+
+    def is_complete(self):
+        count = len(self.entries) - 1
+        return all(len(item.directory.peers) == count for item in self.entries)
+
+    def call(self, entry, method, name, *, body=b"", key="key", patience=3.0):
+        """Sends a request and returns (status, headers, body, seconds)."""
+        asked = self.loop.clock.now
+        caller = self.send(entry, method, name, body, key, patience)
+        answer = caller.read_answers(1, methods=(method,))[0]
+        caller.socket.close()
+        return (*answer, self.loop.clock.now - asked)
+
+    def send(self, entry, method, name, body=b"", key="key", patience=3.0):
+        """Sends a request and returns its connection."""
+        caller = network.Caller(Turner(self), entry.front_address)
+        caller.send(
+            f"{method} /quotes/{name} HTTP/1.1\r\nHost: guild\r\n"
+            f"Authorization: Bearer {key}\r\n"
+            f"X-Deadline-Ms: {int(patience * 1000)}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+        return caller
+
+    def count_stored(self, name):
+        """Returns how often a job's record was appended."""
+        records = self.harness.store.records[ports.Stream.JOBS]
+        return sum(1 for record in records if record.key == f"j/{name}")
+
+    def count_attempts(self):
+        """Returns how many requests entries have sent to each other."""
+        return sum(len(entry.peers.sent) for entry in self.entries)
+
+    def close(self):
+        self.loop.close()
+
+
+def render_job():
+    """Returns the body of a submission."""
+    return json.dumps(
+        {"spec": "", "steps": [{"count": 1, "cpu": 1000}]}
+    ).encode()
