Date what a read has caught up with by that read

A callback that runs while records are applied may ask for everything stored by then. The feed then sent another read and took the time of that one, unanswered, for the time up to which all is read: the caller could be told that a job is unknown (410) that another entry had just stored.

The time is now taken before the callbacks run. The scenario in features/feed.feature fails without the change.

--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -294,6 +294,8 @@
         if generation != self._generation:
             return
         self._refreshing = False
+        # Callbacks may send another read.
+        sent_at = self._read_sent_at
         match outcome:
             case ports.Records(records, following, end):
                 self._record_success()
@@ -306,7 +308,7 @@
                 if records:
                     self._on_records(records)
                 if not self._behind:
-                    self.caught_up_at = self._read_sent_at
+                    self.caught_up_at = sent_at
                     self._handle_caught_up()
                 if generation == self._generation:
                     self._read_after_interval()
--- /dev/null
+++ b/features/feed.feature
@@ -0,0 +1,9 @@
+Feature: Following a stream of the store
+
+  Scenario: A request that arrives while records are applied waits for a later read
+    Given a feed that has been loaded
+    And the feed's owner asks for everything stored, while it applies records
+    When a read brings 1 record, 0.5 s after it was sent
+    Then the owner has not been told that everything is read
+    When the next read brings no record
+    Then the owner has been told that everything is read
