Remember that a newer read was asked for behind a backlog

A candidate asks for everything stored before its candidacy; behind a backlog this was dropped when the read in flight stayed, so that the next read came after the pause of followers and waited for a record, while the candidacy ran out. Now the read follows at once, without a wait.

The scenario in features/feed.feature fails without the change.

--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -109,6 +109,7 @@
         self._load_started_at = 0.0
         self._first_page_sent_at = 0.0
         self._behind = False
+        self._refresh_requested = False
         self._loaded_pages = 0
         self._loaded_bytes = 0
         self._generation = 0
@@ -190,6 +191,7 @@
         if self._behind and self._next_read is None:
             # The read in flight does not wait for a record. Dropping it would
             # transfer the same records twice.
+            self._refresh_requested = True
             return
         if self._next_read is not None:
             self._next_read.cancel()
@@ -347,6 +349,10 @@
             waiter.callback(caught_up)
 
     def _read_after_interval(self) -> None:
+        if self._refresh_requested and not self._behind:
+            self._refresh_requested = False
+            self.refresh()
+            return
         left = (
             self._read_sent_at + self.min_read_interval - self._timers.clock()
         )
--- a/features/feed.feature
+++ b/features/feed.feature
@@ -7,3 +7,10 @@
     Then the owner has not been told that everything is read
     When the next read brings no record
     Then the owner has been told that everything is read
+
+  Scenario: A read that is asked for behind a backlog follows without a wait
+    Given a feed that has been loaded
+    When a read brings 1 of 3 records
+    And everything stored by now is asked for
+    And a read brings the other records
+    Then the next read does not wait for a record
