Leave out of a load's later records what its pages replace

Found by review. A page may be read after the records stored since the first page, and hold a newer record of a key. Applied after it, the older record would undo it for a moment where the reader does not compare offsets (evacuations, addresses of entries).

The scenario in features/feed.feature fails without the change.

--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -260,8 +260,15 @@
         self.state = State.FOLLOWING
         self.caught_up_at = self._first_page_sent_at
         self._on_snapshot(pages)
-        if tail:
-            self._on_records(tail)
+        offsets = {record.key: record.offset for record in pages}
+        # A page that was read later may hold a newer record of the key.
+        newer = [
+            record
+            for record in tail
+            if record.offset > offsets.get(record.key, -1)
+        ]
+        if newer:
+            self._on_records(newer)
         self._handle_caught_up()
         if generation == self._generation:
             self._read()
--- a/features/feed.feature
+++ b/features/feed.feature
@@ -14,3 +14,9 @@
     And everything stored by now is asked for
     And a read brings the other records
     Then the next read does not wait for a record
+
+  Scenario: A record of a page is not replaced by an older one
+    Given a feed that loads, with a page that took 3 s
+    When the records since then hold "key" at offset 5
+    And the last page holds "key" at offset 7
+    Then the feed has passed on "key" at offsets 7
