Read later records also while a page of a load fails

A page that fails for as long as the store keeps its history made the load start over, since the records stored since its first page were read only after a page had succeeded.

The scenario in features/feed.feature fails without the change.

--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -47,8 +47,8 @@
     """Reads the newest record of each key, then every later record.
 
     A load of several pages goes on with the page that failed, and also reads
-    the records stored since its first page, so that it ends however slow the
-    link is.
+    the records stored since its first page, so that it may take longer than the
+    store keeps its history.
 
     Args:
         store: The store.
@@ -242,11 +242,12 @@
                     self._finish_load()
             case _:
                 self._record_failure(outcome)
-                self._schedule(self._load_page, self._compute_retry_delay())
+                self._schedule(self._continue_load, self._compute_retry_delay())
 
     def _continue_load(self) -> None:
         now = self._timers.clock()
-        if now - self._tail_read_at < LOAD_TAIL_INTERVAL_SECONDS:
+        age = now - self._tail_read_at
+        if not self._pages or age < LOAD_TAIL_INTERVAL_SECONDS:
             self._load_page()
             return
         self._tail_read_at = now
--- a/features/feed.feature
+++ b/features/feed.feature
@@ -20,3 +20,9 @@
     When the records since then hold "key" at offset 5
     And the last page holds "key" at offset 7
     Then the feed has passed on "key" at offsets 7
+
+  Scenario: A page that fails for long does not outlast the store's history
+    Given a feed that loads, with a page that took 3 s
+    When the records since then hold "key" at offset 5
+    And pages fail for 3 s
+    Then the feed reads the records since then again
