Bound the exponent of the delay before an address is appended again

After 1,025 refused appends in a row, about 4.5 hours, the delay overflowed; the entry's address was never stored again, so that nobody forwarded requests to it.

The scenario in features/forwarding.feature fails without the change (OverflowError after 1025 appends).

--- a/clementinewood/entrydirectory.py
+++ b/clementinewood/entrydirectory.py
@@ -36,6 +36,9 @@
 MAX_PUBLISH_RETRY_SECONDS = 16.0
 """Longest delay after repeated failures."""
 
+MAX_PUBLISH_DOUBLINGS = 4
+"""Doublings of the delay after which it has reached its longest."""
+
 _SYSTEM_RANDOM = random.SystemRandom()
 
 
@@ -207,7 +210,8 @@
                 self._failures += 1
                 self._schedule(
                     min(
-                        PUBLISH_RETRY_SECONDS * 2.0 ** (self._failures - 1),
+                        PUBLISH_RETRY_SECONDS
+                        * 2.0 ** min(self._failures - 1, MAX_PUBLISH_DOUBLINGS),
                         MAX_PUBLISH_RETRY_SECONDS,
                     )
                 )
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -223,3 +223,8 @@
     Given 4 entries that publish their addresses
     When records that are no addresses are stored
     Then every entry lists the 3 others
+
+  Scenario: An address is published after a store that refused for hours
+    Given an entry whose address the store has refused 1100 times
+    When the store takes appends again
+    Then the address is stored within 16 seconds
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -674,3 +674,66 @@
             ports.Stream.ENTRIES, f"stranger-{number}", value
         )
     context.harness.run_for(6.0)
+
+
+class RefusingStore:
+    """Reads nothing, and refuses appends until `refuses` is cleared."""
+
+    def __init__(self):
+        self.refuses = True
+        self.appends = 0
+        self.stored = []
+
+    def read(self, stream, offset, wait, on_result):
+        pass
+
+    def read_newest(self, stream, after, on_result):
+        on_result(ports.Records((), -1, 0))
+
+    def append(self, stream, items, on_result, *, fence=None):
+        self.appends += 1
+        if self.refuses:
+            on_result(ports.Failed(verdict.Execution.NOT_RUN, "refused"))
+        else:
+            self.stored.extend(items)
+            on_result(ports.Appended(0))
+
+
+def pass_seconds(context, seconds):
+    end = context.clock.now + seconds
+    while context.clock.now < end:
+        context.clock.now += 0.5
+        context.timers.run_due()
+
+
+@behave.given("an entry whose address the store has refused {count:d} times")
+def refuse_address(context, count):
+    context.clock = clock.ManualClock(100.0)
+    context.timers = timer.TimerService(clock=context.clock)
+    context.store = RefusingStore()
+    directory = entrydirectory.EntryDirectory(
+        entrydirectory.EntryAddress(
+            identifiers.EntryId("entry-1"),
+            identifiers.ZoneId("hobart"),
+            ("127.0.0.1", 1),
+        ),
+        store=context.store,
+        timers=context.timers,
+    )
+    directory.start()
+    for _ in range(2 * count):
+        pass_seconds(context, entrydirectory.MAX_PUBLISH_RETRY_SECONDS)
+        if context.store.appends >= count:
+            return
+    raise AssertionError(f"only {context.store.appends} appends")
+
+
+@behave.when("the store takes appends again")
+def take_appends(context):
+    context.store.refuses = False
+
+
+@behave.then("the address is stored within {seconds:d} seconds")
+def expect_stored(context, seconds):
+    pass_seconds(context, seconds)
+    assert context.store.stored, "nothing was stored"
