--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -47,8 +47,8 @@
     """Reads the newest record of each key, then every later record.
 
     A load of several pages goes on with the page that failed, and also reads
-    the records stored since its first page, so that it ends however slow the
-    link is.
+    the records stored since its first page, so that it may take longer than the
+    store keeps its history.
 
     Args:
         store: The store.
@@ -109,6 +109,7 @@
         self._load_started_at = 0.0
         self._first_page_sent_at = 0.0
         self._behind = False
+        self._refresh_requested = False
         self._loaded_pages = 0
         self._loaded_bytes = 0
         self._generation = 0
@@ -190,6 +191,7 @@
         if self._behind and self._next_read is None:
             # The read in flight does not wait for a record. Dropping it would
             # transfer the same records twice.
+            self._refresh_requested = True
             return
         if self._next_read is not None:
             self._next_read.cancel()
@@ -240,11 +242,12 @@
                     self._finish_load()
             case _:
                 self._record_failure(outcome)
-                self._schedule(self._load_page, self._compute_retry_delay())
+                self._schedule(self._continue_load, self._compute_retry_delay())
 
     def _continue_load(self) -> None:
         now = self._timers.clock()
-        if now - self._tail_read_at < LOAD_TAIL_INTERVAL_SECONDS:
+        age = now - self._tail_read_at
+        if not self._pages or age < LOAD_TAIL_INTERVAL_SECONDS:
             self._load_page()
             return
         self._tail_read_at = now
@@ -258,8 +261,15 @@
         self.state = State.FOLLOWING
         self.caught_up_at = self._first_page_sent_at
         self._on_snapshot(pages)
-        if tail:
-            self._on_records(tail)
+        offsets = {record.key: record.offset for record in pages}
+        # A page that was read later may hold a newer record of the key.
+        newer = [
+            record
+            for record in tail
+            if record.offset > offsets.get(record.key, -1)
+        ]
+        if newer:
+            self._on_records(newer)
         self._handle_caught_up()
         if generation == self._generation:
             self._read()
@@ -294,6 +304,8 @@
         if generation != self._generation:
             return
         self._refreshing = False
+        # Callbacks may send another read.
+        sent_at = self._read_sent_at
         match outcome:
             case ports.Records(records, following, end):
                 self._record_success()
@@ -306,7 +318,7 @@
                 if records:
                     self._on_records(records)
                 if not self._behind:
-                    self.caught_up_at = self._read_sent_at
+                    self.caught_up_at = sent_at
                     self._handle_caught_up()
                 if generation == self._generation:
                     self._read_after_interval()
@@ -345,6 +357,10 @@
             waiter.callback(caught_up)
 
     def _read_after_interval(self) -> None:
+        if self._refresh_requested and not self._behind:
+            self._refresh_requested = False
+            self.refresh()
+            return
         left = (
             self._read_sent_at + self.min_read_interval - self._timers.clock()
         )
