--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -75,18 +75,18 @@
     Then the office is vacant
 
   Scenario Outline: An entry with a slow link does not lead while a fast one is there
-    Given 6 entries with 100 Mbit/s and 26 entries with 5 Mbit/s hear a dispatcher
+    Given 6 entries with 100 Mbit/s and 26 entries with 5 Mbit/s follow a dispatcher
     When the dispatcher <end>
     Then an entry with a fast link is the first candidate in each of 200 draws
 
     Examples:
       | end                      |
       | is silent                |
-      | has given up the office  |
+      | has resigned             |
       | has never been there     |
 
   Scenario: A site with slow links only has a leader without much delay
-    Given 0 entries with 100 Mbit/s and 32 entries with 5 Mbit/s hear a dispatcher
+    Given 0 entries with 100 Mbit/s and 32 entries with 5 Mbit/s follow a dispatcher
     When the dispatcher is silent
     Then the first candidate comes within 2 seconds in each of 200 draws
 
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -387,7 +387,7 @@
 
 
 @behave.given(
-    "{fast:d} entries with 100 Mbit/s and {slow:d} entries with 5 Mbit/s hear"
+    "{fast:d} entries with 100 Mbit/s and {slow:d} entries with 5 Mbit/s follow"
     " a dispatcher"
 )
 def create_linked_entries(context, fast, slow):
@@ -405,8 +405,8 @@
             state.observe_leadership(create_leader_record(), 0.0)
 
 
-@behave.when("the dispatcher has given up the office")
-def release_office(context):
+@behave.when("the dispatcher has resigned")
+def resign_dispatcher(context):
     for entries in context.draws:
         for _, _, state in entries:
             state.observe_leadership(create_leader_record(released=True), 0.0)
