--- a/clementinewood/forwarder.py
+++ b/clementinewood/forwarder.py
@@ -364,19 +364,19 @@
                 self._rejection = response
             case ports.PeerRefused(execution, detail):
                 self._tried[entry_id] = detail
-                self._note_execution(execution)
+                self._record_execution(execution)
                 forwarder.record_refusal(entry_id)
             case ports.Failed(execution, detail):
                 self._tried[entry_id] = "lost"
                 self._lost = True
-                self._note_execution(execution)
+                self._record_execution(execution)
                 forwarder.record_failure(entry_id, detail)
         if self._rejection is None and self._try_next():
             return
         if not self._in_flight:
             self._finish()
 
-    def _note_execution(self, execution: verdict.Execution) -> None:
+    def _record_execution(self, execution: verdict.Execution) -> None:
         if execution is not verdict.Execution.NOT_RUN:
             self._may_have_run = True
 
