Keep entries that reload the log out of the leader election

Cause: when records expire before a follower has read them, it loads the newest record of each key again, page by page. The pages are applied at the end, but the first one already counts as a response of the store, so the follower saw no renewals, took a healthy leader for lost and became a candidate. The offset of the next read is set by the first page too, so the candidate could begin to dispatch with the table from before the load: ends that the previous leader had stored and acknowledged meanwhile were missing, and its own progress records replaced theirs. All tasks of such a job ran again.

Change: while its feed loads, an entry does not count missing renewals, and a candidate begins only once the load is complete.

'A candidate that reloads the log ...' failed before and passes.

--- a/clementinewood/leaderelector.py
+++ b/clementinewood/leaderelector.py
@@ -161,8 +161,12 @@
     # Candidacies.
 
     def _check_candidacy(self) -> None:
-        if self._feed.seconds_since_response() > STORE_UNRESPONSIVE_SECONDS:
-            # Renewals that this entry can't read must not count as missing.
+        unresponsive = (
+            self._feed.seconds_since_response() > STORE_UNRESPONSIVE_SECONDS
+        )
+        if unresponsive or self._feed.state is not feed.State.FOLLOWING:
+            # Renewals that this entry can't read, or reads only at the end of
+            # a load, must not count as missing.
             self._election.mark_log_unreadable()
         now = self._timers.clock()
         read_until = self._feed.last_response_at
@@ -236,6 +240,8 @@
         if (
             self._election.role is not election.ElectionRole.CANDIDATE
             or self._required_offset is None
+            # During a load, records before the next offset are yet to come.
+            or self._feed.state is not feed.State.FOLLOWING
             or self._feed.next_offset < self._required_offset
             or self._jobs_feed.caught_up_at < self._candidacy_stored_at
             or log is None
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -122,6 +122,8 @@
         self.store = store
         self.link = CallFaults()
         self.slow_reads = 0.0
+        self.page_records = None
+        self.page_seconds = STORE_SECONDS
 
     def append(self, stream, items, on_result, *, fence=None):
         self.harness.call(
@@ -173,14 +175,22 @@
         self.harness.timers.subscribe_once(wait + pause, finish)
 
     def read_newest(self, stream, after, on_result):
+        def fetch():
+            newest = self.store.newest[stream]
+            keys = sorted(key for key in newest if key > after)
+            page = (
+                keys if self.page_records is None else keys[: self.page_records]
+            )
+            return ports.Records(
+                tuple(newest[key] for key in page),
+                0 if len(page) < len(keys) else -1,
+                len(self.store.records[stream]),
+            )
+
         self.harness.call(
             self.link,
-            STORE_SECONDS,
-            lambda: ports.Records(
-                tuple(self.store.newest[stream].values()),
-                -1,
-                len(self.store.records[stream]),
-            ),
+            self.page_seconds,
+            fetch,
             on_result,
             lambda execution: ports.Failed(execution, "lost"),
         )
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -173,6 +173,22 @@
     And the history of the job log is dropped for an entry that was cut off
     Then every entry says that the job is "completed" within 6 seconds
 
+  Scenario: A follower that reloads the log leaves a healthy leader in place
+    Given a site with 2 entries and 4 minions
+    And 12 jobs that have ended
+    When a job of 3 steps with 12 tasks of 0.8 seconds is submitted
+    And the history of the dispatch log expires for a follower that loads it in 5 seconds
+    Then no other leader is elected within 6 seconds
+    And every entry says that the job is "completed" within 1 seconds
+    And 48 runs began
+    And no rule was broken
+
+  Scenario: A candidate that reloads the log dispatches only what it has read
+    Given a site with 2 entries and 4 minions
+    And 12 jobs that have ended
+    When the history of the dispatch log expires for a candidate that loads it in 5 seconds
+    Then it dispatches only once it has loaded the log
+
   Scenario: Random faults neither lose nor duplicate work
     Given 12 sites with troubles drawn from seed 4711
     When each site runs for 25 seconds and then in peace
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -7,6 +7,7 @@
 
 from clementinewood import (
     election,
+    feed,
     identifiers,
     job,
     jobservice,
@@ -350,6 +351,69 @@
     entry._store.link.refuses = False
 
 
+@behave.given("{count:d} jobs that have ended")
+def run_jobs(context, count):
+    harness = context.harness
+    for number in range(count):
+        harness.submit(
+            harness.entries[0], f"{number:016x}", create_steps(1, 1, 0.1)
+        )
+    harness.run_for(2.0)
+    assert harness.count("end") == count
+
+
+def expire_dispatch_log(harness, entry, seconds):
+    """Expires records that `entry` has not read; a load takes `seconds`."""
+    store = harness.store
+    records = store.records[ports.Stream.DISPATCH]
+    pages = len(store.newest[ports.Stream.DISPATCH])
+    entry._store.page_records = 1
+    entry._store.page_seconds = seconds / pages
+    harness.run_until(lambda: entry._dispatch_feed.next_offset < len(records))
+    store.drop_history(ports.Stream.DISPATCH)
+    harness.run_until(lambda: entry._dispatch_feed.state is feed.State.LOADING)
+
+
+@behave.when(
+    "the history of the dispatch log expires for a follower that loads it in"
+    " {seconds:g} seconds"
+)
+def expire_for_follower(context, seconds):
+    harness = context.harness
+    context.term = harness.dispatcher().elector.driver.term
+    expire_dispatch_log(harness, find_follower(harness), seconds)
+
+
+@behave.then("no other leader is elected within {seconds:g} seconds")
+def check_leader_stays(context, seconds):
+    context.harness.run_for(seconds)
+    driver = context.harness.dispatcher().elector.driver
+    assert driver.term == context.term, (driver.term, context.term)
+
+
+@behave.when(
+    "the history of the dispatch log expires for a candidate that loads it in"
+    " {seconds:g} seconds"
+)
+def expire_for_candidate(context, seconds):
+    harness = context.harness
+    context.entry = find_follower(harness)
+    harness.kill(harness.dispatcher())
+    # Its candidacy is stored before its next read gets a response.
+    context.entry._store.slow_reads = 0.3
+    harness.run_until(
+        lambda: context.entry.elector.role is election.ElectionRole.CANDIDATE
+    )
+    expire_dispatch_log(harness, context.entry, seconds)
+
+
+@behave.then("it dispatches only once it has loaded the log")
+def check_loaded(context):
+    entry = context.entry
+    context.harness.run_until(lambda: entry.dispatching)
+    assert entry._dispatch_feed.state is feed.State.FOLLOWING
+
+
 @behave.when("every minion fails what it runs once")
 def fail_once(context):
     for minion in context.harness.minions.values():
