Send no call whose time has passed while the process was paused

Cause: a call waits for its connection to open, or for its turn on one. A process that is paused meanwhile (SIGSTOP, a suspended machine) reads on resuming that the connection is open before its timers run, and sent the request, seconds after its timeout. For moves and maintenance of machines the permission is shorter than the timeout: the leadership may end 0.8 s after the last stored append, while an order could wait 1 s for its connection. Where the machine service does not check fencing tokens, such an order takes effect beside those of the next leader.

Change: a call carries the time from which it must not be sent, checked at the send; that is its timeout or, for machine orders, the end of the leadership if that is sooner. The connection serves the next call.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -1,6 +1,7 @@
 """Carries out a dispatcher's decisions while its entry is the leader."""
 
 import json
+import math
 from collections.abc import Callable, Mapping, Sequence
 
 from clementinewood import (
@@ -131,7 +132,7 @@
             timers,
             wall,
             queue_record=self.queue_record,
-            is_leadership_valid=self._is_leadership_valid,
+            compute_leadership_end=self._compute_leadership_end,
             on_fenced=lambda: self.step_down(
                 f"the machine service fenced an order of term {term}"
             ),
@@ -477,10 +478,11 @@
             )
         )
 
-    def _is_leadership_valid(self) -> bool:
-        """Returns whether no other entry can have become leader by now."""
-        age = self._timers.clock() - self._leadership_confirmed_at
-        return self._active and age < LEADERSHIP_VALID_SECONDS
+    def _compute_leadership_end(self) -> float:
+        """Returns until when no other entry can have become leader."""
+        if not self._active:
+            return -math.inf
+        return self._leadership_confirmed_at + LEADERSHIP_VALID_SECONDS
 
     def _flush(self) -> None:
         """Appends what has changed; at most one append is in flight."""
--- a/clementinewood/httpclient.py
+++ b/clementinewood/httpclient.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Callable, Sequence
 
 from clementinewood import framing, timer, transport
@@ -94,6 +95,8 @@
         data: Complete request as sent.
         on_result: Called once with the result unless cancelled.
         started_at: Monotonic time of the request in seconds.
+        send_before: Monotonic time in seconds from which it is not sent any
+            more.
         transfer: Limits of the response's transfer; without them the call's
             timeout applies to the whole response.
     """
@@ -105,6 +108,7 @@
         "data",
         "deadline",
         "method",
+        "send_before",
         "started_at",
         "transfer",
     )
@@ -115,11 +119,13 @@
         data: bytes,
         on_result: OnResult,
         started_at: float = 0.0,
+        send_before: float = math.inf,
         transfer: TransferLimits | None = None,
     ) -> None:
         self.method = method
         self.data = data
         self.started_at = started_at
+        self.send_before = send_before
         self.transfer = transfer
         self._on_result = on_result
         self._done = False
@@ -212,6 +218,13 @@
     def _send_request(self) -> None:
         call, connection = self.call, self.connection
         assert call is not None and connection is not None
+        if self._client.clock() >= call.send_before:
+            # The process may have been paused while the connection opened.
+            self.call = None
+            call.connection = None
+            self._client.release_connection(self, reusable=True)
+            self._client.expire_call(call)
+            return
         self._reset()
         self._sent_before = connection.sent_bytes
         connection.send(call.data)
@@ -421,6 +434,7 @@
         timeout: float,
         on_result: OnResult,
         reuse_careful: bool = False,
+        send_before: float = math.inf,
         transfer: TransferLimits | None = None,
     ) -> Call:
         """Sends one request.
@@ -436,6 +450,8 @@
             reuse_careful: Whether to reuse only a connection that was active
                 within `careful_seconds`, which the server is unlikely to be
                 closing.
+            send_before: Monotonic time in seconds from which the request must
+                not be sent any more, if that is before its timeout.
             transfer: Limits of a response that may be large. A timeout of the
                 whole call would abort it on a slow link, however often it is
                 repeated.
@@ -449,7 +465,15 @@
             )
         except framing.FramingError as error:
             return self._fail_soon(method, on_result, str(error))
-        call = Call(method, data, on_result, self.clock(), transfer)
+        now = self.clock()
+        call = Call(
+            method,
+            data,
+            on_result,
+            started_at=now,
+            send_before=min(now + timeout, send_before),
+            transfer=transfer,
+        )
         call.deadline = self._timers.subscribe_once(
             timeout, lambda: self._time_out(call)
         )
@@ -557,8 +581,11 @@
     def _pop_waiting(self) -> Call | None:
         while self._waiting:
             call = self._waiting.popleft()
-            if not call.done:
+            if call.done:
+                continue
+            if self.clock() < call.send_before:
                 return call
+            self.expire_call(call)
         return None
 
     def _open_connection(self, call: Call) -> None:
@@ -577,6 +604,10 @@
         self.finish_later(call, NotSent(detail))
         return call
 
+    def expire_call(self, call: Call) -> None:
+        """Ends a call that has not been sent and is no longer permitted."""
+        self.finish_later(call, NotSent("too late to be sent"))
+
     def finish_later(self, call: Call, result: Result) -> None:
         """Reports a result from the loop, after the current event."""
         self._timers.subscribe_once(0.0, lambda: call.finish(result))
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -55,7 +55,8 @@
         timers: Timer service.
         wall: Source of Unix time.
         queue_record: Queues a record, by key and value, to be appended.
-        is_leadership_valid: Whether this entry is known to be the leader.
+        compute_leadership_end: Returns the monotonic time in seconds until
+            which no other entry can have become leader.
         on_fenced: Called when a newer leader has used a higher token.
         machine_order_delay_seconds: Seconds before the first order, so that
             orders of two leaders do not overlap.
@@ -72,7 +73,7 @@
         wall: Callable[[], float],
         *,
         queue_record: Callable[[str, bytes], None],
-        is_leadership_valid: Callable[[], bool],
+        compute_leadership_end: Callable[[], float],
         on_fenced: Callable[[], None],
         machine_order_delay_seconds: float,
     ) -> None:
@@ -84,7 +85,7 @@
         self._timers = timers
         self._wall = wall
         self._queue_record = queue_record
-        self._is_leadership_valid = is_leadership_valid
+        self._compute_leadership_end = compute_leadership_end
         self._on_fenced = on_fenced
         self._started_at = timers.clock()
         self._first_order_at = self._started_at + machine_order_delay_seconds
@@ -222,7 +223,7 @@
 
     def _plan(self) -> None:
         now = self._timers.clock()
-        if now < self._first_order_at or not self._is_leadership_valid():
+        if now < self._first_order_at or now >= self._compute_leadership_end():
             return
         if now - self._listed_at > LIST_STALE_SECONDS:
             return
@@ -333,6 +334,7 @@
             lambda outcome: self._on_maintenance_outcome(
                 state, machine, outcome
             ),
+            send_before=self._compute_leadership_end(),
         )
 
     def _on_maintenance_outcome(
@@ -566,6 +568,7 @@
             move.pool,
             self._decisions.term,
             lambda outcome: self._on_move(move, machine, outcome),
+            send_before=self._compute_leadership_end(),
         )
 
     def _on_move(
--- a/clementinewood/ports.py
+++ b/clementinewood/ports.py
@@ -325,8 +325,19 @@
         pool: identifiers.PoolId,
         term: identifiers.Term,
         on_result: Callable[[MachineOutcome], None],
+        *,
+        send_before: float,
     ) -> None:
-        """Moves a machine to another pool, which ends everything on it."""
+        """Moves a machine to another pool, which ends everything on it.
+
+        Args:
+            machine_id: The machine.
+            pool: Pool that it moves to.
+            term: Fencing token.
+            on_result: Called once with the outcome.
+            send_before: Monotonic time in seconds at which the leadership may
+                end; the order must not be sent from then on.
+        """
 
     def start_maintenance(
         self,
@@ -334,8 +345,18 @@
         wave: int,
         term: identifiers.Term,
         on_result: Callable[[MachineOutcome], None],
+        *,
+        send_before: float,
     ) -> None:
-        """Starts maintenance of a machine, which ends everything on it."""
+        """Starts maintenance of a machine, which ends everything on it.
+
+        Args:
+            machine_id: The machine.
+            wave: Number of the maintenance wave.
+            term: Fencing token.
+            on_result: Called once with the outcome.
+            send_before: As for `move`.
+        """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/features/job_machines.py
+++ b/features/job_machines.py
@@ -114,10 +114,14 @@
             lambda execution: ports.Failed(execution, "lost"),
         )
 
-    def move(self, machine_id, pool, term, on_result):
+    def move(self, machine_id, pool, term, on_result, *, send_before):
+        assert self.harness.clock() < send_before
         self._order("move", machine_id, pool, term, MOVE_SECONDS, on_result)
 
-    def start_maintenance(self, machine_id, wave, term, on_result):
+    def start_maintenance(
+        self, machine_id, wave, term, on_result, *, send_before
+    ):
+        assert self.harness.clock() < send_before
         pool = self.service.machines[machine_id].pool
         self._order("upkeep", machine_id, pool, term, UPKEEP_SECONDS, on_result)
 
