Let a malformed document end no more than its own exchange

Cause: decoders caught the exceptions that their authors thought of. A number such as 1e999 is an infinity for Python's JSON, whose conversion raises OverflowError; a number where a name is expected raises AttributeError; a token with a lone surrogate fails when it is put into a URL. What follows in the callback is lost then: the next poll of that minion, the next read of that feed, the flag that a list of machines is in flight. The loop of that part stops for good while the process looks healthy. 16 of 19 kinds of document let such an exception out, of callers, minions, the machine service, the store and others.

Where an error occurs all the same, a feed goes on reading, a record that can't be folded costs only itself, and a minion whose report can't be applied counts as not answering and is polled again. Such errors are counted and logged once a second for each part.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -302,7 +302,32 @@
         if not self._active or view is None:
             self._polling.discard(minion_id)
             return
+        pause = 0.0
+        try:
+            pause = self._apply_poll_result(view, outcome, sent)
+        except Exception as error:
+            # As without a response: the minion is polled again, and its leases
+            # end if none of its reports can be applied.
+            self._timers.record_failure(error, "report of a minion")
+            self.dispatcher.handle_poll_failure(minion_id, self._timers.clock())
+            pause = UNRESPONSIVE_POLL_RETRY_DELAY_SECONDS
+        if not self._active:
+            return
+        if pause:
+            self._paused_polls.add(minion_id)
+            self._timers.subscribe_once(
+                pause, lambda: self._resume_polling(minion_id)
+            )
+        else:
+            self._poll_minion(minion_id)
+        self._schedule_plan()
+
+    def _apply_poll_result(
+        self, view: run.MinionView, outcome: ports.PollResult, sent: float
+    ) -> float:
+        """Applies the result of a poll; returns the pause before the next."""
         now = self._timers.clock()
+        minion_id = view.minion_id
         pause = 0.0
         match outcome:
             case run.MinionReport():
@@ -327,7 +352,6 @@
                     f"minion {minion_id} rejected token {self.term}: it has a"
                     " higher one"
                 )
-                return
             case ports.IncarnationMismatch():
                 self.dispatcher.handle_incarnation_mismatch(minion_id, now)
                 pause = UNRESPONSIVE_POLL_RETRY_DELAY_SECONDS
@@ -343,14 +367,16 @@
                         detail=outcome.detail,
                         runs=len(view.runs),
                     )
-        if pause:
-            self._paused_polls.add(minion_id)
-            self._timers.subscribe_once(
-                pause, lambda: self._resume_polling(minion_id)
-            )
-        else:
-            self._poll_minion(minion_id)
-        self._schedule_plan()
+        return pause
+
+    def _observe_loss(
+        self,
+        minion_id: identifiers.MinionId,
+        execution: verdict.Execution,
+        now: float,
+    ) -> None:
+        if execution is verdict.Execution.MAY_HAVE_RUN:
+            self._response_loss.observe_loss(minion_id, now)
 
     def _resume_polling(self, minion_id: identifiers.MinionId) -> None:
         if minion_id in self._paused_polls:
--- a/clementinewood/entrydirectory.py
+++ b/clementinewood/entrydirectory.py
@@ -11,7 +11,15 @@
 
 from returns import result
 
-from clementinewood import event, feed, identifiers, jobtable, ports, timer
+from clementinewood import (
+    decoding,
+    event,
+    feed,
+    identifiers,
+    jobtable,
+    ports,
+    timer,
+)
 
 LONG_POLL_SECONDS = 25.0
 """How long a read waits for a record; the platform allows 30 s, and each call
@@ -79,7 +87,7 @@
                 (host, int(port)),
             )
         )
-    except (ValueError, TypeError, KeyError) as error:
+    except decoding.ERRORS as error:
         return result.Failure(f"entry record is malformed: {error!r}")
 
 
--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -260,7 +260,7 @@
         self._report_load(len(pages))
         self.state = State.FOLLOWING
         self.caught_up_at = self._first_page_sent_at
-        self._on_snapshot(pages)
+        self._deliver(self._on_snapshot, pages)
         offsets = {record.key: record.offset for record in pages}
         # A page that was read later may hold a newer record of the key.
         newer = [
@@ -269,7 +269,7 @@
             if record.offset > offsets.get(record.key, -1)
         ]
         if newer:
-            self._on_records(newer)
+            self._deliver(self._on_records, newer)
         self._handle_caught_up()
         if generation == self._generation:
             self._read()
@@ -316,7 +316,7 @@
                     self._load_page()
                     return
                 if records:
-                    self._on_records(records)
+                    self._deliver(self._on_records, records)
                 if not self._behind:
                     self.caught_up_at = sent_at
                     self._handle_caught_up()
@@ -337,6 +337,17 @@
                     self._compute_retry_delay(),
                 )
 
+    def _deliver(
+        self,
+        callback: _OnRecords,
+        records: Sequence[jobtable.StoredRecord],
+    ) -> None:
+        """Passes records on; an error there must not end the reading."""
+        try:
+            callback(records)
+        except Exception as error:
+            self._timers.record_failure(error, f"{self._stream.value} feed")
+
     def _handle_caught_up(self) -> None:
         waiting, self._read_waiters = self._read_waiters, []
         for callback in waiting:
--- a/clementinewood/job.py
+++ b/clementinewood/job.py
@@ -8,7 +8,7 @@
 
 from returns import result
 
-from clementinewood import identifiers
+from clementinewood import decoding, identifiers
 
 MAX_SPEC_BYTES = 4000
 MAX_STEPS = 64
@@ -205,11 +205,26 @@
     for number, step in enumerate(steps):
         if not 1 <= step.count <= MAX_TASKS:
             return f"step {number} must have 1 to {MAX_TASKS} tasks"
+        if min(_list_amounts(step)) < 0:
+            return f"step {number} has a negative amount"
         if any(not 0 <= earlier < number for earlier in step.after):
             return f"step {number} may only come after earlier steps"
     return ""
 
 
+def _list_amounts(step: Step) -> tuple[float, ...]:
+    need = step.need
+    return (
+        need.cpu,
+        need.memory,
+        need.gpu,
+        step.estimate,
+        step.max_per_minion,
+        step.tail_target,
+        step.max_unavailable or 0,
+    )
+
+
 _STEP_FIELDS = {
     field.name: field.default
     for field in dataclasses.fields(Step)
@@ -269,7 +284,7 @@
             interval=interval,
             occurrences=occurrences,
         )
-    except (ValueError, TypeError, KeyError) as error:
+    except decoding.ERRORS as error:
         return result.Failure(f"stored job {job_id} is malformed: {error!r}")
     return result.Success(job)
 
@@ -377,7 +392,7 @@
                 )
             },
         )
-    except (ValueError, TypeError, KeyError) as error:
+    except decoding.ERRORS as error:
         return result.Failure(f"stored progress is malformed: {error!r}")
     return result.Success(progress)
 
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -542,16 +542,23 @@
 
     def _fold(self, records: Sequence[jobtable.StoredRecord]) -> None:
         for record in records:
-            match self.table.apply(record):
-                case jobtable.LeaderRecord() as leader:
-                    self.elector.observe_leadership(leader, record.offset)
-                case jobtable.JobEntry() as entry:
-                    self._apply_job_entry(entry)
+            try:
+                self._fold_record(record)
+            except Exception as error:
+                # The other records must not be lost with this one.
+                self._timers.record_failure(error, "record of the job log")
         for key in self._writer.pending():
             if self._is_folded(key):
                 # The response to the append was lost, but the record is stored.
                 self._writer.mark_stored(key)
 
+    def _fold_record(self, record: jobtable.StoredRecord) -> None:
+        match self.table.apply(record):
+            case jobtable.LeaderRecord() as leader:
+                self.elector.observe_leadership(leader, record.offset)
+            case jobtable.JobEntry() as entry:
+                self._apply_job_entry(entry)
+
     def _is_folded(self, key: str) -> bool:
         prefix, _, name = key.partition("/")
         entry = self.table.find(identifiers.JobId(name))
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -7,7 +7,7 @@
 
 from returns import result
 
-from clementinewood import event, identifiers, job
+from clementinewood import decoding, event, identifiers, job
 
 
 class RecordKind(enum.Enum):
@@ -85,7 +85,7 @@
                 bool(released),
             )
         )
-    except (ValueError, TypeError) as error:
+    except decoding.ERRORS as error:
         return result.Failure(f"leader record is malformed: {error!r}")
 
 
@@ -221,7 +221,7 @@
                 self.waves[int(name)] = frozenset(
                     identifiers.MachineId(str(value)) for value in values
                 )
-        except (ValueError, TypeError) as error:
+        except decoding.ERRORS as error:
             _drop(record, repr(error))
 
     def _apply_job(
--- a/clementinewood/timer.py
+++ b/clementinewood/timer.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 import time
 from collections.abc import Callable
 
@@ -14,6 +15,9 @@
 MIN_CANCELLED_TO_COMPACT = 1024
 """Least number of cancelled subscriptions for which the heap is compacted."""
 
+FAILURE_LINE_SECONDS = 1.0
+"""Least time between two lines about failures of one part of the process."""
+
 
 class Subscription:
     """Scheduled callback of the timer service; `cancel` is amortized O(1).
@@ -54,12 +58,17 @@
 
     Args:
         clock: Source of monotonic time in seconds.
+
+    Attributes:
+        clock: As in `Args`.
+        failures: Exceptions of callbacks so far.
     """
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         super().__init__()
         self.clock = clock
         self.failures = 0
+        self._logged_failures: dict[str, tuple[float, int]] = {}
         self._order = itertools.count()
         self._heap: list[tuple[float, int, Subscription]] = []
         self._cancelled = 0
@@ -96,6 +105,30 @@
                 self._cancelled -= 1
         return None
 
+    def record_failure(self, error: Exception, where: str) -> None:
+        """Counts an exception of a callback and logs it.
+
+        A callback that fails again and again is logged once in
+        `FAILURE_LINE_SECONDS`, with the number of lines left out.
+
+        Args:
+            error: The exception.
+            where: Part of the process that it came from.
+        """
+        self.failures += 1
+        now = self.clock()
+        logged_at, unlogged = self._logged_failures.get(where, (-math.inf, 0))
+        if now - logged_at < FAILURE_LINE_SECONDS:
+            self._logged_failures[where] = (logged_at, unlogged + 1)
+            return
+        self._logged_failures[where] = (now, 0)
+        log_event.emit(
+            log_event.Event.HANDLER_FAILED,
+            exception=error,
+            where=where,
+            unlogged=unlogged,
+        )
+
     def handle_cancellation(self) -> None:
         """Drops cancelled subscriptions once they are most of the heap.
 
@@ -133,10 +166,7 @@
         try:
             callback()
         except Exception as error:
-            self.failures += 1
-            log_event.emit(
-                log_event.Event.HANDLER_FAILED, exception=error, where="timer"
-            )
+            self.record_failure(error, "timer")
 
     @circuits.handler("generate_events")
     def _on_generate_events(self, event: circuits.Event) -> None:
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -560,6 +560,7 @@
         )
         for number in range(minions):
             self.add_minion(f"m{number}", f"zone-{number % 3}")
+        self.most_failures = 0
         self.add_spare(spare or 0)
         for number in range(entries):
             self.add_entry(f"entry-{number}")
@@ -680,7 +681,8 @@
                 self.timers.run_due()
                 break
             self.clock.now += step
-        assert not self.timers.failures, "a callback failed"
+        failures = self.timers.failures
+        assert failures <= self.most_failures, "a callback failed"
 
     def run_until(self, is_done, seconds=30.0):
         end = self.clock.now + seconds
