Do not repeat a start order whose run has ended

Cause: a start order without a response is repeated as long as its run is in the state STARTING. A run that ends, or is lost with its minion, before the response arrives keeps that state. If its job was dropped meanwhile, the repetition raised KeyError in every planning pass from then on: the leader renewed its term and looked healthy, but started nothing any more. If the job was still there, the order of a run that had been given up could be sent again beside a new run of the same task.

Change: a run that is removed is no longer repeated.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -1081,6 +1081,8 @@
 
     def _remove_run(self, view: run.MinionView, item: run.Run) -> None:
         view.remove_run(item)
+        if self._unanswered_starts.get(item.key) is item:
+            del self._unanswered_starts[item.key]
         if self._stops.get(item.key) is item:
             del self._stops[item.key]
         active = self.jobs.get(item.task.job)
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -95,6 +95,17 @@
     When an older record of the job's progress arrives
     Then the dispatcher does not take the job again
 
+  Scenario Outline: A start order without a response is not repeated once its run has ended
+    Given a dispatcher whose start order has no response yet
+    When <event>
+    And planning goes on for 5 seconds
+    Then that start order is not sent again
+
+    Examples:
+      | event                                |
+      | the run ends and its job is dropped  |
+      | the run is lost with its minion      |
+
   Scenario: A stored record does not repeat where tasks that are done have run
     Given stored progress of 4 placed tasks
     When 3 of them are done
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -26,7 +26,7 @@
     verdict,
 )
 from clementinewood_platform import minionclient
-from features import clock, job_machines, job_policy
+from features import clock, entry_timers, job_machines, job_policy
 
 MUTED_LOGGERS = (
     "activejob",
@@ -70,6 +70,7 @@
         self.carried_out = 0.7
         self.earliest = 0.0
         self.late = 0.0
+        self.slowest_response = 0.0
 
 
 class Store:
@@ -120,8 +121,9 @@
 class StoreAccess:
     """One entry's view of the store."""
 
-    def __init__(self, harness, store):
+    def __init__(self, harness, store, receive):
         self.harness = harness
+        self.receive = receive
         self.store = store
         self.link = CallFaults()
         self.slow_reads = 0.0
@@ -133,11 +135,12 @@
             self.link,
             STORE_SECONDS,
             lambda: self.store.append(stream, items, fence),
-            on_result,
+            self.receive(on_result),
             lambda execution: ports.Failed(execution, "lost"),
         )
 
     def read(self, stream, offset, wait, on_result):
+        on_result = self.receive(on_result)
         state = {"done": False, "link": self.link}
         pause = STORE_SECONDS + self.slow_reads
 
@@ -194,7 +197,7 @@
             self.link,
             self.page_seconds,
             fetch,
-            on_result,
+            self.receive(on_result),
             lambda execution: ports.Failed(execution, "lost"),
         )
 
@@ -372,9 +375,10 @@
 class MinionAccess:
     """One entry's orders to minions."""
 
-    def __init__(self, harness, name):
+    def __init__(self, harness, name, receive):
         self.harness = harness
         self.name = name
+        self.receive = receive
         self.links = {}
 
     def link(self, minion_id):
@@ -410,6 +414,8 @@
         patience,
         on_result,
     ):
+        on_result = self.receive(on_result)
+
         def answer(outcome):
             target = self.harness.minions.get(minion.minion_id)
             idle = isinstance(outcome, run.MinionReport) and not outcome.ended
@@ -451,7 +457,7 @@
         self._call(
             minion,
             lambda found: found.start(term, order, self.name),
-            on_result,
+            self.receive(on_result),
             lambda execution: (
                 dispatcher.StartOutcome.NOT_SENT
                 if execution is verdict.Execution.NOT_RUN
@@ -463,7 +469,7 @@
         self._call(
             minion,
             lambda found: found.stop(term, order),
-            on_result,
+            self.receive(on_result),
             lambda execution: False,
         )
 
@@ -624,14 +630,15 @@
         self.store.put(ports.Stream.MINIONS, minion.minion_id, b"")
 
     def add_entry(self, name):
+        timers = entry_timers.EntryTimers(self.timers)
         service = jobservice.JobService(
             identifiers.EntryId(name),
-            store=StoreAccess(self, self.store),
-            minions=MinionAccess(self, name),
-            machines=self._create_machine_access(name),
+            store=StoreAccess(self, self.store, timers.receive),
+            minions=MinionAccess(self, name, timers.receive),
+            machines=self._create_machine_access(name, timers.receive),
             policy=self.policy,
             decoder=Decoder(self),
-            timers=self.timers,
+            timers=timers,
             metrics=METRICS,
             wall=self.wall,
             random_fraction=self.random.random,
@@ -640,11 +647,13 @@
         self.entries.append(service)
         return service
 
-    def _create_machine_access(self, name):
+    def _create_machine_access(self, name, receive):
         if self.machine_service is None:
             return None
         link = self.machine_links.setdefault(name, CallFaults())
-        return job_machines.MachineAccess(self, self.machine_service, link)
+        return job_machines.MachineAccess(
+            self, self.machine_service, link, receive
+        )
 
     def wall(self):
         return self.clock() + WALL_OFFSET
@@ -659,6 +668,7 @@
         service._dispatch_feed.stop()
         service._declarations_feed.stop()
         service.draining = True
+        service._timers.discard()
         self.entries.remove(service)
         link = service._store.link
         link.down = True
@@ -739,6 +749,9 @@
                 lambda: on_result(lost(verdict.Execution.MAY_HAVE_RUN)),
             )
             return
+        if link.slowest_response:
+            self._respond_slowly(link, seconds, apply, on_result, lost, silence)
+            return
         jitter = self.random.uniform(0.5, 1.5)
 
         def carry_out():
@@ -749,6 +762,22 @@
 
         self.timers.subscribe_once(seconds * jitter / 2, carry_out)
 
+    def _respond_slowly(self, link, seconds, apply, on_result, lost, silence):
+        """Carries out a call whose response waits behind others on the link."""
+        delay = self.random.uniform(0.0, link.slowest_response)
+
+        def carry_out():
+            outcome = apply()
+            if seconds + delay < silence:
+                self.timers.subscribe_once(delay, lambda: on_result(outcome))
+
+        self.timers.subscribe_once(seconds, carry_out)
+        if seconds + delay >= silence:
+            self.timers.subscribe_once(
+                silence,
+                lambda: on_result(lost(verdict.Execution.MAY_HAVE_RUN)),
+            )
+
     # History.
 
     def record_run_start(self, minion, task, number, entry):
--- a/features/job_machines.py
+++ b/features/job_machines.py
@@ -100,10 +100,11 @@
 class MachineAccess:
     """One entry's calls to the machine service."""
 
-    def __init__(self, harness, service, link):
+    def __init__(self, harness, service, link, receive):
         self.harness = harness
         self.service = service
         self.link = link
+        self.receive = receive
 
     def list_machines(self, on_result):
         self._call(
@@ -133,4 +134,6 @@
         )
 
     def _call(self, apply, on_result, lost):
-        self.harness.call(self.link, SERVICE_SECONDS, apply, on_result, lost)
+        self.harness.call(
+            self.link, SERVICE_SECONDS, apply, self.receive(on_result), lost
+        )
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -215,3 +215,16 @@
     When each site runs for 25 seconds and then in peace
     Then every accepted job of every site is completed
     And no site broke a rule
+
+  # 5003, 5027: an ended run's start order was repeated, and planning stopped.
+  Scenario Outline: Pauses, slow links and late orders neither lose nor duplicate work
+    Given <count> sites with delays drawn from seed <seed>
+    When each site runs for 25 seconds and then in peace
+    Then every accepted job of every site is completed
+    And no site broke a rule
+
+    Examples:
+      | count | seed |
+      | 1     | 5003 |
+      | 1     | 5027 |
+      | 8     | 5200 |
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -582,6 +582,57 @@
     assert not context.dispatch.jobs
 
 
+@behave.given("a dispatcher whose start order has no response yet")
+def create_unanswered(context):
+    dispatch = create_dispatcher(1)
+    dispatch.add_job(create_job(1), job.Progress(), 0.0)
+    poll(dispatch, 0.0)
+    dispatch.plan(0.1, 0.1)
+    (context.order,) = dispatch.handle_batch_stored(dispatch.take_batch(), 0.2)
+    context.dispatch = dispatch
+
+
+@behave.when("the run ends and its job is dropped")
+def end_unanswered(context):
+    dispatch = context.dispatch
+    done = run.EndedRun(
+        sequence=1,
+        task=context.order.task,
+        number=context.order.number,
+        outcome=run.RunOutcome.DONE,
+        checkpoint="",
+    )
+    poll(dispatch, 0.22, done)
+    dispatch.handle_batch_stored(dispatch.take_batch(), 0.23)
+    assert not dispatch.jobs
+
+
+@behave.when("the run is lost with its minion")
+def lose_unanswered(context):
+    context.dispatch.handle_incarnation_mismatch(
+        identifiers.MinionId("m1"), 0.22
+    )
+
+
+@behave.when("planning goes on for {seconds:d} seconds")
+def go_on_planning(context, seconds):
+    context.orders = [
+        order
+        for step in range(seconds * 10)
+        for order in context.dispatch.plan(0.3 + step / 10, 0.3 + step / 10)
+    ]
+
+
+@behave.then("that start order is not sent again")
+def check_not_repeated(context):
+    assert not [
+        order
+        for order in context.orders
+        if isinstance(order, dispatcher.StartRun)
+        and order.number == context.order.number
+    ], context.orders
+
+
 def create_placed(count):
     progress = job.Progress(job.JobState.RUNNING)
     for position in range(count):
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -1,7 +1,6 @@
 """Steps for whole sites on simulated services of the platform."""
 
 import dataclasses
-import random
 
 import behave
 
@@ -14,23 +13,11 @@
     ports,
     verdict,
 )
-from features import job_harness
+from features import job_faults, job_harness
 
 NAME = "00000000000000aa"
 
 
-def create_steps(steps, count, seconds=0.5):
-    return [
-        job.Step(
-            count=count,
-            need=job.Resources(1000, 100),
-            estimate=seconds,
-            after=(number - 1,) if number else (),
-        )
-        for number in range(steps)
-    ]
-
-
 @behave.given("a site with {entries:d} entries and {minions:d} minions")
 def create_site(context, entries, minions):
     context.harness = job_harness.JobHarness(entries=entries, minions=minions)
@@ -69,7 +56,7 @@
     harness = context.harness
     context.asked = harness.clock()
     context.answers = harness.submit(
-        find_follower(harness), NAME, create_steps(steps, count)
+        find_follower(harness), NAME, job_faults.create_steps(steps, count)
     )
 
 
@@ -80,14 +67,16 @@
 def submit_slow_job(context, steps, count, seconds):
     harness = context.harness
     context.answers = harness.submit(
-        find_follower(harness), NAME, create_steps(steps, count, seconds)
+        find_follower(harness),
+        NAME,
+        job_faults.create_steps(steps, count, seconds),
     )
 
 
 @behave.when("a job whose second step needs every machine is submitted")
 def submit_growing(context):
     harness = context.harness
-    first, second = create_steps(2, 4, 2.0)
+    first, second = job_faults.create_steps(2, 4, 2.0)
     second = dataclasses.replace(second, count=200)
     harness.submit(harness.entries[0], NAME, [first, second])
 
@@ -119,7 +108,9 @@
 def submit_everywhere(context):
     harness = context.harness
     for entry in list(harness.entries):
-        context.answers = harness.submit(entry, NAME, create_steps(1, 6))
+        context.answers = harness.submit(
+            entry, NAME, job_faults.create_steps(1, 6)
+        )
 
 
 @behave.when("the dispatcher is killed after {seconds:g} seconds")
@@ -199,7 +190,9 @@
         entry = find_follower(harness)
         for job_number in range(10):
             # A busy log answers reads at once, so that reads are recent.
-            harness.submit(entry, f"{job_number:016x}", create_steps(1, 1))
+            harness.submit(
+                entry, f"{job_number:016x}", job_faults.create_steps(1, 1)
+            )
             harness.run_for(0.1)
         # Without a random delay it would be the first candidate.
         entry.elector._election.jitter = 0.0
@@ -271,7 +264,7 @@
     # for newer states.
     second._store.slow_reads = 0.2
     harness.run_for(2.0)
-    context.answers = harness.submit(first, NAME, create_steps(2, 6))
+    context.answers = harness.submit(first, NAME, job_faults.create_steps(2, 6))
     harness.run_until(lambda: context.answers, 3.0)
     assert second.table.find(identifiers.JobId(NAME)) is None
     context.cancels = []
@@ -389,7 +382,7 @@
         harness.submit(
             harness.entries[number % len(harness.entries)],
             name,
-            create_steps(steps, tasks, task_seconds),
+            job_faults.create_steps(steps, tasks, task_seconds),
         )
         harness.run_for(seconds / count)
     harness.run_for(15.0)
@@ -430,7 +423,9 @@
     harness = context.harness
     for number in range(count):
         harness.submit(
-            harness.entries[0], f"{number:016x}", create_steps(1, 1, 0.1)
+            harness.entries[0],
+            f"{number:016x}",
+            job_faults.create_steps(1, 1, 0.1),
         )
     harness.run_for(2.0)
     assert harness.count("end") == count
@@ -627,13 +622,16 @@
 def draw_sites(context, count, seed):
     context.seeds = [seed + number for number in range(count)]
     context.spare = None
+    context.kinds = job_faults.LOSSES
     context.harnesses = []
 
 
 @behave.when("each site runs for {seconds:g} seconds and then in peace")
 def run_sites(context, seconds):
     for seed in context.seeds:
-        harness = run_site_with_faults(seed, seconds, context.spare)
+        harness = job_faults.run_site(
+            seed, seconds, kinds=context.kinds, spare=context.spare
+        )
         context.harnesses.append((seed, harness))
 
 
@@ -651,16 +649,10 @@
         assert not harness.violations, (seed, harness.violations)
 
 
-FAULT_KINDS = (
-    "kill",
-    "stop",
-    "cut",
-    "lossy-store",
-    "lossy-minion",
-    "dark",
-    "crash",
-    "silent-store",
-)
+@behave.given("{count:d} sites with delays drawn from seed {seed:d}")
+def draw_delayed_sites(context, count, seed):
+    draw_sites(context, count, seed)
+    context.kinds = job_faults.DELAYS
 
 
 @behave.given(
@@ -669,91 +661,3 @@
 def draw_elastic_sites(context, count, seed):
     draw_sites(context, count, seed)
     context.spare = 4
-
-
-def run_site_with_faults(seed, seconds, spare=None):
-    """Runs one site under overlapping faults, then long enough to settle."""
-    rng = random.Random(seed)
-    harness = job_harness.JobHarness(seed, entries=4, minions=5, spare=spare)
-    harness.run_for(2.0)
-    answers = {}
-    end = harness.clock() + seconds
-    number = 0
-    while harness.clock() < end:
-        harness.run_for(rng.uniform(0.2, 0.6))
-        if rng.random() < 0.3:
-            inject_fault(harness, rng)
-        name = f"{seed:08x}{number:08x}"
-        number += 1
-        entry = rng.choice(harness.entries)
-        answers[name] = harness.submit(
-            entry,
-            name,
-            create_steps(rng.randint(1, 3), rng.randint(1, 5), 0.4),
-        )
-    clear_faults(harness)
-    harness.run_for(25.0)
-    harness.taken = [
-        name
-        for name, answer in answers.items()
-        if answer and isinstance(answer[0], jobservice.Accepted)
-    ]
-    assert len(harness.taken) > 10, (seed, len(harness.taken))
-    return harness
-
-
-def inject_fault(harness, rng):
-    kind = rng.choice(FAULT_KINDS)
-    entry = harness.dispatcher() or rng.choice(harness.entries)
-    if rng.random() < 0.4:
-        entry = rng.choice(harness.entries)
-    minion = rng.choice(list(harness.minions.values()))
-    span = rng.uniform(1.0, 6.0)
-    later = harness.timers.subscribe_once
-    if kind in ("kill", "stop") and len(harness.entries) > 1:
-        if kind == "stop":
-            entry.stop()
-            later(0.5, lambda: entry in harness.entries and harness.kill(entry))
-        else:
-            harness.kill(entry)
-        later(
-            rng.uniform(0.5, 2.0),
-            lambda: harness.add_entry(f"entry-{rng.randrange(1 << 30)}"),
-        )
-    elif kind == "cut":
-        link = entry._store.link
-        link.down = True
-        later(span, lambda: setattr(link, "down", entry not in harness.entries))
-    elif kind == "lossy-store":
-        link = entry._store.link
-        link.lost_answer_ratio, link.late = 0.4, 3.0
-        later(span, lambda: setattr(link, "lost_answer_ratio", 0.0))
-    elif kind == "lossy-minion":
-        link = entry._minions.link(minion.minion_id)
-        link.lost_answer_ratio, link.late = 0.5, 6.0
-        later(span, lambda: setattr(link, "lost_answer_ratio", 0.0))
-    elif kind == "dark":
-        minion.unreachable = True
-        later(span, lambda: setattr(minion, "unreachable", False))
-    elif kind == "crash":
-        minion.crash()
-    elif kind == "silent-store":
-        for item in harness.entries:
-            link = item._store.link
-            link.down = True
-            later(
-                span / 2,
-                lambda link=link, item=item: setattr(
-                    link, "down", item not in harness.entries
-                ),
-            )
-
-
-def clear_faults(harness):
-    for minion in harness.minions.values():
-        minion.unreachable = False
-    for entry in harness.entries:
-        entry._store.link.down = False
-        entry._store.link.lost_answer_ratio = 0.0
-        for link in entry._minions.links.values():
-            link.lost_answer_ratio = 0.0
