Show that the random schedules of the job service find each missing mechanism

Cause: nothing showed that the seeded search of the job service can fail; with the storing of assignments before starts removed it passed. The history check compared a start only with ends that had been acknowledged before it, so a task that started again after an end that was acknowledged later went unseen.

Change: an end that is acknowledged is compared with later starts, unless the minion's lease has lapsed in between. Five variants, each without one mechanism (waiting for leases, storing before acknowledging, storing before starting, fencing tokens, dropping orders of removed runs), must break a rule.

--- a/features/job_faults.py
+++ b/features/job_faults.py
@@ -67,10 +67,14 @@
     ]
 
 
-def run_site(seed, seconds, *, kinds=LOSSES, spare=None):
-    """Runs one site under overlapping faults, then long enough to settle."""
+def run_site(seed, seconds, *, kinds=LOSSES, spare=None, most_failures=0):
+    """Runs one site under overlapping faults, then long enough to settle.
+
+    More than `most_failures` callbacks that raise an exception end the run.
+    """
     rng = random.Random(seed)
     harness = job_harness.JobHarness(seed, entries=4, minions=5, spare=spare)
+    harness.most_failures = most_failures
     harness.run_for(2.0)
     answers = {}
     end = harness.clock() + seconds
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -234,6 +234,7 @@
         self.sequence = itertools.count(1)
         self.closed = {}
         self.deadline = 0.0
+        self.lapsed_at = 0.0
         self.born = self.harness.clock()
         self.waiting = []
 
@@ -285,6 +286,8 @@
             finish()
 
     def tick(self):
+        if self.now > self.deadline:
+            self.lapsed_at = self.harness.clock()
         if self.running and self.now > self.deadline:
             for task in list(self.running):
                 self.end(task, run.RunOutcome.LEASE_EXPIRED)
@@ -543,6 +546,8 @@
         self.violations = []
         self.live = {}
         self.done = {}
+        self.started_at = {}
+        self.ended_at = {}
         self.minions = {}
         self.entries = []
         self.machine_links = {}
@@ -784,6 +789,7 @@
         self.history.append(
             ("begin", self.clock(), minion.minion_id, task, number)
         )
+        self.started_at[task] = self.clock()
         others = self.live.setdefault(task, set())
         if others:
             self.violations.append(f"{task.render()} runs twice")
@@ -817,11 +823,19 @@
 
     def record_run_end(self, minion, task, running, how):
         self.history.append(("end", self.clock(), minion.minion_id, task, how))
+        key = (minion.minion_id, task, running.number)
+        self.ended_at[key] = self.clock()
         self.live.get(task, set()).discard(minion.minion_id)
 
     def record_acknowledgement(self, minion, row):
-        if row.outcome is run.RunOutcome.DONE:
-            self.done[row.task] = self.clock()
+        if row.outcome is not run.RunOutcome.DONE:
+            return
+        self.done[row.task] = self.clock()
+        ended_at = self.ended_at[minion.minion_id, row.task, row.number]
+        if minion.lapsed_at < ended_at < self.started_at[row.task]:
+            self.violations.append(
+                f"{row.task.render()} started after an end acknowledged later"
+            )
 
     def record_crash(self, minion):
         for task in minion.running:
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -228,3 +228,16 @@
       | 1     | 5003 |
       | 1     | 5027 |
       | 8     | 5200 |
+
+  Scenario Outline: Random schedules break a rule on a variant without a mechanism
+    Given 1 sites with delays drawn from seed <seed>
+    When each site runs for 25 seconds without the mechanism "<mechanism>"
+    Then some site broke a rule
+
+    Examples:
+      | mechanism                                        | seed |
+      | leases are waited for                            | 100  |
+      | outcomes are stored before they are acknowledged | 101  |
+      | assignments are stored before starts             | 100  |
+      | minions check fencing tokens                     | 101  |
+      | start orders of removed runs are dropped         | 108  |
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -13,7 +13,7 @@
     ports,
     verdict,
 )
-from features import job_faults, job_harness
+from features import job_faults, job_harness, job_mutants
 
 NAME = "00000000000000aa"
 
@@ -661,3 +661,23 @@
 def draw_elastic_sites(context, count, seed):
     draw_sites(context, count, seed)
     context.spare = 4
+
+
+@behave.when(
+    'each site runs for {seconds:g} seconds without the mechanism "{mechanism}"'
+)
+def run_mutants(context, seconds, mechanism):
+    with job_mutants.remove(mechanism):
+        for seed in context.seeds:
+            harness = job_faults.run_site(
+                seed, seconds, kinds=context.kinds, most_failures=10000
+            )
+            context.harnesses.append((seed, harness))
+
+
+@behave.then("some site broke a rule")
+def check_broken(context):
+    assert any(
+        harness.violations or harness.timers.failures
+        for _, harness in context.harnesses
+    )
