Order no start on a leadership that has run out

Cause: a dispatcher that was paused while the assignment of a task was being stored finds the store's response on resuming and ordered the start at once, with a new lease, and repeated start orders whose response was late. Its successor fences the minions that it reaches; at one that it can't reach, the old order was carried out, although the successor had waited for all leases of its predecessor and started the task elsewhere: two runs at once.

Change: a start is ordered only within 2.8 s of the sending of the last stored append. A successor begins 1 s after that append at the earliest and waits for leases that begin within 2 s from then. Until the next append is stored, planned runs and repeated orders wait; an order whose run is gone is dropped.

Result: features/job_service.feature, 'A paused dispatcher starts nothing that its successor has started elsewhere': both rows failed before ('runs twice') and pass. Leases that a leader extends while it is cut off from the store are not bounded by this; a successor that can't reach the same minion for over 6 s may still start its tasks elsewhere.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -419,7 +419,10 @@
     def _plan(self) -> None:
         if not self._active:
             return
-        for order in self.dispatcher.plan(self._timers.clock(), self._wall()):
+        orders = self.dispatcher.plan(
+            self._timers.clock(), self._wall(), may_start=self._may_start()
+        )
+        for order in orders:
             self._send(order)
         query = self.dispatcher.policy_cache.take_query()
         if query is not None:
@@ -535,6 +538,11 @@
             return -math.inf
         return self._leadership_confirmed_at + LEADERSHIP_VALID_SECONDS
 
+    def _may_start(self) -> bool:
+        """Whether a successor still counts on leases that begin now."""
+        age = self._timers.clock() - self._leadership_confirmed_at
+        return age < dispatcher.START_PERMISSION_SECONDS
+
     def _flush(self) -> None:
         """Appends what has changed; at most one append is in flight."""
         if self._log.busy or not self._active:
@@ -600,7 +608,10 @@
 
     def _handle_stored(self, batch: dispatcher.Batch) -> None:
         now = self._timers.clock()
-        for order in self.dispatcher.handle_batch_stored(batch, now):
+        orders = self.dispatcher.handle_batch_stored(
+            batch, now, may_start=self._may_start()
+        )
+        for order in orders:
             self._send(order)
         for minion_id in batch.cursors:
             self._resume_polling(minion_id)
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -44,6 +44,11 @@
 """Time within which an earlier leader is fenced: it polls every minion each
 second or two, and the first one that knows the new term rejects it."""
 
+START_PERMISSION_SECONDS = 2.8
+"""Age of the last stored append from which no start is ordered. A successor
+begins a leader timeout (1 s) after that append at the earliest, and counts on
+leases of this leader for `MAX_PRIOR_LEASE_SECONDS` from then on."""
+
 MAX_PRIOR_LEASE_SECONDS = (
     run.LEASE_SECONDS * (1 + run.CLOCK_DRIFT)
     + run.LEASE_MARGIN
@@ -455,14 +460,26 @@
 
     # Planning.
 
-    def plan(self, now: float, wall: float) -> list[Order]:
-        """Returns the orders to be sent now."""
+    def plan(
+        self, now: float, wall: float, *, may_start: bool = True
+    ) -> list[Order]:
+        """Returns the orders to be sent now.
+
+        Args:
+            now: Monotonic time in seconds.
+            wall: Unix time in seconds.
+            may_start: Whether starts may be ordered; otherwise repeated start
+                orders wait.
+        """
         orders: list[Order] = []
         for view in self.views.values():
             self.expire_unresponsive(view, now)
-        self._hedge_starts(now)
-        orders.extend(self._starts)
-        self._starts = []
+        if may_start:
+            self._hedge_starts(now)
+            orders.extend(
+                order for order in self._starts if self._is_starting(order)
+            )
+            self._starts = []
         orders.extend(self._plan_stops(now))
         self._plan_starts(now, wall)
         for paced in self._pacer.plan(self.views.values(), now):
@@ -494,6 +511,10 @@
             if now - item.last_ordered_at >= self._start_hedge.delay_seconds:
                 self._starts.append(self._repeat_start(view, item, now))
 
+    def _is_starting(self, order: StartRun) -> bool:
+        item = self._find_run(order.minion_id, order.task, order.number)
+        return item is not None and item.state is run.RunState.STARTING
+
     def _repeat_start(
         self, view: run.MinionView, item: run.Run, now: float
     ) -> StartRun:
@@ -785,9 +806,17 @@
         planned, self._planned = tuple(self._planned), []
         return Batch(progress, cursors, planned)
 
-    def handle_batch_stored(self, batch: Batch, now: float) -> list[StartRun]:
+    def handle_batch_stored(
+        self, batch: Batch, now: float, *, may_start: bool = True
+    ) -> list[StartRun]:
         """Marks the outcomes in a stored batch as ready to be acknowledged.
 
+        Args:
+            batch: The stored batch.
+            now: Monotonic time in seconds.
+            may_start: Whether starts may be ordered; otherwise planned runs
+                wait for the next batch.
+
         Returns:
             Orders for the runs whose assignments are now stored.
         """
@@ -804,6 +833,9 @@
             active = self.jobs.get(job_id)
             if active is not None and progress.state in job.TERMINAL:
                 self._drop_if_idle(active)
+        if not may_start:
+            self._planned.extend(batch.planned)
+            return []
         orders = [self._order_planned(item, now) for item in batch.planned]
         return [order for order in orders if order is not None]
 
--- a/features/job_faults.py
+++ b/features/job_faults.py
@@ -25,6 +25,8 @@
     SLOW_LINK = "slow-link"
     EXPIRED_HISTORY = "expired-history"
     LATE_ORDERS = "late-orders"
+    PARTIAL_CUT = "partial-cut"
+    """One entry can't reach a minion; the others can."""
 
 
 LOSSES = (
@@ -39,6 +41,16 @@
 )
 """Kinds that lose processes, connections and responses."""
 
+STALE_LEADERS = (
+    FaultKind.PAUSE,
+    FaultKind.PAUSE,
+    FaultKind.STORE_CUT,
+    FaultKind.PARTIAL_CUT,
+    FaultKind.PARTIAL_CUT,
+    FaultKind.SLOW_LINK,
+)
+"""Kinds under which a former leader goes on while its successor acts."""
+
 DELAYS = (
     FaultKind.KILL,
     FaultKind.STOP,
@@ -150,6 +162,10 @@
             _expire_history(harness, entry, span)
         case FaultKind.LATE_ORDERS:
             _delay_orders(harness, span)
+        case FaultKind.PARTIAL_CUT:
+            link = entry._minions.link(minion.minion_id)
+            link.down = True
+            later(2.0 * span, lambda: setattr(link, "down", False))
 
 
 def _replace_entry(harness, rng, entry, kind):
@@ -242,5 +258,6 @@
         entry._store.link.down = False
         entry._store.link.lost_answer_ratio = 0.0
         for link in entry._minions.links.values():
+            link.down = False
             link.lost_answer_ratio = 0.0
             link.slowest_response = 0.0
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -204,6 +204,19 @@
       | 16      | 2    |
       | 16      | 3    |
 
+  Scenario Outline: A paused dispatcher starts nothing that its successor has started elsewhere
+    Given a site with 2 entries and 2 minions
+    When a job with one task of 9 seconds is submitted
+    And the dispatcher is paused for 8 seconds while the assignment is being stored
+    And its successor can't reach the assigned minion
+    And the dispatcher resumes with <first> first
+    Then the task has started once and no rule is broken after 3 seconds
+
+    Examples:
+      | first     |
+      | responses |
+      | timers    |
+
   Scenario: Random faults neither lose nor duplicate work
     Given 12 sites with troubles drawn from seed 4711
     When each site runs for 25 seconds and then in peace
@@ -229,6 +242,12 @@
       | 1     | 5027 |
       | 8     | 5200 |
 
+  Scenario: Former leaders that go on neither lose nor duplicate work
+    Given 6 sites with stale leaders drawn from seed 20000
+    When each site runs for 25 seconds and then in peace
+    Then every accepted job of every site is completed
+    And no site broke a rule
+
   Scenario Outline: Random schedules break a rule on a variant without a mechanism
     Given 1 sites with delays drawn from seed <seed>
     When each site runs for 25 seconds without the mechanism "<mechanism>"
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -618,6 +618,66 @@
     assert not context.harness.violations, context.harness.violations
 
 
+@behave.when("a job with one task of {seconds:g} seconds is submitted")
+def submit_one_task(context, seconds):
+    harness = context.harness
+    context.paused = harness.dispatcher()
+    harness.submit(
+        find_follower(harness), NAME, job_faults.create_steps(1, 1, seconds)
+    )
+
+
+def find_assignment(harness):
+    """Returns the stored assignment of the job's task, if there is one."""
+    newest = harness.store.newest[ports.Stream.DISPATCH]
+    record = newest.get(f"p/{NAME}")
+    if record is None:
+        return None
+    assignments = job.decode_progress(record.value).unwrap().assignments
+    return assignments.get((0, 0, 0))
+
+
+@behave.when(
+    "the dispatcher is paused for {seconds:g} seconds while the assignment is"
+    " being stored"
+)
+def pause_while_storing(context, seconds):
+    harness = context.harness
+    end = harness.clock() + 5.0
+    while find_assignment(harness) is None:
+        assert harness.clock() < end
+        harness.run_for(0.0002)
+    context.paused._timers.pause()
+    context.minion_id = find_assignment(harness)[1]
+    context.pause_seconds = seconds
+
+
+@behave.when("its successor can't reach the assigned minion")
+def cut_successor(context):
+    harness = context.harness
+    (successor,) = (
+        entry for entry in harness.entries if entry is not context.paused
+    )
+    successor._minions.link(context.minion_id).down = True
+    harness.run_for(context.pause_seconds)
+    assert successor.dispatching
+
+
+@behave.when("the dispatcher resumes with {first} first")
+def resume_dispatcher(context, first):
+    context.paused._timers.resume(responses_first=first == "responses")
+
+
+@behave.then(
+    "the task has started once and no rule is broken after {seconds:g} seconds"
+)
+def check_one_start(context, seconds):
+    harness = context.harness
+    harness.run_for(seconds)
+    assert not harness.violations, harness.violations
+    assert harness.count("begin") == 1, harness.history
+
+
 @behave.given("{count:d} sites with troubles drawn from seed {seed:d}")
 def draw_sites(context, count, seed):
     context.seeds = [seed + number for number in range(count)]
@@ -649,6 +709,12 @@
         assert not harness.violations, (seed, harness.violations)
 
 
+@behave.given("{count:d} sites with stale leaders drawn from seed {seed:d}")
+def draw_stale_sites(context, count, seed):
+    draw_sites(context, count, seed)
+    context.kinds = job_faults.STALE_LEADERS
+
+
 @behave.given("{count:d} sites with delays drawn from seed {seed:d}")
 def draw_delayed_sites(context, count, seed):
     draw_sites(context, count, seed)
