Do not blame a minion for a repeated start that comes after its run's end

Cause: a start order without a response is repeated under the same number. If the first one was carried out and the run has ended, the minion rejects the second as superseded. That counted as a failed start, and three of them eject a minion from placement although it works.

Change: a superseded repetition counts as no failure.

Result: features/job_decisions.feature, 'A repeated start that comes after the end of its run is no failure of the minion' failed before and passes.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -416,6 +416,9 @@
                         view.minion_id,
                         view.minion.incarnation,
                     )
+                elif outcome is StartOutcome.SUPERSEDED and item.tries > 1:
+                    # An earlier attempt was carried out, and its run has ended.
+                    pass
                 elif outcome is not StartOutcome.NO_ROOM:
                     self._record_failure(view, now, outcome.value)
                 elif item.state is run.RunState.STARTING:
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -106,6 +106,12 @@
       | the run ends and its job is dropped  |
       | the run is lost with its minion      |
 
+  Scenario: A repeated start that comes after the end of its run is no failure of the minion
+    Given a dispatcher whose start order has no response yet
+    When the order is repeated and the minion has already ended that run
+    Then no failure of the minion is counted
+    And the run is not started again before its outcome is known
+
   Scenario: A stored record does not repeat where tasks that are done have run
     Given stored progress of 4 placed tasks
     When 3 of them are done
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -633,6 +633,33 @@
     ], context.orders
 
 
+@behave.when("the order is repeated and the minion has already ended that run")
+def supersede_repeated(context):
+    (repeated,) = context.dispatch.plan(2.0, 2.0)
+    assert repeated.number == context.order.number
+    context.dispatch.handle_start_outcome(
+        repeated, dispatcher.StartOutcome.SUPERSEDED, 2.1, 2.1
+    )
+
+
+@behave.then("no failure of the minion is counted")
+def check_no_failure(context):
+    (view,) = context.dispatch.views.values()
+    assert view.failure_score == 0.0, view.failure_score
+
+
+@behave.then("the run is not started again before its outcome is known")
+def check_waits_for_outcome(context):
+    orders = context.dispatch.plan(2.2, 2.2)
+    starts = context.dispatch.handle_batch_stored(
+        context.dispatch.take_batch(), 2.3
+    )
+    assert not starts
+    assert not [
+        order for order in orders if isinstance(order, dispatcher.StartRun)
+    ], orders
+
+
 def create_placed(count):
     progress = job.Progress(job.JobState.RUNNING)
     for position in range(count):
