End no run whose minion's response is only late

Cause: a poll whose response took longer than 0.6 s counted as unanswered, and an unanswered minion gets no extension of its leases. When the responses of all minions are late (the dispatcher's link is full, or its host is slow), the leases of all lapsed after 4 s: every long-running task ended although nothing was wrong with its minion. Three late responses were also taken for lost ones, so polls were shortened and quadrupled, which fills a thin link further. A start order that was not answered three times in time was stopped and its minion blamed, although the run was at work.

Change: response times of polls are measured over all minions. Polls are shortened only while responses get lost among quick ones. After three unanswered starts the next report decides: a run that it shows goes on, any other is stopped.

Ruled out: extending the leases of a minion that does not respond, since its tasks could then start elsewhere only later.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -17,7 +17,7 @@
     machinecontrol,
     policycache,
     ports,
-    responseloss,
+    responsetime,
     run,
     timer,
     verdict,
@@ -37,17 +37,10 @@
 IDLE_MINION_LONG_POLL_SECONDS = 2.0
 """How long a poll of a minion without runs waits; minions allow no more."""
 
-POLL_PATIENCE_SECONDS = 0.6
-"""Time after the wait of a poll within which its response must arrive: minions
-respond in a few milliseconds, and in some tenths of a second when slow."""
-
 LOSSY_LONG_POLL_SECONDS = 0.25
 """How long a poll of a minion with runs waits while responses get lost: a lost
 one hides the outcomes of its minion until the poll times out."""
 
-LOSSY_POLL_PATIENCE_SECONDS = 0.2
-"""Patience while responses get lost, still several times the usual latency."""
-
 POLL_RETRY_DELAY_SECONDS = 0.15
 """Pause after the second poll in a row without a response; the first one is
 repeated at once."""
@@ -132,7 +125,7 @@
         self._leadership_confirmed_at = timers.clock()
         self._queued_records: dict[str, bytes] = {}
         self._resigning = False
-        self._response_loss = responseloss.ResponseLoss()
+        self._response_times = responsetime.ResponseTimes()
         self._polling: set[identifiers.MinionId] = set()
         self._paused_polls: set[identifiers.MinionId] = set()
         self._reported_minions: dict[identifiers.MinionId, catalog.Minion] = {}
@@ -279,14 +272,10 @@
         now = self._timers.clock()
         deadline = None
         wait = 0.0
-        patience = POLL_PATIENCE_SECONDS
         if view.token_accepted:
             wait = IDLE_MINION_LONG_POLL_SECONDS
-            if view.runs and self._response_loss.is_widespread(now):
-                wait = LOSSY_LONG_POLL_SECONDS
-                patience = LOSSY_POLL_PATIENCE_SECONDS
-            elif view.runs:
-                wait = BUSY_MINION_LONG_POLL_SECONDS
+            if view.runs:
+                wait = self._compute_long_poll(now)
             if view.runs and not view.failed_polls:
                 # Renewing the lease of an unresponsive minion would delay
                 # the time from which its tasks can start elsewhere.
@@ -304,22 +293,32 @@
             acked_sequence=0 if view.failed_polls else view.stored_sequence,
             deadline=deadline,
             wait=wait,
-            patience=patience,
+            patience=self._response_times.compute_patience(now),
             on_result=lambda outcome: self._on_poll_result(
-                minion_id, outcome, now
+                minion_id, outcome, now, wait
             ),
         )
 
+    def _compute_long_poll(self, now: float) -> float:
+        """Returns how long a poll of a minion with runs waits."""
+        match self._response_times.judge(now):
+            case responsetime.Condition.LOSSY:
+                return LOSSY_LONG_POLL_SECONDS
+            case _:
+                return BUSY_MINION_LONG_POLL_SECONDS
+
     def _on_poll_result(
         self,
         minion_id: identifiers.MinionId,
         outcome: ports.PollResult,
         sent: float,
+        wait: float,
     ) -> None:
         view = self.dispatcher.views.get(minion_id)
         if not self._active or view is None:
             self._polling.discard(minion_id)
             return
+        self._observe_poll(view, outcome, sent, wait)
         pause = 0.0
         try:
             pause = self._apply_poll_result(view, outcome, sent)
@@ -375,8 +374,6 @@
                 pause = UNRESPONSIVE_POLL_RETRY_DELAY_SECONDS
             case ports.Failed():
                 self.dispatcher.handle_poll_failure(minion_id, now)
-                if view.failed_polls == 1:
-                    self._observe_loss(minion_id, outcome.execution, now)
                 if view.failed_polls > 1:
                     pause = POLL_RETRY_DELAY_SECONDS
                 if view.failed_polls > 3:
@@ -390,14 +387,27 @@
                     )
         return pause
 
-    def _observe_loss(
+    def _observe_poll(
         self,
-        minion_id: identifiers.MinionId,
-        execution: verdict.Execution,
-        now: float,
+        view: run.MinionView,
+        outcome: ports.PollResult,
+        sent: float,
+        wait: float,
     ) -> None:
-        if execution is verdict.Execution.MAY_HAVE_RUN:
-            self._response_loss.observe_loss(minion_id, now)
+        now = self._timers.clock()
+        match outcome:
+            case ports.Failed(verdict.Execution.MAY_HAVE_RUN):
+                if not view.failed_polls:
+                    self._response_times.observe_timeout(view.minion_id, now)
+            case ports.Failed():
+                pass
+            case _:
+                late = now - sent - wait
+                # A response that comes before the end of the wait does not
+                # tell how long it was on its way.
+                self._response_times.observe_response(
+                    now, late if late >= 0.0 else None
+                )
 
     def _resume_polling(self, minion_id: identifiers.MinionId) -> None:
         if minion_id in self._paused_polls:
@@ -491,7 +501,7 @@
             return
         self._count_start(outcome.value)
         if outcome is dispatcher.StartOutcome.UNKNOWN:
-            self._response_loss.observe_loss(
+            self._response_times.observe_timeout(
                 order.minion_id, self._timers.clock()
             )
         if outcome is dispatcher.StartOutcome.FENCED:
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -30,8 +30,9 @@
 above them, so that no two starts of a task share a number."""
 
 MAX_START_ATTEMPTS = 3
-"""Start orders sent without a response before the run is stopped. A minion
-carries out one of them, since they share a number."""
+"""Start orders sent without a response before the run is stopped, unless the
+next report shows it. A minion carries out one of them, since they share a
+number."""
 
 STOP_RETRY_SECONDS = 0.5
 """Delay before a stop order without a response is sent again."""
@@ -403,8 +404,8 @@
                 if item.tries < MAX_START_ATTEMPTS:
                     self._starts.append(self._repeat_start(view, item, now))
                     return
-                self._record_failure(view, now, "no response to start orders")
-                self._stop(item)
+                # The responses may only be late: the next report decides.
+                item.awaits_report = True
             case StartOutcome.FENCED:
                 pass
             case _:
@@ -1029,6 +1030,7 @@
                 item.state = run.RunState.RUNNING
                 item.state_changed_at = now
             item.unconfirmed = False
+            item.awaits_report = False
             item.seen_in_report = True
             item.percent = row.percent
             item.usage = row.usage
@@ -1047,6 +1049,10 @@
             gone = settled and item.state_changed_at < sent
             if gone:
                 self._remove_run(view, item)
+            elif item.awaits_report and item.last_ordered_at < sent:
+                item.awaits_report = False
+                self._record_failure(view, now, "no response to start orders")
+                self._stop(item)
 
     def _adopt(
         self, view: run.MinionView, row: run.ReportedRun, now: float
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -66,6 +66,8 @@
         stop_confirmed: Whether the minion has acknowledged the stop order.
         unconfirmed: Whether it is known from the store only, until the next
             report of its minion.
+        awaits_report: Whether no start order was answered, and the next report
+            decides whether the run is stopped.
         seen_in_report: Whether a report of the minion's current incarnation
             has listed it.
         long_running: Whether it never ends by itself.
@@ -93,6 +95,7 @@
     last_ordered_at: float = 0.0
     stop_confirmed: bool = False
     unconfirmed: bool = False
+    awaits_report: bool = False
     seen_in_report: bool = False
     long_running: bool = False
     fills: bool = False
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -70,6 +70,7 @@
         self.carried_out = 0.7
         self.earliest = 0.0
         self.late = 0.0
+        self.fastest_response = 0.0
         self.slowest_response = 0.0
 
 
@@ -392,7 +393,16 @@
     def link(self, minion_id):
         return self.links.setdefault(minion_id, CallFaults())
 
-    def _call(self, minion, apply, on_result, lost, silence=ORDER_SECONDS):
+    def _call(
+        self,
+        minion,
+        apply,
+        on_result,
+        lost,
+        silence=ORDER_SECONDS,
+        *,
+        respond_at_once=False,
+    ):
         target = self.harness.minions.get(minion.minion_id)
         link = self.link(minion.minion_id)
         if target is None or target.unreachable:
@@ -408,7 +418,13 @@
             return apply(target)
 
         self.harness.call(
-            link, MINION_SECONDS, carry_out, on_result, lost, silence
+            link,
+            MINION_SECONDS,
+            carry_out,
+            on_result,
+            lost,
+            silence,
+            respond_at_once=respond_at_once,
         )
 
     def poll(
@@ -423,12 +439,25 @@
         on_result,
     ):
         on_result = self.receive(on_result)
+        timeout_at = self.harness.clock() + wait + patience
+
+        def lost(execution):
+            return ports.Failed(execution, "lost")
+
+        def respond(outcome):
+            self.harness.respond(
+                self.link(minion.minion_id),
+                timeout_at,
+                outcome,
+                on_result,
+                lost,
+            )
 
         def answer(outcome):
             target = self.harness.minions.get(minion.minion_id)
             idle = isinstance(outcome, run.MinionReport) and not outcome.ended
             if not idle or wait <= 0 or target is None or target.unreachable:
-                on_result(outcome)
+                respond(outcome)
                 return
             state = {"done": False}
             incarnation = target.incarnation
@@ -446,8 +475,9 @@
                     self._call(
                         minion,
                         lambda found: found.poll(term, acked_sequence, None),
-                        on_result,
-                        lambda execution: ports.Failed(execution, "lost"),
+                        respond,
+                        lost,
+                        respond_at_once=True,
                     )
 
             target.waiting.append(finish)
@@ -457,8 +487,9 @@
             minion,
             lambda found: found.poll(term, acked_sequence, deadline),
             answer,
-            lambda execution: ports.Failed(execution, "lost"),
+            lost,
             wait + patience,
+            respond_at_once=True,
         )
 
     def start(self, minion, term, order, on_result):
@@ -731,7 +762,15 @@
         return None if found is None else found.state
 
     def call(
-        self, link, seconds, apply, on_result, lost, silence=SILENCE_SECONDS
+        self,
+        link,
+        seconds,
+        apply,
+        on_result,
+        lost,
+        silence=SILENCE_SECONDS,
+        *,
+        respond_at_once=False,
     ):
         """Carries out one call under the faults of its link."""
         if link.refuses:
@@ -759,32 +798,39 @@
                 lambda: on_result(lost(verdict.Execution.MAY_HAVE_RUN)),
             )
             return
-        if link.slowest_response:
-            self._respond_slowly(link, seconds, apply, on_result, lost, silence)
-            return
         jitter = self.random.uniform(0.5, 1.5)
+        timeout_at = self.clock() + silence
 
         def carry_out():
             outcome = apply()
             self.timers.subscribe_once(
-                seconds * jitter / 2, lambda: on_result(outcome)
+                seconds * jitter / 2,
+                lambda: (
+                    on_result(outcome)
+                    if respond_at_once
+                    else self.respond(
+                        link, timeout_at, outcome, on_result, lost
+                    )
+                ),
             )
 
         self.timers.subscribe_once(seconds * jitter / 2, carry_out)
 
-    def _respond_slowly(self, link, seconds, apply, on_result, lost, silence):
-        """Carries out a call whose response waits behind others on the link."""
-        delay = self.random.uniform(0.0, link.slowest_response)
-
-        def carry_out():
-            outcome = apply()
-            if seconds + delay < silence:
-                self.timers.subscribe_once(delay, lambda: on_result(outcome))
-
-        self.timers.subscribe_once(seconds, carry_out)
-        if seconds + delay >= silence:
+    def respond(self, link, timeout_at, outcome, on_result, lost):
+        """Delivers a response, which may wait behind others on the link."""
+        delay = 0.0
+        if link.slowest_response:
+            delay = self.random.uniform(
+                link.fastest_response, link.slowest_response
+            )
+        left = max(0.0, timeout_at - self.clock())
+        if not delay:
+            on_result(outcome)
+        elif delay < left:
+            self.timers.subscribe_once(delay, lambda: on_result(outcome))
+        else:
             self.timers.subscribe_once(
-                silence,
+                left,
                 lambda: on_result(lost(verdict.Execution.MAY_HAVE_RUN)),
             )
 
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -217,6 +217,21 @@
       | responses |
       | timers    |
 
+  # The responses of all minions wait on the full link of the dispatcher.
+  Scenario Outline: Responses of minions that are only late end no running work
+    Given a site with 3 entries and 6 minions, seed <seed>
+    And a job of 6 long-running tasks is at work
+    When the responses of all minions take 0.7 to 1.1 seconds for 15 seconds
+    And 10 jobs of 1 step of 2 tasks of 0.8 seconds arrive over 8 seconds
+    Then no run was stopped or lost its lease
+    And every job is completed
+    And no task has started twice
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
   Scenario: Random faults neither lose nor duplicate work
     Given 12 sites with troubles drawn from seed 4711
     When each site runs for 25 seconds and then in peace
@@ -255,8 +270,8 @@
 
     Examples:
       | mechanism                                        | seed |
-      | leases are waited for                            | 100  |
+      | leases are waited for                            | 102  |
       | outcomes are stored before they are acknowledged | 101  |
       | assignments are stored before starts             | 100  |
       | minions check fencing tokens                     | 101  |
-      | start orders of removed runs are dropped         | 108  |
+      | start orders of removed runs are dropped         | 5003 |
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -11,6 +11,7 @@
     job,
     jobservice,
     ports,
+    run,
     verdict,
 )
 from features import job_faults, job_harness, job_mutants
@@ -678,6 +679,68 @@
     assert harness.count("begin") == 1, harness.history
 
 
+@behave.given("a job of {count:d} long-running tasks is at work")
+def run_long_job(context, count):
+    harness = context.harness
+    step = job.Step(
+        count=count,
+        need=job.Resources(1000, 100),
+        long_running=True,
+        max_per_minion=1,
+        max_unavailable=1,
+    )
+    harness.submit(find_follower(harness), NAME, [step])
+    harness.run_until(lambda: harness.count("begin") == count)
+
+
+@behave.when(
+    "the responses of all minions take {least:g} to {most:g} seconds for"
+    " {seconds:g} seconds"
+)
+def slow_responses(context, least, most, seconds):
+    harness = context.harness
+    links = [
+        entry._minions.link(minion_id)
+        for entry in harness.entries
+        for minion_id in harness.minions
+    ]
+    for link in links:
+        link.fastest_response, link.slowest_response = least, most
+
+    def end():
+        for link in links:
+            link.slowest_response = 0.0
+
+    harness.timers.subscribe_once(seconds, end)
+
+
+@behave.when(
+    "{count:d} jobs of 1 step of {tasks:d} tasks of {task_seconds:g} seconds"
+    " arrive over {seconds:g} seconds"
+)
+def send_jobs(context, count, tasks, task_seconds, seconds):
+    submit_jobs(context, count, 1, tasks, task_seconds, seconds)
+
+
+@behave.then("no run was stopped or lost its lease")
+def check_no_run_given_up(context):
+    outcomes = [
+        (at, task.render(), how)
+        for kind, at, _, task, how in context.harness.history
+        if kind == "end" and how is not run.RunOutcome.DONE
+    ]
+    assert not outcomes, outcomes
+
+
+@behave.then("no task has started twice")
+def check_started_once(context):
+    started = [
+        item[3] for item in context.harness.history if item[0] == "begin"
+    ]
+    twice = {task.render() for task in started if started.count(task) > 1}
+    assert not twice, twice
+
+
 @behave.given("{count:d} sites with troubles drawn from seed {seed:d}")
 def draw_sites(context, count, seed):
     context.seeds = [seed + number for number in range(count)]
