--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -49,6 +49,7 @@
 STORE_SECONDS = 0.004
 MINION_SECONDS = 0.002
 SILENCE_SECONDS = 1.0
+MAX_APPEND_QUEUE_SECONDS = 2.0
 ORDER_SECONDS = minionclient.ORDER_TIMEOUT_SECONDS
 MAX_LEASE_SECONDS = 6.0
 CRASH_SECONDS = 1.2
@@ -85,6 +86,8 @@
         self.term = 0
         self.sequence = None
         self.waiting = []
+        self.append_seconds = dict.fromkeys(ports.Stream, 0.0)
+        self.busy_until = dict.fromkeys(ports.Stream, 0.0)
 
     def put(self, stream, key, value):
         offset = len(self.records[stream])
@@ -115,6 +118,18 @@
             self.last_offset = offsets[0]
         return ports.Appended(offsets[0])
 
+    def queue_append(self, stream):
+        """Returns seconds until an append is done, one after the other.
+
+        Returns None if more than two seconds are waiting already.
+        """
+        now = self.harness.clock()
+        start = max(now, self.busy_until[stream])
+        if start - now > MAX_APPEND_QUEUE_SECONDS:
+            return None
+        self.busy_until[stream] = start + self.append_seconds[stream]
+        return self.busy_until[stream] - now
+
     def drop_history(self, stream):
         self.first[stream] = len(self.records[stream])
 
@@ -137,9 +152,18 @@
         self.page_seconds = STORE_SECONDS
 
     def append(self, stream, items, on_result, *, fence=None):
+        seconds = STORE_SECONDS
+        if self.store.append_seconds[stream]:
+            seconds = self.store.queue_append(stream)
+        if seconds is None:
+            refused = ports.Failed(verdict.Execution.NOT_RUN, "status 503")
+            self.harness.timers.subscribe_once(
+                STORE_SECONDS, lambda: self.receive(on_result)(refused)
+            )
+            return
         self.harness.call(
             self.link,
-            STORE_SECONDS,
+            seconds,
             lambda: self.store.append(stream, items, fence),
             self.receive(on_result),
             lambda execution: ports.Failed(execution, "lost"),
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -1,5 +1,6 @@
 """Steps for requests that entries forward to each other."""
 
+import dataclasses
 import itertools
 import json
 import pathlib
@@ -9,6 +10,7 @@
 import behave
 
 from clementinewood import (
+    collector,
     edge,
     entrydirectory,
     forwarder,
@@ -82,6 +84,93 @@
     )
 
 
+def split_collectors(site):
+    """Returns the entries that collect submissions, and the others."""
+    names = collector.choose_collectors(entry.name for entry in site.entries)
+    assert names
+    return (
+        [entry for entry in site.entries if entry.name in names],
+        [entry for entry in site.entries if entry.name not in names],
+    )
+
+
+@behave.given(
+    "appends of jobs take {seconds:g} seconds each, one after the other"
+)
+def serialize_appends(context, seconds):
+    store = context.site.harness.store
+    store.append_seconds[ports.Stream.JOBS] = seconds
+
+
+@behave.when(
+    "{count:d} jobs are submitted within {seconds:g} seconds, spread over all"
+    " entries"
+)
+def submit_many(context, count, seconds):
+    site = context.site
+    context.callers = {}
+    for number in range(count):
+        name = f"{number:016x}"
+        entry = site.entries[number % len(site.entries)]
+        context.callers[name] = site.send(
+            entry, "POST", name, body=forwarding_harness.render_job()
+        )
+        site.loop.run_for(seconds / count)
+    context.statuses = {
+        name: caller.read_answers(1, methods=("POST",))[0][0]
+        for name, caller in context.callers.items()
+    }
+    for caller in context.callers.values():
+        caller.socket.close()
+
+
+@behave.then("at least {share:g} of them are accepted before their deadline")
+def check_accepted_share(context, share):
+    statuses = list(context.statuses.values())
+    accepted = statuses.count(200) / len(statuses)
+    assert accepted >= share, (accepted, statuses)
+
+
+@behave.then("every accepted job is stored")
+def check_accepted_stored(context):
+    for name, status in context.statuses.items():
+        if status == 200:
+            assert context.site.count_stored(name) >= 1, name
+
+
+@behave.when("every collector is silent for other entries")
+def silence_collectors(context):
+    collectors, _ = split_collectors(context.site)
+    for entry in collectors:
+        entry.fall_silent()
+
+
+@behave.when("a job is submitted at an entry that is no collector")
+def submit_at_other(context):
+    _, others = split_collectors(context.site)
+    context.answer = context.site.call(
+        others[0], "POST", NAME, body=forwarding_harness.render_job()
+    )
+
+
+@behave.when("the collectors do not know a key yet")
+def delay_key(context):
+    collectors, _ = split_collectors(context.site)
+    for entry in collectors:
+        declared = entry.service.declared
+        entry.service.declared = dataclasses.replace(
+            declared,
+            configuration=dataclasses.replace(declared.configuration, keys={}),
+        )
+
+
+@behave.when(
+    "a job is submitted with that key at an entry that is no collector"
+)
+def submit_with_key(context):
+    submit_at_other(context)
+
+
 @behave.then("the submission is answered with {status:d}")
 def check_submission(context, status):
     assert context.answer[0] == status, context.answer
