--- a/clementinewood/forwarder.py
+++ b/clementinewood/forwarder.py
@@ -217,9 +217,11 @@
         )
         return None if chosen is None else known[chosen.entry_id]
 
-    def count(self, outcome: Outcome) -> None:
+    def count(self, outcome: Outcome, purpose: forwarding.Purpose) -> None:
         """Counts the outcome of a forwarded request."""
-        self._metrics.count(metric.FORWARDED, outcome=outcome.value)
+        self._metrics.count(
+            metric.FORWARDED, outcome=outcome.value, purpose=purpose.value
+        )
 
     def record_start(self, entry_id: identifiers.EntryId) -> None:
         """Counts an attempt in flight."""
@@ -442,7 +444,7 @@
             outcome = Outcome.LOST
         else:
             outcome = Outcome.REFUSED
-        self._forwarder.count(outcome)
+        self._forwarder.count(outcome, self._purpose)
         self._end()
         self._on_done(
             NotForwarded(
@@ -452,7 +454,7 @@
         )
 
     def _respond(self, response: httpclient.Response) -> None:
-        self._forwarder.count(Outcome.ANSWERED)
+        self._forwarder.count(Outcome.ANSWERED, self._purpose)
         self._end()
         self._on_done(Forwarded(response, self._render_tried()))
 
--- a/clementinewood/metric.py
+++ b/clementinewood/metric.py
@@ -174,8 +174,8 @@
     "clementinewood.forwarded",
     Kind.COUNTER,
     "1",
-    "Requests forwarded to another entry, by outcome.",
-    ("outcome",),
+    "Requests forwarded to another entry, by outcome and purpose.",
+    ("outcome", "purpose"),
 )
 RUN_STARTS = Instrument(
     "clementinewood.runs.starts",
