Test the judgement of response times and the choice of collectors directly

Cause: both were tested only through whole sites. Change: scenarios for normal, lossy and slow responses, for a single silent minion, and for the collectors of 97 and of 11 entries.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -255,3 +255,9 @@
     And a job is submitted with that key at an entry that is no collector
     Then the submission is answered with 200
     And the job is stored 1 time
+
+  Scenario: Entries that know the same entries choose the same collectors
+    Given the names of 97 entries in random order, 20 draws
+    Then every draw has the same 4 collectors
+    When 11 entries are left
+    Then there are no collectors
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -112,6 +112,24 @@
     Then no failure of the minion is counted
     And the run is not started again before its outcome is known
 
+  Scenario Outline: The patience of polls follows how the responses of all minions fare
+    Given 20 minions whose responses take <seconds> seconds and <lost> of 10 get lost
+    Then responses are judged "<condition>"
+    And a poll waits from <least> to <most> seconds for its response
+
+    Examples:
+      | seconds | lost | condition | least | most |
+      | 0.005   | 0    | normal    | 0.6   | 0.6  |
+      | 0.005   | 1    | lossy     | 0.2   | 0.3  |
+      | 0.005   | 6    | slow      | 2.4   | 2.4  |
+      | 0.9     | 0    | slow      | 2.4   | 2.4  |
+      | 0.9     | 1    | slow      | 2.4   | 2.4  |
+
+  Scenario: One minion without responses is no sign of lost responses
+    Given 20 minions whose responses take 0.005 seconds and 0 of 10 get lost
+    When one minion does not respond 10 times
+    Then responses are judged "normal"
+
   Scenario: A stored record does not repeat where tasks that are done have run
     Given stored progress of 4 placed tasks
     When 3 of them are done
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -826,3 +826,31 @@
 def expect_stored(context, seconds):
     pass_seconds(context, seconds)
     assert context.store.stored, "nothing was stored"
+
+
+@behave.given("the names of {count:d} entries in random order, {draws:d} draws")
+def draw_names(context, count, draws):
+    rng = random.Random(1)
+    names = [
+        identifiers.EntryId(f"edge-zone-{number}") for number in range(count)
+    ]
+    context.draws = [rng.sample(names, count) for _ in range(draws)]
+
+
+@behave.then("every draw has the same {count:d} collectors")
+def check_same_collectors(context, count):
+    chosen = {collector.choose_collectors(names) for names in context.draws}
+    assert len(chosen) == 1, chosen
+    assert len(chosen.pop()) == count
+
+
+@behave.when("{count:d} entries are left")
+def leave_entries(context, count):
+    context.draws = [names[:count] for names in context.draws]
+
+
+@behave.then("there are no collectors")
+def check_no_collectors(context):
+    assert not any(
+        collector.choose_collectors(names) for names in context.draws
+    )
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -17,6 +17,7 @@
     jobtable,
     leaderelector,
     pacing,
+    responsetime,
     run,
     teamrate,
 )
@@ -660,6 +661,43 @@
     ], orders
 
 
+@behave.given(
+    "{count:d} minions whose responses take {seconds:g} seconds and {lost:d} of"
+    " 10 get lost"
+)
+def create_response_times(context, count, seconds, lost):
+    context.response_times = responsetime.ResponseTimes()
+    for number in range(10 * count):
+        context.now = number / 100.0
+        minion_id = identifiers.MinionId(
+            f"m{(number + number // count * 3) % count}"
+        )
+        if number // 2 % 10 < lost:
+            context.response_times.observe_timeout(minion_id, context.now)
+        else:
+            context.response_times.observe_response(context.now, seconds)
+
+
+@behave.when("one minion does not respond {count:d} times")
+def miss_responses(context, count):
+    for _ in range(count):
+        context.response_times.observe_timeout(
+            identifiers.MinionId("m0"), context.now
+        )
+
+
+@behave.then('responses are judged "{condition}"')
+def check_condition(context, condition):
+    judged = context.response_times.judge(context.now)
+    assert judged is responsetime.Condition(condition), judged
+
+
+@behave.then("a poll waits from {least:g} to {most:g} seconds for its response")
+def check_patience(context, least, most):
+    patience = context.response_times.compute_patience(context.now)
+    assert least <= patience <= most, patience
+
+
 def create_placed(count):
     progress = job.Progress(job.JobState.RUNNING)
     for position in range(count):
