Extend leases without the store only while most minions confirm the leader

Cause: a leader that can't reach the store goes on extending the leases of what runs, since the store may be away for all. Where a partition has cut it off together with some minions, its successor can't fence those, waits for the longest lease of its predecessor (6.4 s) and starts the same tasks elsewhere, beside the runs that the former leader keeps alive. Tasks that ended meanwhile are found after the partition and acknowledged, although they have run twice.

A leader whose last stored append is older than 2.8 s extends leases only while more than half of the minions have confirmed its token within 2 s, with polls of 0.5 s. A successor counts earlier leaders' leases from when half of the minions have accepted its token, at minions that it has not reached itself.

Ruled out: a bound in time on the extension, which would end all work in a long outage of the store; asking other entries, since those on the same side of the partition know no more.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -41,6 +41,10 @@
 """How long a poll of a minion with runs waits while responses get lost: a lost
 one hides the outcomes of its minion until the poll times out."""
 
+UNCONFIRMED_LONG_POLL_SECONDS = 0.5
+"""How long a poll waits while the leadership is not confirmed by the store: the
+leases then depend on what minions have confirmed recently."""
+
 POLL_RETRY_DELAY_SECONDS = 0.15
 """Pause after the second poll in a row without a response; the first one is
 repeated at once."""
@@ -107,6 +111,7 @@
     ) -> None:
         self.term = term
         self.dispatcher = dispatcher.Dispatcher(term, timers.clock())
+        self.dispatcher.has_machine_service = machines is not None
         self._log = log
         self._own_incarnation = own_incarnation
         self._table = table
@@ -276,7 +281,13 @@
             wait = IDLE_MINION_LONG_POLL_SECONDS
             if view.runs:
                 wait = self._compute_long_poll(now)
-            if view.runs and not view.failed_polls:
+            if now >= self._compute_leadership_end():
+                wait = min(wait, UNCONFIRMED_LONG_POLL_SECONDS)
+            if (
+                view.runs
+                and not view.failed_polls
+                and self._may_extend_leases(now)
+            ):
                 # Renewing the lease of an unresponsive minion would delay
                 # the time from which its tasks can start elsewhere.
                 deadline = view.lease_deadline(now)
@@ -553,6 +564,10 @@
         age = self._timers.clock() - self._leadership_confirmed_at
         return age < dispatcher.START_PERMISSION_SECONDS
 
+    def _may_extend_leases(self, now: float) -> bool:
+        """Whether no successor treats the leases as expired meanwhile."""
+        return self._may_start() or self.dispatcher.may_extend_leases(now)
+
     def _flush(self) -> None:
         """Appends what has changed; at most one append is in flight."""
         if self._log.busy or not self._active:
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -21,6 +21,7 @@
     pacing,
     placement,
     policycache,
+    quorum,
     run,
     teamrate,
 )
@@ -41,9 +42,9 @@
 """Delay before a stop order is sent again if the minion has acknowledged it but
 still reports the run."""
 
-MAX_FENCING_DELAY_SECONDS = 2.0
-"""Time within which an earlier leader is fenced: it polls every minion each
-second or two, and the first one that knows the new term rejects it."""
+MAX_FENCING_DELAY_SECONDS = quorum.CONFIRMATION_WINDOW_SECONDS
+"""Time after which an earlier leader extends no more leases, once half of the
+minions have accepted the new leader's token."""
 
 START_PERMISSION_SECONDS = 2.8
 """Age of the last stored append from which no start is ordered. A successor
@@ -159,6 +160,8 @@
         early: Seconds before its due time at which a job may start.
         times: Run times estimated from past runs.
         policy_cache: Which minions may run which step, on queues with a policy.
+        has_machine_service: Whether the platform tells which minions have
+            ended.
     """
 
     def __init__(self, term: identifiers.Term, now: float) -> None:
@@ -170,8 +173,10 @@
         self.early = 0.0
         self.times = joborder.RunTimes()
         self.policy_cache = policycache.PolicyCache()
+        self.has_machine_service = False
         self.cursors: dict[identifiers.MinionId, jobtable.Cursor] = {}
         self._started_at = now
+        self._former_leaders_excluded_at = math.inf
         self._dirty: set[identifiers.JobId] = set()
         self._ended: set[identifiers.JobId] = set()
         self._usage: dict[identifiers.TeamId, job.Resources] = {}
@@ -302,6 +307,7 @@
     def _reset_view(self, view: run.MinionView) -> None:
         view.ended = False
         view.token_accepted = False
+        view.token_confirmed_at = -math.inf
         view.clock_offset = None
         view.applied_sequence = view.stored_sequence = 0
         view.failed_polls = 0
@@ -334,6 +340,11 @@
                 view.minion, incarnation=report.incarnation
             )
         view.token_accepted = True
+        view.token_confirmed_at = max(view.token_confirmed_at, sent)
+        if self._former_leaders_excluded_at == math.inf:
+            confirmed = self._count_confirmations(self._started_at)
+            if confirmed.exclude_former_leader():
+                self._former_leaders_excluded_at = now
         view.failed_polls = 0
         view.last_answer = now
         view.clock_offset = report.clock - now
@@ -363,17 +374,41 @@
 
     def expire_unresponsive(self, view: run.MinionView, now: float) -> None:
         """Drops runs of an unresponsive minion whose leases have expired."""
-        if now >= view.leases_expire_at and view.failed_polls:
+        if view.failed_polls and self._have_leases_expired(view, now):
             self._lose_runs(view, now)
             view.token_accepted = False
 
     def forget_minions(self, now: float) -> None:
         """Drops unlisted minions whose leases have all expired."""
         for minion_id, view in list(self.views.items()):
-            if not view.listed and now >= view.leases_expire_at:
+            if not view.listed and self._have_leases_expired(view, now):
                 self._lose_runs(view, now)
                 del self.views[minion_id]
 
+    def _have_leases_expired(self, view: run.MinionView, now: float) -> bool:
+        """Whether no lease of this or an earlier leader can be valid."""
+        if now < view.leases_expire_at:
+            return False
+        if view.ended or view.token_confirmed_at > -math.inf:
+            return True
+        excluded_at = self._former_leaders_excluded_at
+        return now >= excluded_at + MAX_PRIOR_LEASE_SECONDS
+
+    def may_extend_leases(self, now: float) -> bool:
+        """Whether no successor treats the leases as expired meanwhile.
+
+        For a leader whose last stored append is too old to exclude one.
+        """
+        since = now - quorum.CONFIRMATION_WINDOW_SECONDS
+        return self._count_confirmations(since).exclude_successor()
+
+    def _count_confirmations(self, since: float) -> quorum.Minions:
+        return quorum.Minions(
+            self.views.values(),
+            confirmed_since=since,
+            has_machine_service=self.has_machine_service,
+        )
+
     # Outcomes of orders.
 
     def handle_start_outcome(
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from clementinewood import catalog, identifiers, job
 
@@ -189,6 +190,9 @@
         listed: Whether it is in the platform's list now.
         ended: Whether the platform reports that it has ended.
         token_accepted: Whether it has accepted this dispatcher's token.
+        token_confirmed_at: Monotonic time in seconds at which the newest poll
+            was sent in response to which it accepted this dispatcher's token;
+            minus infinity if there was none.
         leases_expire_at: Monotonic time in seconds by which all its leases have
             expired.
         clock_offset: Its clock minus the local monotonic clock in seconds; None
@@ -213,6 +217,7 @@
     listed: bool = True
     ended: bool = False
     token_accepted: bool = False
+    token_confirmed_at: float = -math.inf
     leases_expire_at: float = 0.0
     clock_offset: float | None = None
     last_answer: float = 0.0
--- a/features/job_faults.py
+++ b/features/job_faults.py
@@ -9,6 +9,10 @@
 SETTLE_SECONDS = 25.0
 """Time without faults after which every accepted job is completed."""
 
+LONG_JOB_RATIO = 0.15
+LONG_TASK_SECONDS = 10.0
+"""Under partitions, some tasks outlast the leases of a former leader."""
+
 
 class FaultKind(enum.Enum):
     """Fault of one entry, one minion or the store."""
@@ -28,6 +32,9 @@
     PARTIAL_CUT = "partial-cut"
     """One entry can't reach a minion; the others can."""
 
+    PARTITION = "partition"
+    """An entry and some minions reach only each other."""
+
 
 LOSSES = (
     FaultKind.KILL,
@@ -65,6 +72,17 @@
 """Kinds that delay processes, responses and orders, among changes of the
 leader."""
 
+PARTITIONS = (
+    FaultKind.PARTITION,
+    FaultKind.PARTITION,
+    FaultKind.PARTITION,
+    FaultKind.KILL,
+    FaultKind.UNREACHABLE_MINION,
+    FaultKind.PAUSE,
+    FaultKind.SLOW_LINK,
+)
+"""Kinds that divide entries and minions, among changes of the leader."""
+
 
 def create_steps(steps, count, seconds=0.5):
     """Returns steps that run one after the other."""
@@ -99,6 +117,8 @@
         number += 1
         entry = rng.choice(harness.entries)
         steps = create_steps(rng.randint(1, 3), rng.randint(1, 5), 0.4)
+        if FaultKind.PARTITION in kinds and rng.random() < LONG_JOB_RATIO:
+            steps = create_steps(1, 2, LONG_TASK_SECONDS)
         if not entry._timers.paused:
             answers[name] = harness.submit(entry, name, steps)
     clear_faults(harness)
@@ -166,6 +186,8 @@
             link = entry._minions.link(minion.minion_id)
             link.down = True
             later(2.0 * span, lambda: setattr(link, "down", False))
+        case FaultKind.PARTITION:
+            _divide(harness, rng, entry, 3.0 * span)
 
 
 def _replace_entry(harness, rng, entry, kind):
@@ -196,6 +218,14 @@
         entry._timers.resume(responses_first=responses_first)
 
 
+def _divide(harness, rng, entry, seconds):
+    if harness.isolated_entries:
+        return
+    minions = list(harness.minions.values())
+    harness.isolate([entry], rng.sample(minions, rng.randint(1, len(minions))))
+    harness.timers.subscribe_once(seconds, harness.end_isolation)
+
+
 def _slow_link(harness, entry, seconds):
     """Lets the responses of all minions wait on the link of an entry."""
     links = [entry._minions.link(name) for name in harness.minions]
@@ -250,6 +280,7 @@
 
 def clear_faults(harness):
     """Ends all faults that have not ended by themselves."""
+    harness.end_isolation()
     for minion in harness.minions.values():
         minion.unreachable = False
     for entry in list(harness.entries):
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -429,7 +429,8 @@
     ):
         target = self.harness.minions.get(minion.minion_id)
         link = self.link(minion.minion_id)
-        if target is None or target.unreachable:
+        divided = self.harness.divides(self.name, minion.minion_id)
+        if target is None or target.unreachable or divided:
             unreachable = CallFaults()
             unreachable.down = True
             link = unreachable
@@ -611,6 +612,8 @@
         self.minions = {}
         self.entries = []
         self.machine_links = {}
+        self.isolated_entries = frozenset()
+        self.isolated_minions = frozenset()
         self.policy = None
         if policy_share is not None:
             self.policy = job_policy.PolicyService(self, policy_share)
@@ -720,6 +723,33 @@
             self, self.machine_service, link, receive
         )
 
+    def isolate(self, entries, minions):
+        """Cuts entries and minions off from all others and from the store.
+
+        They still reach each other, and all of them the machine service.
+        """
+        self.isolated_entries = frozenset(
+            entry._minions.name for entry in entries
+        )
+        self.isolated_minions = frozenset(
+            minion.minion_id for minion in minions
+        )
+        for entry in entries:
+            entry._store.link.down = True
+
+    def end_isolation(self):
+        for entry in self.entries:
+            if entry._minions.name in self.isolated_entries:
+                entry._store.link.down = False
+        self.isolated_entries = frozenset()
+        self.isolated_minions = frozenset()
+
+    def divides(self, entry_name, minion_id):
+        """Whether a partition lies between an entry and a minion."""
+        return (entry_name in self.isolated_entries) != (
+            minion_id in self.isolated_minions
+        )
+
     def wall(self):
         return self.clock() + WALL_OFFSET
 
@@ -925,5 +955,6 @@
 
     def _publish_minions(self):
         for minion in self.minions.values():
-            if not minion.unreachable:
+            isolated = minion.minion_id in self.isolated_minions
+            if not minion.unreachable and not isolated:
                 self.publish(minion)
--- a/features/job_mutants.py
+++ b/features/job_mutants.py
@@ -71,12 +71,30 @@
     return mock.patch.object(dispatcher.Dispatcher, "_remove_run", remove_run)
 
 
+def extend_always():
+    """Extends leases however long the store has not taken an append."""
+    return mock.patch.object(
+        dispatcher.Dispatcher, "may_extend_leases", lambda self, now: True
+    )
+
+
+def ignore_majority():
+    """Counts an earlier leader's leases from the start of the leadership."""
+    return mock.patch.object(
+        dispatcher.Dispatcher,
+        "_have_leases_expired",
+        lambda self, view, now: now >= view.leases_expire_at,
+    )
+
+
 MUTANTS = {
     "leases are waited for": skip_leases,
     "outcomes are stored before they are acknowledged": acknowledge_early,
     "assignments are stored before starts": forget_assignments,
     "minions check fencing tokens": drop_fencing,
     "start orders of removed runs are dropped": repeat_ended_starts,
+    "a leader without the store needs most minions": extend_always,
+    "a successor waits for half of the minions": ignore_majority,
 }
 """Variants by the mechanism that they lack."""
 
--- /dev/null
+++ b/features/steps/partition_steps.py
@@ -0,0 +1,47 @@
+"""Steps for network partitions that divide entries and minions."""
+
+import behave
+
+from features import job_faults
+from features.steps import job_service_steps
+
+
+@behave.when(
+    "after {seconds:g} seconds the leader and {count:d} minions are cut off"
+    " from the others and the store"
+)
+def isolate_leader(context, seconds, count):
+    harness = context.harness
+    harness.run_for(seconds)
+    minions = list(harness.minions.values())[:count]
+    assert all(minion.running for minion in minions)
+    harness.isolate([harness.dispatcher()], minions)
+
+
+@behave.when("the partition ends after {seconds:g} seconds")
+def end_partition(context, seconds):
+    context.harness.run_for(seconds)
+    context.harness.end_isolation()
+
+
+@behave.when("the store answers again after {seconds:g} seconds")
+def restore_store(context, seconds):
+    context.harness.run_for(seconds)
+    for entry in context.harness.entries:
+        entry._store.link.down = False
+
+
+@behave.when("{count:d} minions can't be reached for {seconds:g} seconds")
+def silence_minions(context, count, seconds):
+    minions = list(context.harness.minions.values())[:count]
+    for minion in minions:
+        minion.unreachable = True
+    context.harness.run_for(seconds)
+    for minion in minions:
+        minion.unreachable = False
+
+
+@behave.given("{count:d} sites with partitions drawn from seed {seed:d}")
+def draw_divided_sites(context, count, seed):
+    job_service_steps.draw_sites(context, count, seed)
+    context.kinds = job_faults.PARTITIONS
