Stop no run because a repetition of its start order had no effect

Cause: a start order without a response is repeated under the same number. If the repetition was answered as rejected, or not sent at all because the connection failed, the run was stopped at once, although the first order may have been carried out. On a full link, whose connections fail, this ended long-running tasks that were at work, without regard to their availability budget.

Change: such a run waits for the next report, which shows whether it is at work; one that the report does not show is stopped as before, so that it can't start late. The minion is blamed for unanswered orders only if none was answered.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -465,9 +465,11 @@
                     return
                 if item.tries <= 1:
                     self._remove_run(view, item)
-                else:
-                    # An earlier attempt may still take effect.
-                    self._stop(item)
+                elif item.attempts_in_flight <= 0:
+                    # An earlier attempt may have been carried out, so that the
+                    # run is at work: the next report decides.
+                    item.start_rejected = True
+                    item.awaits_report = True
 
     def _log_job_started(self, item: run.Run, wall: float) -> None:
         """Logs that the first run of a job has started."""
@@ -1086,7 +1088,10 @@
                 self._remove_run(view, item)
             elif item.awaits_report and item.last_ordered_at < sent:
                 item.awaits_report = False
-                self._record_failure(view, now, "no response to start orders")
+                if not item.start_rejected:
+                    self._record_failure(
+                        view, now, "no response to start orders"
+                    )
                 self._stop(item)
 
     def _adopt(
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -67,8 +67,9 @@
         stop_confirmed: Whether the minion has acknowledged the stop order.
         unconfirmed: Whether it is known from the store only, until the next
             report of its minion.
-        awaits_report: Whether no start order was answered, and the next report
-            decides whether the run is stopped.
+        awaits_report: Whether it is not known if a start order was carried out,
+            and the next report decides whether the run is stopped.
+        start_rejected: Whether a repeated start order was rejected or not sent.
         seen_in_report: Whether a report of the minion's current incarnation
             has listed it.
         long_running: Whether it never ends by itself.
@@ -97,6 +98,7 @@
     stop_confirmed: bool = False
     unconfirmed: bool = False
     awaits_report: bool = False
+    start_rejected: bool = False
     seen_in_report: bool = False
     long_running: bool = False
     fills: bool = False
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -112,6 +112,26 @@
     Then no failure of the minion is counted
     And the run is not started again before its outcome is known
 
+  # A start on a full link is carried out late; its repetition fails to connect.
+  Scenario Outline: A repeated start without effect stops no run that the first one has started
+    Given a dispatcher whose start order has no response yet
+    When the order is repeated with the outcome "<outcome>"
+    Then no stop is ordered before the next report
+    And the run goes on if the next report shows it
+    And no stop is ordered if the report after that shows it too
+
+    Examples:
+      | outcome  |
+      | not-sent |
+      | busy     |
+      | no-room  |
+      | too-late |
+
+  Scenario: A start that was repeated without effect is stopped if no report shows it
+    Given a dispatcher whose start order has no response yet
+    When the order is repeated with the outcome "not-sent"
+    Then the run is stopped if the next report does not show it
+
   Scenario Outline: The patience of polls follows how the responses of all minions fare
     Given 20 minions whose responses take <seconds> seconds and <lost> of 10 get lost
     Then responses are judged "<condition>"
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -564,9 +564,9 @@
     context.dispatch = dispatch
 
 
-def poll(dispatch, now, *ended):
+def poll(dispatch, now, *ended, running=()):
     report = run.MinionReport(
-        incarnation=1, clock=now, running=(), ended=tuple(ended)
+        incarnation=1, clock=now, running=tuple(running), ended=tuple(ended)
     )
     dispatch.handle_report(
         identifiers.MinionId("m1"), report, sent=now, now=now + 0.01
@@ -643,6 +643,55 @@
     )
 
 
+@behave.when('the order is repeated with the outcome "{outcome}"')
+def repeat_in_vain(context, outcome):
+    dispatch = context.dispatch
+    (repeated,) = dispatch.plan(2.0, 2.0)
+    first = dispatcher.StartOutcome.UNKNOWN
+    dispatch.handle_start_outcome(context.order, first, 2.05, 2.05)
+    dispatch.handle_start_outcome(
+        repeated, dispatcher.StartOutcome(outcome), 2.1, 2.1
+    )
+
+
+def list_stops(dispatch, now):
+    return [
+        order
+        for order in dispatch.plan(now, now)
+        if isinstance(order, dispatcher.StopRun)
+    ]
+
+
+def report_running(dispatch, now, order):
+    shown = run.ReportedRun(
+        task=order.task, number=order.number, checkpoint="", percent=50
+    )
+    poll(dispatch, now, running=[shown])
+
+
+@behave.then("no stop is ordered before the next report")
+def check_no_stop(context):
+    assert not list_stops(context.dispatch, 2.2)
+
+
+@behave.then("the run goes on if the next report shows it")
+def check_goes_on(context):
+    report_running(context.dispatch, 2.3, context.order)
+    assert not list_stops(context.dispatch, 2.4)
+
+
+@behave.then("no stop is ordered if the report after that shows it too")
+def check_still_goes_on(context):
+    report_running(context.dispatch, 2.5, context.order)
+    assert not list_stops(context.dispatch, 2.6)
+
+
+@behave.then("the run is stopped if the next report does not show it")
+def check_stopped(context):
+    poll(context.dispatch, 2.3)
+    assert len(list_stops(context.dispatch, 2.4)) == 1
+
+
 @behave.then("no failure of the minion is counted")
 def check_no_failure(context):
     (view,) = context.dispatch.views.values()
