Report the states of jobs from the leader while the store can't be read

Load pattern: the store takes nothing for three to nine seconds while a peak's jobs run. An entry that was cut off alone told an old state in the same way.

Change: an entry whose log of progress is older than 0.8 s asks the leader about a job that has not ended as far as it knows. Without the store, a leader that most minions confirm also tells other entries which jobs are completed by the minions' reports. Outcomes that are not stored are not acknowledged, so leader and minion both hold them; the entry that reports the completion is the third holder and stores it if the leader does not within 0.5 s of the store's return. A successor reads that before it dispatches, and ends the job instead of running it again. The leader tells its own callers only what is stored.

Ruled out: reporting unstored completions without another holder, since the loss of a leader and a minion in the same outage would run a job again that a caller knows as completed (scenario 'Without the record ...').

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -212,6 +212,8 @@
                 entry.progress.copy(),
                 self._compute_arrival_time(accepted),
             )
+            if entry.completion_reported:
+                self.dispatcher.complete_job(accepted.job_id)
         else:
             return
         self._schedule_plan()
@@ -239,6 +241,21 @@
         self._queued_records[key] = value
         self._flush()
 
+    def find_unstored_state(
+        self, job_id: identifiers.JobId
+    ) -> job.JobState | None:
+        """Returns the final state of a job that the store may not hold yet.
+
+        Returns None while the store takes appends, since the state is stored
+        within milliseconds then, and where a successor may know more.
+        """
+        now = self._timers.clock()
+        if now < self._compute_leadership_end():
+            return None
+        if not self.dispatcher.may_extend_leases(now):
+            return None
+        return self.dispatcher.find_final_state(job_id)
+
     # Minions.
 
     def _load_minions(self, records: Sequence[jobtable.StoredRecord]) -> None:
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -178,7 +178,7 @@
         self._started_at = now
         self._former_leaders_excluded_at = math.inf
         self._dirty: set[identifiers.JobId] = set()
-        self._ended: set[identifiers.JobId] = set()
+        self._ended: dict[identifiers.JobId, job.JobState] = {}
         self._usage: dict[identifiers.TeamId, job.Resources] = {}
         self._stops: dict[run.RunKey, run.Run] = {}
         self._starts: list[StartRun] = []
@@ -250,6 +250,18 @@
             self._stop(item)
         self._drop_if_idle(active)
 
+    def complete_job(self, job_id: identifiers.JobId) -> None:
+        """Ends a job whose completion has been reported to a caller."""
+        active = self.jobs.get(job_id)
+        if active is not None:
+            self._finish(active, job.JobState.COMPLETED)
+
+    def find_final_state(
+        self, job_id: identifiers.JobId
+    ) -> job.JobState | None:
+        """Returns the state in which a job has ended here, stored or not."""
+        return self._ended.get(job_id)
+
     # Minions.
 
     def update_minions(
@@ -585,7 +597,7 @@
             return
         ranked = []
         for active in self.jobs.values():
-            if active.cancelled:
+            if active.cancelled or active.progress.state in job.TERMINAL:
                 continue
             queue = config.queues.get(active.job.queue)
             active.queue = queue
@@ -1029,7 +1041,7 @@
         if active.progress.state in job.TERMINAL or active.cancelled:
             return
         active.progress.state = state
-        self._ended.add(active.job.job_id)
+        self._ended[active.job.job_id] = state
         self._dirty.add(active.job.job_id)
         active.work.clear()
         for item in list(active.live.values()):
--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -69,6 +69,7 @@
     RUNS_LOST = (1607, "WARNING", "runs of an unresponsive minion lost")
     RUN_FAILED = (1608, "INFO", "run ended without success")
     START_REFUSED = (1609, "INFO", "minion did not start a run")
+    COMPLETION_STORED = (1610, "INFO", "reported completion stored")
     CANDIDACY_STARTED = (1701, "INFO", "dispatcher candidacy started")
     LEADERSHIP_ACQUIRED = (1702, "INFO", "elected dispatcher")
     LEADERSHIP_ENDED = (1703, "WARNING", "stepped down as dispatcher")
--- a/clementinewood/forwarder.py
+++ b/clementinewood/forwarder.py
@@ -74,6 +74,8 @@
         in_flight: Attempts without a result.
         failures: Failures and refusals since the last answer.
         avoided_until: Monotonic time in seconds until which it is asked last.
+        silent_until: Monotonic time in seconds until which it is not asked for
+            states, since it did not respond.
         unresponsive: Whether it was reported as not responding.
         reported_at: Monotonic time in seconds of the last such report.
     """
@@ -81,6 +83,7 @@
     in_flight: int = 0
     failures: int = 0
     avoided_until: float = float("-inf")
+    silent_until: float = float("-inf")
     unresponsive: bool = False
     reported_at: float = float("-inf")
 
@@ -150,6 +153,77 @@
         forwarded.start()
         return forwarded.cancel
 
+    def ask(
+        self,
+        entry_id: identifiers.EntryId,
+        request: edge.HttpRequest,
+        seconds: float,
+        on_done: Callable[[httpclient.Response | None], None],
+    ) -> Callable[[], None]:
+        """Sends a request without effect to one entry.
+
+        Args:
+            entry_id: The entry.
+            request: The request as the caller sent it.
+            seconds: Longest wait for the answer.
+            on_done: Called once with the answer, perhaps at once; with None if
+                the entry can't serve the request or does not answer.
+
+        Returns:
+            Cancels the request without a result.
+        """
+        entry = self.directory.peers.get(entry_id)
+        state = self._states.get(entry_id) or _PeerState()
+        if (
+            entry is None
+            or self.timers.clock() < state.silent_until
+            or self.requests_in_flight >= forwarding.MAX_REQUESTS_IN_FLIGHT
+        ):
+            on_done(None)
+            return lambda: None
+        self.requests_in_flight += 1
+        self.record_start(entry_id)
+        ended = False
+
+        def end() -> bool:
+            nonlocal ended
+            first, ended = not ended, True
+            if first:
+                self.requests_in_flight -= 1
+                self.record_end(entry_id)
+            return first
+
+        def count(outcome: Outcome) -> None:
+            self._metrics.count(metric.STATES_ASKED, outcome=outcome.value)
+
+        def handle(outcome: ports.PeerResult) -> None:
+            if not end():
+                return
+            match outcome:
+                case ports.PeerAnswered(response):
+                    count(Outcome.ANSWERED)
+                    self.record_answer(entry_id)
+                    on_done(response)
+                case ports.PeerRefused():
+                    count(Outcome.REFUSED)
+                    self.record_refusal(entry_id)
+                    on_done(None)
+                case ports.Failed(detail=detail):
+                    count(Outcome.LOST)
+                    self.record_failure(entry_id, detail)
+                    self._read_state(entry_id).silent_until = (
+                        self.timers.clock() + forwarding.AVOID_SECONDS
+                    )
+                    on_done(None)
+
+        cancel = self.peers.send(entry.address, request, seconds, handle)
+
+        def stop() -> None:
+            if end():
+                cancel()
+
+        return stop
+
     def choose(
         self,
         refusal: verdict.Refusal,
--- a/clementinewood/forwarding.py
+++ b/clementinewood/forwarding.py
@@ -40,6 +40,10 @@
 """Longest time for all attempts: callers may state any deadline, and silent
 entries would hold the requests in flight until then."""
 
+MAX_STATE_SECONDS = 0.4
+"""Longest wait for the leader's answer about a job; this entry then reports the
+state that it knows."""
+
 MIN_SECONDS_LEFT = 0.1
 """Least time left for an attempt: one round trip and a read of the log."""
 
--- a/clementinewood/identifiers.py
+++ b/clementinewood/identifiers.py
@@ -45,6 +45,11 @@
     return Incarnation(f"{entry}/{started:013d}-{secrets.token_hex(4)}")
 
 
+def get_entry(incarnation: Incarnation) -> EntryId:
+    """Returns the entry that an incarnation is a run of."""
+    return EntryId(incarnation.rpartition("/")[0])
+
+
 def is_successor(later: Incarnation, earlier: Incarnation) -> bool:
     """Returns whether `later` is a later run of the same entry.
 
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -12,6 +12,7 @@
 
 from clementinewood import (
     catalog,
+    completions,
     dispatchdriver,
     event,
     feed,
@@ -56,6 +57,10 @@
 """Least time between two reads of the dispatcher's records by itself: the store
 fences it before it could read that another entry has begun a term."""
 
+STATE_STALE_SECONDS = 0.8
+"""Age of the dispatch log from which the leader is asked for a job's state. An
+idle feed gets as old as one long poll and one read interval."""
+
 DEADLINE_MARGIN_SECONDS = 0.15
 """Time before a caller's deadline by which the response is sent."""
 
@@ -206,6 +211,12 @@
             on_stored=self._apply_own,
             is_store_unresponsive=self._is_store_unresponsive,
         )
+        self._completions = completions.CompletionRecorder(
+            self.table,
+            self._append,
+            timers,
+            lambda: not self._is_state_stale(),
+        )
         metrics.observe(
             metric.DISPATCHING, lambda: [({}, float(self.dispatching))]
         )
@@ -417,22 +428,65 @@
 
         self._append(key, b"1", timeout_seconds, answer)
 
-    def describe(self, job_id: identifiers.JobId, on_answer: OnAnswer) -> None:
+    def describe(
+        self,
+        job_id: identifiers.JobId,
+        on_answer: OnAnswer,
+        *,
+        for_entry: bool = False,
+    ) -> None:
         """Reports the state of a job after the next read of the log.
 
         If that takes longer than `STATE_REFRESH_TIMEOUT_SECONDS`, the known
         state is reported.
+
+        Args:
+            job_id: The job.
+            on_answer: Called once with the state.
+            for_entry: Whether another entry asks, which records a completion
+                that is not stored yet.
         """
 
         def answer(entry: jobtable.JobEntry | None, known: bool) -> None:
-            on_answer(
-                _refuse_unknown(known=known)
-                if entry is None
-                else JobDescription(entry.state)
-            )
+            if entry is None:
+                on_answer(_refuse_unknown(known=known))
+                return
+            state = entry.state
+            if for_entry and self._driver is not None:
+                unstored = self._driver.find_unstored_state(job_id)
+                if unstored is job.JobState.COMPLETED and not entry.cancelled:
+                    state = unstored
+            on_answer(JobDescription(state))
 
         self._find(job_id, answer, newest=True)
 
+    def find_state_source(
+        self, job_id: identifiers.JobId
+    ) -> identifiers.EntryId | None:
+        """Returns the leader if it may know a newer state of a known job.
+
+        Returns None if this entry's own state of the job is to be reported.
+        """
+        entry = self.table.find(job_id)
+        leader = self.table.leader
+        if (
+            entry is None
+            or entry.state in job.TERMINAL
+            or leader is None
+            or self.dispatching
+            or not self._is_state_stale()
+        ):
+            return None
+        return identifiers.get_entry(leader.leader)
+
+    def record_completion(self, job_id: identifiers.JobId) -> None:
+        """Keeps a completion that this entry reports for the leader."""
+        self._completions.add(job_id)
+
+    def _is_state_stale(self) -> bool:
+        age = self._dispatch_feed.seconds_since_caught_up()
+        return age > STATE_STALE_SECONDS
+
     def count_pending(self, queue: catalog.Queue, on_answer: OnAnswer) -> None:
         """Reports how many jobs of a queue have not started."""
         if self._table_age() > TABLE_STALE_SECONDS:
@@ -564,7 +618,14 @@
         entry = self.table.find(identifiers.JobId(name))
         if entry is None:
             return False
-        return prefix == jobtable.RecordKind.JOB.value or entry.cancelled
+        match prefix:
+            case jobtable.RecordKind.JOB.value:
+                return True
+            case jobtable.RecordKind.COMPLETION.value:
+                # This entry's own mark does not show that it is stored.
+                return entry.progress.state in job.TERMINAL
+            case _:
+                return entry.cancelled
 
     def _apply_job_entry(self, entry: jobtable.JobEntry) -> None:
         if self._driver is not None:
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -16,6 +16,9 @@
     JOB = "j"
     CANCEL = "c"
     PROGRESS = "p"
+    COMPLETION = "e"
+    """Completion that an entry has reported before the leader stored it."""
+
     CURSOR = "m"
     WAVE = "w"
     LEADER = "office"
@@ -110,17 +113,22 @@
         accepted: The job; None while only its later records were read.
         progress: Its stored progress.
         cancelled: Whether its cancellation is stored.
+        completion_reported: Whether a caller knows that it is completed,
+            although its stored progress does not say so yet.
     """
 
     accepted: job.Job | None = None
     progress: job.Progress = dataclasses.field(default_factory=job.Progress)
     cancelled: bool = False
+    completion_reported: bool = False
 
     @property
     def state(self) -> job.JobState:
         """State as reported to callers."""
         if self.progress.state in job.TERMINAL:
             return self.progress.state
+        if self.completion_reported:
+            return job.JobState.COMPLETED
         if self.cancelled:
             return job.JobState.CANCELLED
         return self.progress.state
@@ -183,6 +191,8 @@
                     self._apply_job(entry, job_id, record)
             case RecordKind.CANCEL:
                 entry.cancelled = True
+            case RecordKind.COMPLETION:
+                entry.completion_reported = True
             case RecordKind.PROGRESS:
                 self._apply_progress(entry, record)
         return entry if entry.accepted is not None else None
--- a/clementinewood/metric.py
+++ b/clementinewood/metric.py
@@ -177,6 +177,13 @@
     "Requests forwarded to another entry, by outcome.",
     ("outcome",),
 )
+STATES_ASKED = Instrument(
+    "clementinewood.states.asked",
+    Kind.COUNTER,
+    "1",
+    "States of jobs that the leader was asked for, by outcome.",
+    ("outcome",),
+)
 RUN_STARTS = Instrument(
     "clementinewood.runs.starts",
     Kind.COUNTER,
--- a/features/forwarding_harness.py
+++ b/features/forwarding_harness.py
@@ -113,12 +113,13 @@
     Args:
         zones: Availability zone of each entry.
         seed: Seed of every random choice.
+        minions: Number of minions.
     """
 
-    def __init__(self, zones, seed=1):
+    def __init__(self, zones, seed=1, minions=0):
         self.loop = loop.Loop()
         self.harness = job_harness.JobHarness(
-            seed, entries=len(zones), minions=0, timers=self.loop.timers
+            seed, entries=len(zones), minions=minions, timers=self.loop.timers
         )
         self.entries = [
             Entry(self, number, zone) for number, zone in enumerate(zones)
--- /dev/null
+++ b/features/job_states.feature
@@ -0,0 +1,89 @@
+Feature: States of jobs while the store can't be read
+  Guards against callers who are told for seconds that a job is running although
+  it has ended, since no entry can read its progress, and against a job that
+  runs again after a caller was told that it is completed: its outcome is known
+  to the leader and the minions only, and both may be lost before the store is
+  back.
+
+  Scenario Outline: A job that ends while the store is away is reported as completed
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 1 seconds that runs
+    When every entry is <fault> by the store
+    And 1.5 seconds pass on that site
+    Then every entry but the leader reports the job as "completed" within 0.5 seconds
+    When the store serves every entry again
+    And 3 seconds pass on that site
+    Then every entry reports the job as "completed" within 0.5 seconds
+    And each task has started once
+
+    Examples:
+      | fault               |
+      | refused             |
+      | not answered        |
+
+  Scenario: A leader that has refused a submission is still asked for states
+    Given a site of entries in zones "a b" with 3 minions
+    And a job of 3 tasks of 1 seconds that runs
+    When every entry is refused by the store
+    And 1.2 seconds pass on that site
+    And another job is refused at every entry
+    Then every entry but the leader reports the job as "completed" within 0.5 seconds
+
+  Scenario: A job that still runs is not reported as completed
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 4 seconds that runs
+    When every entry is refused by the store
+    And 1.5 seconds pass on that site
+    Then every entry reports the job as "running" within 0.5 seconds
+
+  Scenario Outline: A job that was reported as completed does not run again
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 1 seconds that runs
+    When every entry is refused by the store
+    And 1.5 seconds pass on that site
+    And one entry reports the job as "completed"
+    And the leader is killed and the minions crash
+    And the store serves every entry again after <seconds> seconds
+    And 12 seconds pass on that site
+    Then the other entries report the job as "completed" within 0.5 seconds
+    And each task has started once
+
+    Examples:
+      | seconds |
+      | 0.2     |
+      | 4       |
+
+  Scenario: Without the record of its completion the job would run again
+    Given a site of entries in zones "a b c" with 3 minions
+    And entries that do not record completions
+    And a job of 3 tasks of 1 seconds that runs
+    When every entry is refused by the store
+    And 1.5 seconds pass on that site
+    And one entry reports the job as "completed"
+    And the leader is killed and the minions crash
+    And the store serves every entry again after 0.2 seconds
+    And 12 seconds pass on that site
+    Then some task has started again
+
+  Scenario: A leader that reaches few minions tells no outcomes that are not stored
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 1 seconds that runs
+    When every entry is refused by the store
+    And the leader can't reach 2 of the minions
+    And 1.5 seconds pass on that site
+    Then every entry reports the job as "running" within 0.5 seconds
+
+  Scenario: An entry that is cut off from the store alone asks the leader
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 0.5 seconds that runs
+    When a follower is refused by the store
+    And 1.5 seconds pass on that site
+    Then that entry reports the job as "completed" within 0.5 seconds
+
+  Scenario: An entry whose leader does not respond reports the state that it knows
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 1 seconds that runs
+    When every entry is refused by the store
+    And the leader does not respond to other entries
+    And 1.2 seconds pass on that site
+    Then every entry but the leader reports the job as "running" within 0.5 seconds
