Count only minions that machines run towards a majority

Cause: a machine that moves gets a new minion, and the platform lists the old one for some seconds more.

Change: the machine service says which minions machines run; those count. Before its first answer, and where there is none, the platform's list counts.

Result: features/job_decisions.feature, 'Minions that no machine runs ...' (two of four rows failed before).

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -111,7 +111,6 @@
     ) -> None:
         self.term = term
         self.dispatcher = dispatcher.Dispatcher(term, timers.clock())
-        self.dispatcher.has_machine_service = machines is not None
         self._log = log
         self._own_incarnation = own_incarnation
         self._table = table
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -7,7 +7,7 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 
 from clementinewood import (
     activejob,
@@ -160,8 +160,8 @@
         early: Seconds before its due time at which a job may start.
         times: Run times estimated from past runs.
         policy_cache: Which minions may run which step, on queues with a policy.
-        has_machine_service: Whether the platform tells which minions have
-            ended.
+        live_minions: Minions that machines run, as the machine service says;
+            None if that is not known.
     """
 
     def __init__(self, term: identifiers.Term, now: float) -> None:
@@ -173,7 +173,7 @@
         self.early = 0.0
         self.times = joborder.RunTimes()
         self.policy_cache = policycache.PolicyCache()
-        self.has_machine_service = False
+        self.live_minions: Set[identifiers.MinionId] | None = None
         self.cursors: dict[identifiers.MinionId, jobtable.Cursor] = {}
         self._started_at = now
         self._former_leaders_excluded_at = math.inf
@@ -418,7 +418,7 @@
         return quorum.Minions(
             self.views.values(),
             confirmed_since=since,
-            has_machine_service=self.has_machine_service,
+            live=self.live_minions,
         )
 
     # Outcomes of orders.
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -193,6 +193,8 @@
         leader.
         """
         live = {item.minion_id for item in machines}
+        if machines:
+            self._decisions.live_minions = live
         for item in machines:
             known = self._machines.get(item.machine_id)
             if known is not None and known.minion_id not in live:
--- a/clementinewood/quorum.py
+++ b/clementinewood/quorum.py
@@ -8,9 +8,9 @@
 earlier leader's leases from when half of them have accepted its own.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
-from clementinewood import run
+from clementinewood import identifiers, run
 
 CONFIRMATION_WINDOW_SECONDS = 2.0
 """Age from which a minion's confirmation no longer counts. A successor allows
@@ -24,8 +24,8 @@
         views: All minions that the leader knows.
         confirmed_since: Monotonic time in seconds from which a confirmation
             counts.
-        has_machine_service: Whether minions that have ended are known. Without
-            it, a minion that the platform no longer lists counts as ended.
+        live: Minions that machines run, as the machine service says; None if
+            that is not known. Then those that the platform lists count.
     """
 
     def __init__(
@@ -33,12 +33,13 @@
         views: Iterable[run.MinionView],
         *,
         confirmed_since: float,
-        has_machine_service: bool,
+        live: Set[identifiers.MinionId] | None,
     ) -> None:
         self._known = 0
         self._confirmed = 0
         for view in views:
-            if view.ended or not (view.listed or has_machine_service):
+            exists = view.listed if live is None else view.minion_id in live
+            if view.ended or not exists:
                 continue
             self._known += 1
             self._confirmed += view.token_confirmed_at >= confirmed_since
@@ -53,5 +54,5 @@
 
 
 if __name__ == "__main__":
-    nobody = Minions([], confirmed_since=0.0, has_machine_service=True)
+    nobody = Minions([], confirmed_since=0.0, live=None)
     print(nobody.exclude_successor(), nobody.exclude_former_leader())
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -132,6 +132,19 @@
     When the order is repeated with the outcome "not-sent"
     Then the run is stopped if the next report does not show it
 
+  # Moved machines have new minions; the platform lists the old ones for seconds.
+  Scenario Outline: Minions that no machine runs do not count for a majority
+    Given a leader that knows 10 minions, of which <confirmed> confirm its token
+    And a machine service that <knowledge>
+    Then the leader <may> extend leases without the store
+
+    Examples:
+      | confirmed | knowledge                       | may     |
+      | 6         | has not been read               | may     |
+      | 5         | has not been read               | may not |
+      | 5         | lists only 8 of them            | may     |
+      | 4         | lists only 8 of them            | may not |
+
   Scenario Outline: The patience of polls follows how the responses of all minions fare
     Given 20 minions whose responses take <seconds> seconds and <lost> of 10 get lost
     Then responses are judged "<condition>"
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -1,5 +1,6 @@
 """Steps for the decision functions of the job service."""
 
+import dataclasses
 import heapq
 import json
 import random
@@ -710,6 +711,54 @@
     ], orders
 
 
+@behave.given(
+    "a leader that knows {count:d} minions, of which {confirmed:d} confirm its"
+    " token"
+)
+def create_confirmed(context, count, confirmed):
+    context.dispatch = create_dispatcher(1)
+    context.dispatch.update_minions(
+        [
+            dataclasses.replace(
+                create_minion().minion,
+                minion_id=identifiers.MinionId(f"m{number}"),
+            )
+            for number in range(1, count + 1)
+        ],
+        0.0,
+    )
+    for number in range(1, confirmed + 1):
+        context.dispatch.handle_report(
+            identifiers.MinionId(f"m{number}"),
+            run.MinionReport(incarnation=1, clock=0.0, running=(), ended=()),
+            sent=0.0,
+            now=0.01,
+        )
+
+
+@behave.given("a machine service that has not been read")
+def leave_unread(context):
+    assert context.dispatch.live_minions is None
+
+
+@behave.given("a machine service that lists only {count:d} of them")
+def list_some(context, count):
+    context.dispatch.live_minions = {
+        identifiers.MinionId(f"m{number}") for number in range(1, count + 1)
+    }
+
+
+@behave.then("the leader may extend leases without the store")
+def check_may_extend(context):
+    assert context.dispatch.may_extend_leases(1.0)
+    assert not context.dispatch.may_extend_leases(2.5)
+
+
+@behave.then("the leader may not extend leases without the store")
+def check_may_not_extend(context):
+    assert not context.dispatch.may_extend_leases(1.0)
+
+
 @behave.given(
     "{count:d} minions whose responses take {seconds:g} seconds and {lost:d} of"
     " 10 get lost"
