Discard what the kernel has not delivered when a call is given up

Cause: a call that timed out or was cancelled closed its connection, and the kernel went on sending the request. In a partition that outlasts the call, the request arrives once the partition is over, whatever has been decided since.

Change: giving a call up resets its connection, which drops the request and tells the server. Connections that end in order are closed as before.

Result: features/pause.feature, 'A request that was given up does not arrive later': both rows failed before (200,066 of 200,066 bytes arrived).

--- a/clementinewood/httpclient.py
+++ b/clementinewood/httpclient.py
@@ -320,7 +320,8 @@
     def _fail(self, result: Result, reason: str) -> None:
         call, self.call = self.call, None
         if self.connection is not None:
-            self.connection.abort(reason)
+            # The request must not arrive after the call has been given up.
+            self.connection.reset(reason)
         if call is not None:
             call.connection = None
             call.finish(result)
@@ -345,7 +346,7 @@
         """Closes the connection, since its response is no longer needed."""
         self.call = None
         if self.connection is not None:
-            self.connection.abort("cancelled")
+            self.connection.reset("cancelled")
 
     def on_drained(self, connection: transport.Connection) -> None:
         """Does nothing, since requests are buffered completely."""
--- a/clementinewood/transport.py
+++ b/clementinewood/transport.py
@@ -6,6 +6,7 @@
 import os
 import select
 import socket
+import struct
 from collections.abc import Callable
 from typing import Protocol
 
@@ -30,6 +31,10 @@
 ACCEPT_RETRY_SECONDS = 0.1
 """Pause after descriptors ran out; polling the listener would spin."""
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER under which a close discards what the kernel has not
+delivered yet, and sends a reset."""
+
 _POLL_BATCH = 256
 _IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
 _EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -201,6 +206,20 @@
         """Closes the connection now and drops buffered bytes."""
         self._transport.end_connection(self, reason)
 
+    def reset(self, reason: str) -> None:
+        """Closes the connection now; bytes on their way are not sent again.
+
+        After a plain close the kernel goes on sending what the peer has not
+        acknowledged, for minutes if the network is partitioned.
+        """
+        if self._sock is not None:
+            # It may be ended by the peer already.
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+        self.abort(reason)
+
     def handle_events(self, events: int) -> None:
         """Handles `events`, the epoll mask reported for this connection."""
         match self._state:
--- a/features/pause.feature
+++ b/features/pause.feature
@@ -26,6 +26,18 @@
     And the server has received 1 request
     And the server has accepted 1 connection
 
+  # A partition holds back a request that has been sent; the kernel would go on
+  # sending it after the client has closed the connection.
+  Scenario Outline: A request that was given up does not arrive later
+    Given a server that reads nothing and a client with a call of 200000 bytes
+    When the silent call <end>
+    Then the server receives less than the whole call
+
+    Examples:
+      | end          |
+      | times out    |
+      | is cancelled |
+
   Scenario Outline: A machine is not ordered after the leadership has expired
     Given a machine service that counts requests
     When a <order> is ordered 0.1 s before the leadership expires
--- a/features/steps/pause_steps.py
+++ b/features/steps/pause_steps.py
@@ -1,5 +1,7 @@
 """Steps for calls of a process that is paused before it sends them."""
 
+import socket
+
 import behave
 
 from clementinewood import edge, httpclient, identifiers, ports
@@ -39,6 +41,60 @@
     )
 
 
+@behave.given(
+    "a server that reads nothing and a client with a call of {size:d} bytes"
+)
+def create_silent_server(context, size):
+    context.network = network.Network()
+    listener = socket.socket()
+    # The connection's window holds a small part of the call.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    context.add_cleanup(listener.close)
+    client = httpclient.HttpClient(
+        context.network.sockets, context.network.timers, listener.getsockname()
+    )
+    context.results = []
+    context.call = client.send(
+        "POST",
+        "/",
+        [],
+        b"x" * size,
+        timeout=1.5,
+        on_result=context.results.append,
+    )
+    context.size = size
+    context.network.settle()
+    context.peer, _ = listener.accept()
+    context.add_cleanup(context.peer.close)
+
+
+@behave.when("the silent call times out")
+def time_out_call(context):
+    context.network.clock.now += 2.0
+    context.network.settle()
+    assert isinstance(context.results[0], httpclient.Lost), context.results
+
+
+@behave.when("the silent call is cancelled")
+def cancel_call(context):
+    context.call.cancel()
+    context.network.settle()
+
+
+@behave.then("the server receives less than the whole call")
+def check_dropped(context):
+    context.peer.settimeout(1.0)
+    received = 0
+    try:
+        while data := context.peer.recv(65536):
+            received += len(data)
+    except ConnectionResetError:
+        pass
+    assert received < context.size, received
+
+
 def make_call(context, limit):
     results = []
     context.client.send(
