--- a/features/steps/edge_fuzz_steps.py
+++ b/features/steps/edge_fuzz_steps.py
@@ -39,6 +39,9 @@
             self.is_open = False
             self.receiver.on_closed(self, reason)
 
+    def reset(self, reason):
+        self.abort(reason)
+
     def pause_reading(self):
         pass
 
