Log responses to machine orders, and the machines that a dispatcher takes over

Change: CW1805 with outcome and duration of accepted and unanswered orders, CW1806 once a term with the states of all machines. No logic is changed.

--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -90,6 +90,8 @@
     MACHINE_REFUSED = (1802, "WARNING", "order about a machine refused")
     MACHINES_UNREACHABLE = (1803, "WARNING", "machines can't be listed")
     WAVE_COMPLETED = (1804, "INFO", "maintenance wave completed")
+    MACHINE_ANSWERED = (1805, "INFO", "order about a machine answered")
+    MACHINES_TAKEN_OVER = (1806, "INFO", "machines taken over")
     SETTINGS_REFUSED = (1901, "ERROR", "settings are malformed")
     SETTINGS_READ = (1902, "INFO", "settings read")
 
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -1,5 +1,6 @@
 """Orders maintenance and moves of machines while this entry leads."""
 
+import collections
 import json
 from collections.abc import Callable, Sequence
 
@@ -166,6 +167,8 @@
                 return
             case _:
                 self._read_failures = 0
+                if not self._machines:
+                    self._log_takeover(outcome)
                 self._listed_at = sent
                 self._detect_ended_minions(outcome, sent)
                 self._machines = {item.machine_id: item for item in outcome}
@@ -183,6 +186,17 @@
                     self._set_cordoned(machine_id, cordoned=False)
         self._plan()
 
+    def _log_takeover(self, machines: Sequence[catalog.Machine]) -> None:
+        states = collections.Counter(item.state for item in machines)
+        event.emit(
+            event.Event.MACHINES_TAKEN_OVER,
+            term=self._decisions.term,
+            up=states[catalog.MachineState.UP],
+            moving=states[catalog.MachineState.MOVING],
+            maintenance=states[catalog.MachineState.UPKEEP],
+            down=states[catalog.MachineState.DOWN],
+        )
+
     def _detect_ended_minions(
         self, machines: Sequence[catalog.Machine], sent: float
     ) -> None:
@@ -334,7 +348,7 @@
             state.wave.number,
             self._decisions.term,
             lambda outcome: self._on_maintenance_outcome(
-                state, machine, outcome
+                state, machine, outcome, now
             ),
             send_before=self._compute_leadership_end(),
         )
@@ -344,10 +358,12 @@
         state: waveplanner.WaveState,
         machine: catalog.Machine,
         outcome: ports.MachineOutcome,
+        ordered_at: float,
     ) -> None:
         if not self._active:
             return
         machine_id = machine.machine_id
+        self._log_answer(machine_id, outcome, ordered_at)
         match outcome:
             case ports.MachineOutcome.ACCEPTED:
                 state.done.add(machine_id)
@@ -377,6 +393,25 @@
         self._ordered.pop(machine_id, None)
         state.down.pop(machine_id, None)
 
+    def _log_answer(
+        self,
+        machine_id: identifiers.MachineId,
+        outcome: ports.MachineOutcome,
+        ordered_at: float,
+    ) -> None:
+        """Logs an accepted order, or one that got no response."""
+        if outcome in (
+            ports.MachineOutcome.ACCEPTED,
+            ports.MachineOutcome.UNKNOWN,
+        ):
+            event.emit(
+                event.Event.MACHINE_ANSWERED,
+                machine=machine_id,
+                outcome=outcome.value,
+                seconds=round(self._timers.clock() - ordered_at, 3),
+                term=self._decisions.term,
+            )
+
     def _log_rejection(
         self, machine_id: identifiers.MachineId, outcome: ports.MachineOutcome
     ) -> None:
@@ -552,7 +587,8 @@
         view = self._find_view(machine)
         if view is not None:
             view.cordoned = True
-        self._ordered[move.machine_id] = self._timers.clock()
+        now = self._timers.clock()
+        self._ordered[move.machine_id] = now
         self._moving_to[move.machine_id] = move.pool
         event.emit(
             event.Event.MACHINE_ORDERED,
@@ -569,7 +605,7 @@
             move.machine_id,
             move.pool,
             self._decisions.term,
-            lambda outcome: self._on_move(move, machine, outcome),
+            lambda outcome: self._on_move(move, machine, outcome, now),
             send_before=self._compute_leadership_end(),
         )
 
@@ -578,9 +614,11 @@
         move: autoscaler.Move,
         machine: catalog.Machine,
         outcome: ports.MachineOutcome,
+        ordered_at: float,
     ) -> None:
         if not self._active:
             return
+        self._log_answer(move.machine_id, outcome, ordered_at)
         match outcome:
             case ports.MachineOutcome.ACCEPTED:
                 self._ordered[move.machine_id] = self._timers.clock()
