Store machine orders before they are sent, and count what the list shows

Cause: a leader counted only machines that it had ordered down itself. A successor knew neither those that the list of machines showed under maintenance, nor orders of its predecessor that the machine service was yet to carry out. The wait of lease_ms before the first order hid this where maintenance is shorter, but the same entry, restarted, does not wait. Change: each order about a machine is stored before it is sent (machineorders, as assignments of runs are). A successor takes over the orders without a known outcome and repeats them with its token, which fences the older ones; until the outcome is certain the machine keeps its place in the wave and gets no work. The machines listed under maintenance count as well, in a list requested 0.4 s after the term began. A repeated order that is accepted no longer ends the runs of the machine's present minion, since it may have been carried out before. Waves keep the time at which they began. Stored waves have a new form; a list of an earlier version is dropped, and the service answers repeated orders as done.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -128,6 +128,7 @@
         self._taken_over = False
         self._leadership_confirmed_at = timers.clock()
         self._queued_records: dict[str, bytes] = {}
+        self._on_records_stored: list[Callable[[], None]] = []
         self._resigning = False
         self._response_times = responsetime.ResponseTimes()
         self._polling: set[identifiers.MinionId] = set()
@@ -235,9 +236,22 @@
         self.machine_control.set_waves(declared.waves)
         self._schedule_plan()
 
-    def queue_record(self, key: str, value: bytes) -> None:
-        """Queues a record of the dispatcher for the next append."""
+    def queue_record(
+        self,
+        key: str,
+        value: bytes,
+        on_stored: Callable[[], None] | None = None,
+    ) -> None:
+        """Queues a record of the dispatcher for the next append.
+
+        Args:
+            key: Its key; only the last value queued under it is appended.
+            value: Its value.
+            on_stored: Called once it is stored.
+        """
         self._queued_records[key] = value
+        if on_stored is not None:
+            self._on_records_stored.append(on_stored)
         self._flush()
 
     def find_unstored_state(
@@ -609,17 +623,20 @@
             for key, value in self._queued_records.items()
         ]
         self._queued_records.clear()
+        callbacks, self._on_records_stored = self._on_records_stored, []
         if not items:
             self._handle_stored(batch)
             return
         self._log.append(
-            items, lambda outcome: self._on_append(items, batch, outcome)
+            items,
+            lambda outcome: self._on_append(items, batch, callbacks, outcome),
         )
 
     def _on_append(
         self,
         items: Sequence[ports.KeyedRecord],
         batch: dispatcher.Batch,
+        callbacks: Sequence[Callable[[], None]],
         outcome: fencedlog.Outcome,
     ) -> None:
         match outcome:
@@ -631,10 +648,13 @@
                 self._leadership_confirmed_at = sent
                 if offset is not None:
                     self._on_stored(items, offset)
-                self._finish_append(items, batch)
+                self._finish_append(items, batch, callbacks)
 
     def _finish_append(
-        self, items: Sequence[ports.KeyedRecord], batch: dispatcher.Batch
+        self,
+        items: Sequence[ports.KeyedRecord],
+        batch: dispatcher.Batch,
+        callbacks: Sequence[Callable[[], None]],
     ) -> None:
         released = self._resigning and any(
             item.value == self._render_leader_record() for item in items
@@ -643,6 +663,8 @@
             self.step_down("it resigned")
             return
         self._handle_stored(batch)
+        for callback in callbacks:
+            callback()
         self._flush()
 
     def _handle_stored(self, batch: dispatcher.Batch) -> None:
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -179,6 +179,7 @@
         self.policy_cache = policycache.PolicyCache()
         self.live_minions: Set[identifiers.MinionId] | None = None
         self.cursors: dict[identifiers.MinionId, jobtable.Cursor] = {}
+        self._cordoned: frozenset[identifiers.MinionId] = frozenset()
         self._started_at = now
         self._former_leaders_excluded_at = math.inf
         self._dirty: set[identifiers.JobId] = set()
@@ -298,6 +299,7 @@
     def _create_view(self, minion: catalog.Minion) -> run.MinionView:
         view = run.MinionView(minion)
         view.leases_expire_at = self._started_at + MAX_PRIOR_LEASE_SECONDS
+        view.cordoned = minion.minion_id in self._cordoned
         self._apply_cursor(view)
         return view
 
@@ -330,7 +332,6 @@
         view.applied_sequence = view.stored_sequence = 0
         view.failed_polls = 0
         view.failure_score = 0.0
-        view.cordoned = False
 
     def handle_report(
         self,
@@ -986,6 +987,14 @@
 
     # Stops ordered by other parts.
 
+    def set_cordoned(self, minion_ids: frozenset[identifiers.MinionId]) -> None:
+        """Replaces the minions that get no new work, known already or not."""
+        for minion_id in minion_ids ^ self._cordoned:
+            view = self.views.get(minion_id)
+            if view is not None:
+                view.cordoned = minion_id in minion_ids
+        self._cordoned = minion_ids
+
     def stop_task(self, task: job.TaskId) -> None:
         """Stops the run of `task`, so that it starts again elsewhere."""
         active = self.jobs.get(task.job)
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -3,7 +3,9 @@
 import dataclasses
 import enum
 import json
+import math
 from collections.abc import Iterator
+from typing import Any
 
 from returns import result
 
@@ -21,6 +23,7 @@
 
     CURSOR = "m"
     WAVE = "w"
+    MOVE = "v"
     LEADER = "office"
 
 
@@ -50,12 +53,97 @@
 
 
 def render_wave_key(number: int) -> str:
-    """Returns the key of the machines serviced by a wave."""
+    """Returns the key of the start of a wave."""
     return f"{RecordKind.WAVE.value}/{number}"
 
 
+def render_wave_machine_key(
+    number: int, machine_id: identifiers.MachineId
+) -> str:
+    """Returns the key of one machine's progress in a wave."""
+    return f"{RecordKind.WAVE.value}/{number}/{machine_id}"
+
+
+def render_move_key(machine_id: identifiers.MachineId) -> str:
+    """Returns the key of the last move ordered for a machine."""
+    return f"{RecordKind.MOVE.value}/{machine_id}"
+
+
+class MaintenanceStage(enum.Enum):
+    """How far a machine of a wave has come."""
+
+    DRAINING = "draining"
+    ORDERED = "ordered"
+    """Its maintenance may begin at any time, also late."""
+
+    BEGUN = "begun"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MachineProgress:
+    """Stored progress of one machine in a wave.
+
+    Attributes:
+        stage: How far it has come.
+        minion_id: The minion that it ran then.
+    """
+
+    stage: MaintenanceStage
+    minion_id: identifiers.MinionId
+
+
+@dataclasses.dataclass(slots=True)
+class WaveProgress:
+    """Stored progress of a wave.
+
+    Attributes:
+        began: Unix time in seconds at which a leader first knew it; None if
+            that is not stored.
+        machines: Progress of its machines.
+    """
+
+    began: float | None = None
+    machines: dict[identifiers.MachineId, MachineProgress] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredMove:
+    """Stored order to move a machine.
+
+    Attributes:
+        pool: Pool that it moves to.
+        minion_id: The minion that it ran when the order was given.
+        settled: Whether the effect of the order is known.
+    """
+
+    pool: identifiers.PoolId
+    minion_id: identifiers.MinionId
+    settled: bool
+
+
+def encode_wave_start(began: float) -> bytes:
+    """Returns the stored form of the Unix time at which a wave began."""
+    return json.dumps({"began": round(began, 3)}).encode()
+
+
+def encode_machine_progress(progress: MachineProgress) -> bytes:
+    """Returns the stored form of a machine's progress in a wave."""
+    return json.dumps([progress.stage.value, progress.minion_id]).encode()
+
+
+def encode_move(move: StoredMove) -> bytes:
+    """Returns the stored form of an order to move a machine."""
+    return json.dumps([move.pool, move.minion_id, move.settled]).encode()
+
+
 LEADER_KEY = RecordKind.LEADER.value
 
+_RECORDS_WITHOUT_JOB = frozenset(
+    (RecordKind.CURSOR, RecordKind.WAVE, RecordKind.MOVE)
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaderRecord:
@@ -143,13 +231,15 @@
     Attributes:
         leader: Newest leader record.
         cursors: Outcomes that stored progress includes, by minion.
-        waves: Machines whose maintenance has begun, by wave.
+        waves: Progress of waves, by number.
+        moves: Last move ordered for each machine.
     """
 
     def __init__(self) -> None:
         self.leader: LeaderRecord | None = None
         self.cursors: dict[identifiers.MinionId, Cursor] = {}
-        self.waves: dict[int, frozenset[identifiers.MachineId]] = {}
+        self.waves: dict[int, WaveProgress] = {}
+        self.moves: dict[identifiers.MachineId, StoredMove] = {}
         self._entries: dict[identifiers.JobId, JobEntry] = {}
         self._offsets: dict[str, int] = {}
 
@@ -180,8 +270,8 @@
         except ValueError:
             _drop(record, f"unknown record kind {prefix!r}")
             return None
-        if kind is RecordKind.CURSOR or kind is RecordKind.WAVE:
-            self._apply_cursor_or_wave(kind, name, record)
+        if kind in _RECORDS_WITHOUT_JOB:
+            self._apply_other(kind, name, record)
             return None
         job_id = identifiers.JobId(name)
         entry = self._entries.setdefault(job_id, JobEntry())
@@ -217,23 +307,51 @@
                 _drop(record, reason)
         return None
 
-    def _apply_cursor_or_wave(
+    def _apply_other(
         self, kind: RecordKind, name: str, record: StoredRecord
     ) -> None:
+        """Applies a record that is not about a job."""
         try:
-            values = json.loads(record.value)
-            if kind is RecordKind.CURSOR:
-                incarnation, sequence = values
-                self.cursors[identifiers.MinionId(name)] = Cursor(
-                    int(incarnation), int(sequence)
-                )
-            else:
-                self.waves[int(name)] = frozenset(
-                    identifiers.MachineId(str(value)) for value in values
-                )
+            value = json.loads(record.value)
+            match kind:
+                case RecordKind.CURSOR:
+                    incarnation, sequence = value
+                    self.cursors[identifiers.MinionId(name)] = Cursor(
+                        int(incarnation), int(sequence)
+                    )
+                case RecordKind.MOVE:
+                    pool, minion_id, settled = value
+                    self.moves[identifiers.MachineId(name)] = StoredMove(
+                        identifiers.PoolId(str(pool)),
+                        identifiers.MinionId(str(minion_id)),
+                        bool(settled),
+                    )
+                case _:
+                    self._apply_wave(name, value)
         except decoding.ERRORS as error:
             _drop(record, repr(error))
 
+    def _apply_wave(self, name: str, value: Any) -> None:
+        number, _, machine_id = name.partition("/")
+        wave = WaveProgress()
+        if not machine_id:
+            wave.began = float(value["began"])
+            if not math.isfinite(wave.began):
+                raise ValueError("the start is not finite")
+            machines = wave.machines
+        else:
+            stage, minion_id = value
+            machines = {
+                identifiers.MachineId(machine_id): MachineProgress(
+                    MaintenanceStage(stage),
+                    identifiers.MinionId(str(minion_id)),
+                )
+            }
+        known = self.waves.setdefault(int(number), wave)
+        known.machines.update(machines)
+        if wave.began is not None:
+            known.began = wave.began
+
     def _apply_job(
         self,
         entry: JobEntry,
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -1,8 +1,8 @@
 """Orders maintenance and moves of machines while this entry leads."""
 
 import collections
-import json
 from collections.abc import Callable, Sequence
+from typing import Protocol
 
 from clementinewood import (
     autoscaler,
@@ -11,6 +11,7 @@
     event,
     identifiers,
     jobtable,
+    machineorders,
     pooldemand,
     ports,
     run,
@@ -40,8 +41,17 @@
 """Upper limit of the moves ordered in one round of planning. It bounds the cost
 of one wrong measurement of demand."""
 
-LIST_LAG_SECONDS = 0.4
-"""Delay after which the list of machines shows the effect of an order."""
+
+class QueueRecord(Protocol):
+    """Queues a record to be appended to the dispatcher's log."""
+
+    def __call__(
+        self,
+        key: str,
+        value: bytes,
+        on_stored: Callable[[], None] | None = None,
+    ) -> None:
+        """Queues `value` under `key` and reports when it is stored."""
 
 
 class MachineControl:
@@ -49,13 +59,13 @@
 
     Args:
         decisions: The dispatcher whose runs the machines hold.
-        table: Job table, with the machines serviced by each wave.
+        table: Job table, with the stored progress of waves and moves.
         machines: The platform's machine service; None if there is none.
         decoder: Encodes the wave status shown to operators.
         store: The platform's store.
         timers: Timer service.
         wall: Source of Unix time.
-        queue_record: Queues a record, by key and value, to be appended.
+        queue_record: Queues a record to be appended.
         compute_leadership_end: Returns the monotonic time in seconds until
             which no other entry can have become leader.
         on_fenced: Called when a newer leader has used a higher token.
@@ -73,7 +83,7 @@
         timers: timer.TimerService,
         wall: Callable[[], float],
         *,
-        queue_record: Callable[[str, bytes], None],
+        queue_record: QueueRecord,
         compute_leadership_end: Callable[[], float],
         on_fenced: Callable[[], None],
         machine_order_delay_seconds: float,
@@ -96,8 +106,7 @@
         self._waves: dict[int, waveplanner.WaveState] = {}
         self._machines: dict[identifiers.MachineId, catalog.Machine] = {}
         self._ended_minions: set[identifiers.MinionId] = set()
-        self._ordered: dict[identifiers.MachineId, float] = {}
-        self._moving_to: dict[identifiers.MachineId, identifiers.PoolId] = {}
+        self._orders = machineorders.MachineOrders()
         self._invalid_moves: set[tuple[str, str]] = set()
         self._autoscaler = autoscaler.Autoscaler()
         self._listed_at = float("-inf")
@@ -111,6 +120,15 @@
         if self._service is None:
             return
         self._active = True
+        for machine_id, move in self._table.moves.items():
+            if not move.settled:
+                self._orders.restore(
+                    machine_id,
+                    machineorders.Move(move.pool),
+                    move.minion_id,
+                    self._started_at,
+                )
+        self._update_cordons()
         every = self._timers.subscribe_every
         self._subscriptions = [
             every(LIST_SECONDS, self._read),
@@ -126,21 +144,48 @@
 
     def set_waves(self, waves: Sequence[catalog.Wave]) -> None:
         """Replaces the waves declared by operators."""
+        if self._service is None:
+            return
         known = {wave.number for wave in waves}
         for number in list(self._waves):
             if number not in known:
-                self._end_wave(self._waves.pop(number))
+                del self._waves[number]
         for wave in waves:
             state = self._waves.get(wave.number)
             if state is None:
-                state = waveplanner.WaveState(wave, self._timers.clock())
-                state.done |= self._table.waves.get(wave.number, frozenset())
-                self._waves[wave.number] = state
+                state = self._waves[wave.number] = self._resume_wave(wave)
             state.wave = wave
+        self._update_cordons()
 
-    def _end_wave(self, state: waveplanner.WaveState) -> None:
-        for machine_id in state.draining_machines:
-            self._set_cordoned(machine_id, cordoned=False)
+    def _resume_wave(self, wave: catalog.Wave) -> waveplanner.WaveState:
+        """Returns the state of a wave as earlier leaders have left it."""
+        now = self._timers.clock()
+        wall = self._wall()
+        stored = self._table.waves.get(wave.number, jobtable.WaveProgress())
+        if stored.began is None:
+            self._queue_record(
+                jobtable.render_wave_key(wave.number),
+                jobtable.encode_wave_start(wall),
+            )
+            state = waveplanner.WaveState(wave, now)
+        else:
+            age = max(0.0, wall - stored.began)
+            state = waveplanner.WaveState(wave, now - age)
+        for machine_id, progress in stored.machines.items():
+            match progress.stage:
+                case jobtable.MaintenanceStage.ORDERED:
+                    state.draining_machines[machine_id] = progress.minion_id
+                    self._orders.restore(
+                        machine_id,
+                        machineorders.Maintenance(wave.number),
+                        progress.minion_id,
+                        now,
+                    )
+                case jobtable.MaintenanceStage.BEGUN:
+                    state.done.add(machine_id)
+                case jobtable.MaintenanceStage.DRAINING:
+                    pass
+        return state
 
     # Reading.
 
@@ -172,20 +217,26 @@
                 self._listed_at = sent
                 self._detect_ended_minions(outcome, sent)
                 self._machines = {item.machine_id: item for item in outcome}
-        for machine_id, ordered in list(self._ordered.items()):
-            machine = self._machines.get(machine_id)
-            if ordered + LIST_LAG_SECONDS > sent:
-                continue
-            if machine is None or machine.state is catalog.MachineState.UP:
-                del self._ordered[machine_id]
-                self._moving_to.pop(machine_id, None)
-                for state in self._waves.values():
-                    state.down.pop(machine_id, None)
-                kept = machine_id in self._cordoned_for_moves
-                if not kept and not self._is_draining(machine_id):
-                    self._set_cordoned(machine_id, cordoned=False)
+        for order in self._orders.settle(self._machines, sent):
+            self._record_settled(order)
+        for state in self._waves.values():
+            state.down = self._list_down(state.wave)
         self._plan()
 
+    def _list_down(self, wave: catalog.Wave) -> set[identifiers.MachineId]:
+        """Returns the machines that are, or may be, down for a wave.
+
+        Those that an earlier leader has taken down are listed as such.
+        """
+        down = self._orders.list_maintained(wave.number)
+        down.update(
+            machine_id
+            for machine_id in wave.machines
+            if machine_id in self._machines
+            and self._machines[machine_id].state is catalog.MachineState.UPKEEP
+        )
+        return down
+
     def _log_takeover(self, machines: Sequence[catalog.Machine]) -> None:
         states = collections.Counter(item.state for item in machines)
         event.emit(
@@ -229,22 +280,21 @@
             else:
                 self._ended_minions.discard(minion_id)
 
-    def _is_draining(self, machine_id: identifiers.MachineId) -> bool:
-        return any(
-            machine_id in state.draining_machines
-            for state in self._waves.values()
-        )
-
     # Planning.
 
     def _plan(self) -> None:
         now = self._timers.clock()
-        if now < self._first_order_at or now >= self._compute_leadership_end():
-            return
         if now - self._listed_at > LIST_STALE_SECONDS:
             return
-        loads = self._read_loads()
         self._mark_maintenance_pending()
+        self._update_cordons()
+        listed_again = self._started_at + machineorders.LIST_LAG_SECONDS
+        if now < self._first_order_at or self._listed_at < listed_again:
+            # What the former leader has ordered may not show yet.
+            return
+        if now >= self._compute_leadership_end():
+            return
+        loads = self._read_loads()
         for state in self._waves.values():
             actions = waveplanner.plan_wave(
                 state, self._machines, loads, now, self._surplus
@@ -254,6 +304,24 @@
             self._continue_draining(state)
             self._report_wave(state)
         self._plan_moves(now)
+        self._send_orders()
+        self._update_cordons()
+
+    def _update_cordons(self) -> None:
+        """Keeps new work off the machines that are drained or ordered away."""
+        cordoned = {
+            machine_id: identifiers.MinionId("")
+            for machine_id in self._cordoned_for_moves
+        }
+        for state in self._waves.values():
+            cordoned.update(state.draining_machines)
+        for order in self._orders:
+            cordoned[order.machine_id] = order.minion_id
+        for machine_id in cordoned:
+            machine = self._machines.get(machine_id)
+            if machine is not None:
+                cordoned[machine_id] = machine.minion_id
+        self._decisions.set_cordoned(frozenset(cordoned.values()))
 
     def _mark_maintenance_pending(self) -> None:
         due = {
@@ -292,27 +360,43 @@
         self, state: waveplanner.WaveState, action: waveplanner.Action
     ) -> None:
         machine = self._machines[action.machine_id]
-        if action.machine_id in self._ordered:
+        if action.machine_id in self._orders:
             return
         match action.step:
             case waveplanner.WaveAction.DRAIN:
-                state.draining_machines.add(action.machine_id)
+                state.draining_machines[action.machine_id] = machine.minion_id
             case waveplanner.WaveAction.START_MAINTENANCE:
                 self._order_maintenance(state, machine)
 
+    def _record_stage(
+        self,
+        state: waveplanner.WaveState,
+        machine: catalog.Machine,
+        stage: jobtable.MaintenanceStage,
+        on_stored: Callable[[], None] | None = None,
+    ) -> None:
+        self._queue_record(
+            jobtable.render_wave_machine_key(
+                state.wave.number, machine.machine_id
+            ),
+            jobtable.encode_machine_progress(
+                jobtable.MachineProgress(stage, machine.minion_id)
+            ),
+            on_stored,
+        )
+
     def _continue_draining(self, state: waveplanner.WaveState) -> None:
         """Drains machines further as availability budgets permit."""
         for machine_id in state.draining_machines:
             machine = self._machines.get(machine_id)
-            if machine is not None and machine_id not in self._ordered:
+            if machine is not None and machine_id not in self._orders:
                 self._drain(machine)
 
     def _drain(self, machine: catalog.Machine) -> None:
-        """Cordons a machine and stops its long-running tasks within budgets."""
+        """Stops a machine's long-running tasks within budgets."""
         view = self._find_view(machine)
         if view is None:
             return
-        view.cordoned = True
         for item in list(view.runs.values()):
             if not item.long_running:
                 continue
@@ -320,84 +404,173 @@
             if dispatcher.may_stop(item, away):
                 self._decisions.stop_task(item.task)
 
-    def _set_cordoned(
-        self, machine_id: identifiers.MachineId, *, cordoned: bool
-    ) -> None:
-        machine = self._machines.get(machine_id)
-        view = self._find_view(machine) if machine is not None else None
-        if view is not None:
-            view.cordoned = cordoned
+    # Orders.
 
     def _order_maintenance(
         self, state: waveplanner.WaveState, machine: catalog.Machine
     ) -> None:
-        assert self._service is not None
+        order = self._orders.add(
+            machine.machine_id,
+            machineorders.Maintenance(state.wave.number),
+            machine.minion_id,
+            self._timers.clock(),
+        )
+        state.down.add(machine.machine_id)
+        self._record_stage(
+            state,
+            machine,
+            jobtable.MaintenanceStage.ORDERED,
+            lambda: self._on_order_stored(order),
+        )
+
+    def _on_order_stored(self, order: machineorders.MachineOrder) -> None:
+        if order.state is machineorders.OrderState.STORING:
+            order.state = machineorders.OrderState.READY
+        self._send_orders()
+
+    def _send_orders(self) -> None:
+        """Sends the orders that are due while this entry is the leader."""
         now = self._timers.clock()
-        machine_id = machine.machine_id
-        self._ordered[machine_id] = now
-        state.down[machine_id] = now
+        if (
+            not self._active
+            or now < self._first_order_at
+            or now >= self._compute_leadership_end()
+        ):
+            return
+        for order in self._orders:
+            machine = self._machines.get(order.machine_id)
+            if machine is None or not order.is_due(machine, now):
+                continue
+            view = self._find_view(machine)
+            if view is None or not view.has_unstored_outcomes:
+                self._send(order, now)
+
+    def _send(self, order: machineorders.MachineOrder, now: float) -> None:
+        assert self._service is not None
+        order.state = machineorders.OrderState.IN_FLIGHT
+        order.changed_at = now
+
+        def handle(outcome: ports.MachineOutcome) -> None:
+            self._on_order_outcome(order, outcome, now)
+
+        match order.operation:
+            case machineorders.Maintenance(wave):
+                event.emit(
+                    event.Event.MACHINE_ORDERED,
+                    machine=order.machine_id,
+                    wave=wave,
+                    pool=self._machines[order.machine_id].pool,
+                    term=self._decisions.term,
+                )
+                self._service.start_maintenance(
+                    order.machine_id,
+                    wave,
+                    self._decisions.term,
+                    handle,
+                    send_before=self._compute_leadership_end(),
+                )
+            case machineorders.Move(pool):
+                self._service.move(
+                    order.machine_id,
+                    pool,
+                    self._decisions.term,
+                    handle,
+                    send_before=self._compute_leadership_end(),
+                )
+
+    def _on_order_outcome(
+        self,
+        order: machineorders.MachineOrder,
+        outcome: ports.MachineOutcome,
+        sent: float,
+    ) -> None:
+        if not self._active or not self._orders.is_held(order):
+            return
+        self._log_answer(order.machine_id, outcome, sent)
+        if outcome is ports.MachineOutcome.FENCED:
+            self._on_fenced()
+            return
+        if outcome is ports.MachineOutcome.ACCEPTED and not order.uncertain:
+            self._decisions.handle_minion_ended(
+                order.minion_id, self._timers.clock()
+            )
+        match self._orders.apply_outcome(order, outcome, self._timers.clock()):
+            case machineorders.Effect.CARRIED_OUT:
+                self._handle_carried_out(order)
+            case machineorders.Effect.WITHDRAWN:
+                self._handle_withdrawn(order, outcome)
+            case machineorders.Effect.OPEN:
+                pass
+
+    def _handle_carried_out(self, order: machineorders.MachineOrder) -> None:
+        match order.operation:
+            case machineorders.Maintenance(wave) if wave in self._waves:
+                self._finish_machine(self._waves[wave], order)
+            case _:
+                pass
+
+    def _handle_withdrawn(
+        self,
+        order: machineorders.MachineOrder,
+        outcome: ports.MachineOutcome,
+    ) -> None:
         event.emit(
-            event.Event.MACHINE_ORDERED,
-            machine=machine_id,
-            wave=state.wave.number,
-            pool=machine.pool,
+            event.Event.MACHINE_REFUSED,
+            machine=order.machine_id,
+            outcome=outcome.value,
             term=self._decisions.term,
         )
-        self._service.start_maintenance(
-            machine_id,
-            state.wave.number,
-            self._decisions.term,
-            lambda outcome: self._on_maintenance_outcome(
-                state, machine, outcome, now
-            ),
-            send_before=self._compute_leadership_end(),
-        )
+        match order.operation:
+            case machineorders.Maintenance(wave) if wave in self._waves:
+                state = self._waves[wave]
+                state.down.discard(order.machine_id)
+                if outcome is ports.MachineOutcome.NOT_IN_WAVE:
+                    self._finish_machine(state, order)
+            case machineorders.Move(pool):
+                if outcome is ports.MachineOutcome.INVALID:
+                    self._invalid_moves.add((order.machine_id, pool))
+                self._record_settled(order)
+            case _:
+                pass
 
-    def _on_maintenance_outcome(
+    def _finish_machine(
         self,
         state: waveplanner.WaveState,
-        machine: catalog.Machine,
-        outcome: ports.MachineOutcome,
-        ordered_at: float,
+        order: machineorders.MachineOrder,
     ) -> None:
-        if not self._active:
-            return
-        machine_id = machine.machine_id
-        self._log_answer(machine_id, outcome, ordered_at)
-        match outcome:
-            case ports.MachineOutcome.ACCEPTED:
-                state.done.add(machine_id)
-                state.draining_machines.discard(machine_id)
-                self._ordered[machine_id] = self._timers.clock()
+        """Records that a wave has nothing left to do for a machine."""
+        state.done.add(order.machine_id)
+        state.draining_machines.pop(order.machine_id, None)
+        self._queue_record(
+            jobtable.render_wave_machine_key(
+                state.wave.number, order.machine_id
+            ),
+            jobtable.encode_machine_progress(
+                jobtable.MachineProgress(
+                    jobtable.MaintenanceStage.BEGUN, order.minion_id
+                )
+            ),
+        )
+        self._report_wave(state)
+
+    def _record_settled(self, order: machineorders.MachineOrder) -> None:
+        """Records that no successor has to repeat a move."""
+        match order.operation:
+            case machineorders.Move(pool):
                 self._queue_record(
-                    jobtable.render_wave_key(state.wave.number),
-                    json.dumps(sorted(state.done)).encode(),
+                    jobtable.render_move_key(order.machine_id),
+                    jobtable.encode_move(
+                        jobtable.StoredMove(pool, order.minion_id, True)
+                    ),
                 )
-                self._handle_minion_ended(machine)
-                self._report_wave(state)
-                return
-            case ports.MachineOutcome.NOT_IN_WAVE:
-                state.done.add(machine_id)
-                state.draining_machines.discard(machine_id)
-                self._set_cordoned(machine_id, cordoned=False)
-            case ports.MachineOutcome.UNKNOWN:
-                # Maintenance may still begin: the machine keeps counting
-                # against the cap, and the order is repeated once the list
-                # shows the machine up.
-                return
-            case ports.MachineOutcome.FENCED:
-                self._on_fenced()
             case _:
                 pass
-        self._log_rejection(machine_id, outcome)
-        self._ordered.pop(machine_id, None)
-        state.down.pop(machine_id, None)
 
     def _log_answer(
         self,
         machine_id: identifiers.MachineId,
         outcome: ports.MachineOutcome,
-        ordered_at: float,
+        sent: float,
     ) -> None:
         """Logs an accepted order, or one that got no response."""
         if outcome in (
@@ -408,27 +581,11 @@
                 event.Event.MACHINE_ANSWERED,
                 machine=machine_id,
                 outcome=outcome.value,
-                seconds=round(self._timers.clock() - ordered_at, 3),
+                seconds=round(self._timers.clock() - sent, 3),
                 term=self._decisions.term,
             )
 
-    def _log_rejection(
-        self, machine_id: identifiers.MachineId, outcome: ports.MachineOutcome
-    ) -> None:
-        event.emit(
-            event.Event.MACHINE_REFUSED,
-            machine=machine_id,
-            outcome=outcome.value,
-            term=self._decisions.term,
-        )
-
-    def _handle_minion_ended(self, machine: catalog.Machine) -> None:
-        """Drops the runs of a machine whose minion has ended."""
-        view = self._find_view(machine)
-        if view is not None:
-            self._decisions.handle_minion_ended(
-                view.minion_id, self._timers.clock()
-            )
+    # Waves.
 
     def _report_wave(self, state: waveplanner.WaveState) -> None:
         completed = waveplanner.is_completed(state, self._machines)
@@ -480,7 +637,7 @@
             for machine in self._machines.values()
             if machine.pool == spare_pools[0]
             and machine.state is catalog.MachineState.UP
-            and machine.machine_id not in self._ordered
+            and machine.machine_id not in self._orders
             and machine.machine_id not in due
             and machine.zone not in self._decisions.evacuated
         ]
@@ -507,25 +664,14 @@
         self._surplus[spare_pools[0]] = len(spare) - missing - SPARE_RESERVE
         for move in plan.moves:
             self._order_move(move)
-        self._cordon_for_moves(plan.cordoned)
-
-    def _cordon_for_moves(
-        self, cordoned: frozenset[identifiers.MachineId]
-    ) -> None:
-        """Cordons the machines that are to move soon; uncordons the others."""
-        for machine_id in self._cordoned_for_moves - cordoned:
-            if not self._is_draining(machine_id):
-                self._set_cordoned(machine_id, cordoned=False)
-        for machine_id in cordoned:
-            self._set_cordoned(machine_id, cordoned=True)
-        self._cordoned_for_moves = cordoned
+        self._cordoned_for_moves = plan.cordoned
 
     def _count_wave_machines(self, pool: identifiers.PoolId) -> int:
         """Returns the number of a pool's machines drained or down for waves."""
         return sum(
             1
             for state in self._waves.values()
-            for machine_id in state.draining_machines | state.down.keys()
+            for machine_id in state.draining_machines.keys() | state.down
             if machine_id in self._machines
             and self._machines[machine_id].pool == pool
         )
@@ -542,8 +688,8 @@
         busy: list[tuple[int, identifiers.MachineId]] = []
         cores = 0.0
         for machine in self._machines.values():
-            target = self._moving_to.get(machine.machine_id, machine.pool)
-            if target != pool:
+            target = self._orders.find_target(machine.machine_id)
+            if (target or machine.pool) != pool:
                 continue
             if machine.state is catalog.MachineState.DOWN:
                 down += 1
@@ -558,7 +704,7 @@
                 or not view.token_accepted
                 or view.has_unstored_outcomes
                 or machine.machine_id in due
-                or machine.machine_id in self._ordered
+                or machine.machine_id in self._orders
                 or machine.state is not catalog.MachineState.UP
             ):
                 continue
@@ -580,16 +726,15 @@
         )
 
     def _order_move(self, move: autoscaler.Move) -> None:
-        assert self._service is not None
         machine = self._machines[move.machine_id]
         if (move.machine_id, move.pool) in self._invalid_moves:
             return
-        view = self._find_view(machine)
-        if view is not None:
-            view.cordoned = True
-        now = self._timers.clock()
-        self._ordered[move.machine_id] = now
-        self._moving_to[move.machine_id] = move.pool
+        order = self._orders.add(
+            move.machine_id,
+            machineorders.Move(move.pool),
+            machine.minion_id,
+            self._timers.clock(),
+        )
         event.emit(
             event.Event.MACHINE_ORDERED,
             machine=move.machine_id,
@@ -601,38 +746,10 @@
             machines=move.cause.machines,
             term=self._decisions.term,
         )
-        self._service.move(
-            move.machine_id,
-            move.pool,
-            self._decisions.term,
-            lambda outcome: self._on_move(move, machine, outcome, now),
-            send_before=self._compute_leadership_end(),
+        self._queue_record(
+            jobtable.render_move_key(move.machine_id),
+            jobtable.encode_move(
+                jobtable.StoredMove(move.pool, machine.minion_id, False)
+            ),
+            lambda: self._on_order_stored(order),
         )
-
-    def _on_move(
-        self,
-        move: autoscaler.Move,
-        machine: catalog.Machine,
-        outcome: ports.MachineOutcome,
-        ordered_at: float,
-    ) -> None:
-        if not self._active:
-            return
-        self._log_answer(move.machine_id, outcome, ordered_at)
-        match outcome:
-            case ports.MachineOutcome.ACCEPTED:
-                self._ordered[move.machine_id] = self._timers.clock()
-                self._handle_minion_ended(machine)
-                return
-            case ports.MachineOutcome.UNKNOWN:
-                return
-            case ports.MachineOutcome.FENCED:
-                self._on_fenced()
-            case ports.MachineOutcome.INVALID:
-                self._invalid_moves.add((move.machine_id, move.pool))
-            case _:
-                pass
-        self._log_rejection(move.machine_id, outcome)
-        self._ordered.pop(move.machine_id, None)
-        self._moving_to.pop(move.machine_id, None)
-        self._set_cordoned(move.machine_id, cordoned=False)
--- a/clementinewood/waveplanner.py
+++ b/clementinewood/waveplanner.py
@@ -48,21 +48,20 @@
         wave: The wave.
         began: Monotonic time in seconds at which it became known.
         done: Machines whose maintenance has begun.
-        draining_machines: Machines that are being drained.
-        down: Machines that may be down, with the monotonic time in seconds of
-            the order.
+        draining_machines: Machines that are being drained, with the minion of
+            each when that began.
+        down: Machines that are down for the wave or have been ordered down,
+            also by earlier leaders.
         reported: Status last written for operators.
     """
 
     wave: catalog.Wave
     began: float
     done: set[identifiers.MachineId] = dataclasses.field(default_factory=set)
-    draining_machines: set[identifiers.MachineId] = dataclasses.field(
-        default_factory=set
-    )
-    down: dict[identifiers.MachineId, float] = dataclasses.field(
-        default_factory=dict
+    draining_machines: dict[identifiers.MachineId, identifiers.MinionId] = (
+        dataclasses.field(default_factory=dict)
     )
+    down: set[identifiers.MachineId] = dataclasses.field(default_factory=set)
     reported: str = ""
 
 
@@ -106,6 +105,7 @@
         machine_id
         for machine_id in wave.machines
         if machine_id not in state.done
+        and machine_id not in state.down
         and machine_id in machines
         and machines[machine_id].state is catalog.MachineState.UP
     ]
@@ -123,12 +123,12 @@
         if machine_id in left and ready and free > 0:
             free -= 1
             actions.append(Action(machine_id, WaveAction.START_MAINTENANCE))
-    room = slots - len(state.down) - len(state.draining_machines)
+    room = slots - len(state.down | state.draining_machines.keys())
     waiting = [item for item in left if item not in state.draining_machines]
     taken: dict[identifiers.PoolId, int] = {}
     occupied = {
         machines[machine_id].pool
-        for machine_id in state.draining_machines | state.down.keys()
+        for machine_id in state.draining_machines.keys() | state.down
         if machine_id in machines
     }
     shortage = {
--- a/features/decoder_fuzz.feature
+++ b/features/decoder_fuzz.feature
@@ -28,6 +28,8 @@
       | stored progress     |
       | stored cursor       |
       | stored wave         |
+      | stored wave machine |
+      | stored move         |
       | leader record       |
       | entry record        |
       | settings            |
--- a/features/machine_handover.feature
+++ b/features/machine_handover.feature
@@ -40,3 +40,17 @@
     And no task of the job was stopped twice for one machine
     And all tasks of the job are at work
     And no rule was broken
+
+  Scenario Outline: Only a certain outcome frees the place of an order without a response
+    Given a machine order without a response
+    When the next attempt has the outcome "<outcome>"
+    Then the machine <counts> count against the wave's cap
+    And a list that shows it up <frees> free its place
+
+    Examples:
+      | outcome     | counts   | frees    |
+      | unknown     | does     | does not |
+      | busy        | does     | does not |
+      | refused     | does     | does not |
+      | accepted    | does     | does     |
+      | not-in-wave | does not | does     |
--- a/features/steps/autoscaler_steps.py
+++ b/features/steps/autoscaler_steps.py
@@ -172,7 +172,7 @@
     "a pool has just what it needs and a machine of it is being emptied"
 )
 def plan_occupied(context):
-    context.wave.draining_machines.add("m5")
+    context.wave.draining_machines["m5"] = "m5"
     plan_wave(context, 0)
     context.wave.draining_machines.clear()
 
--- a/features/steps/decoder_fuzz_steps.py
+++ b/features/steps/decoder_fuzz_steps.py
@@ -285,7 +285,18 @@
         lambda body: apply_record(f"p/{JOB_ID}", body),
     ),
     "stored cursor": ([5, 6], lambda body: apply_record("m/i1", body)),
-    "stored wave": (["m1"], lambda body: apply_record("w/3", body)),
+    "stored wave": (
+        {"began": 1.0},
+        lambda body: apply_record("w/3", body),
+    ),
+    "stored wave machine": (
+        ["draining", "i1"],
+        lambda body: apply_record("w/3/m1", body),
+    ),
+    "stored move": (
+        ["quotes", "i1", False],
+        lambda body: apply_record("v/m1", body),
+    ),
     "leader record": (
         [3, "edge-1/5", False],
         lambda body: apply_record(jobtable.LEADER_KEY, body),
--- a/features/steps/machine_handover_steps.py
+++ b/features/steps/machine_handover_steps.py
@@ -1,38 +1,28 @@
 """Steps for maintenance waves while the dispatcher changes."""
 
-import json
+import random
 
 import behave
 
-from clementinewood import catalog, identifiers, job, ports, run
-from features import job_harness
+from clementinewood import (
+    catalog,
+    identifiers,
+    machineorders,
+    ports,
+    run,
+)
+from features import job_harness, wave_faults
 
-WAVE = 1
-LASTING = identifiers.JobId("00000000000000bb")
-LASTING_TASKS = 4
-WAVE_SECONDS = 30.0
-RESTART_SECONDS = 0.1
+MACHINE = identifiers.MachineId("machine-m0")
+OLD_MINION = identifiers.MinionId("m0")
 
 
 @behave.given(
     "a site whose wave takes {count:d} machines down, {cap:d} at once"
 )
 def create_wave_site(context, count, cap):
-    harness = job_harness.JobHarness(minions=count, spare=4)
-    context.harness = harness
-    machines = list(harness.machine_service.machines)[:count]
-    harness.run_for(1.5)
-    wave = catalog.Wave(
-        number=WAVE, machines=tuple(machines), seconds=WAVE_SECONDS, cap=cap
-    )
-    context.declare = lambda: harness.declare(
-        waves=(wave,), configuration=harness.declared.configuration
-    )
-
-
-def begin_wave(context):
-    if not context.harness.declared.waves:
-        context.declare()
+    context.site = wave_faults.WaveSite(1, machines=count, cap=cap)
+    context.harness = context.site.harness
 
 
 @behave.given("maintenance takes {seconds:g} seconds")
@@ -42,42 +32,22 @@
 
 @behave.given("a long-running job whose tasks may be away one at a time")
 def submit_lasting(context):
-    harness = context.harness
-    step = job.Step(
-        count=LASTING_TASKS,
-        need=job.Resources(1000, 100),
-        long_running=True,
-        max_per_minion=1,
-        max_unavailable=1,
-    )
-    harness.submit(harness.entries[0], LASTING, [step])
-    harness.run_until(lambda: count_working(harness) == LASTING_TASKS)
-
-
-def count_working(harness):
-    return sum(
-        task.job == LASTING
-        for minion in harness.minions.values()
-        for task in minion.running
-    )
+    context.site.submit_lasting()
 
 
 @behave.when("the maintenance of {count:d} machines has begun")
 def await_maintenance(context, count):
-    begin_wave(context)
-    harness = context.harness
-    harness.run_until(
-        lambda: len(harness.machine_service.list_down(WAVE)) == count
+    context.site.begin_wave()
+    service = context.harness.machine_service
+    context.harness.run_until(
+        lambda: len(service.list_down(wave_faults.WAVE)) == count
     )
 
 
 @behave.when("the dispatcher is killed and starts again on the same host")
 def restart_dispatcher(context):
     harness = context.harness
-    before = harness.dispatcher()
-    harness.kill(before)
-    harness.run_for(RESTART_SECONDS)
-    again = harness.add_entry(before._minions.name)
+    again = context.site.restart(harness.dispatcher())
     harness.run_until(lambda: again.dispatching, 5.0)
 
 
@@ -91,7 +61,7 @@
     for link in links:
         link.lost_answer_ratio, link.carried_out = 1.0, 1.0
         link.earliest, link.late = earliest, latest
-    begin_wave(context)
+    context.site.begin_wave()
     harness.run_for(seconds)
     for link in links:
         link.lost_answer_ratio = 0.0
@@ -99,7 +69,7 @@
 
 @behave.when("the dispatcher is killed while its tasks are moved")
 def kill_while_moving_tasks(context):
-    begin_wave(context)
+    context.site.begin_wave()
     harness = context.harness
     harness.run_until(lambda: list_stops(harness))
     harness.kill(harness.dispatcher())
@@ -111,7 +81,7 @@
         (entry[2], entry[3])
         for entry in harness.history
         if entry[0] == "end"
-        and entry[3].job == LASTING
+        and entry[3].job == wave_faults.LASTING
         and entry[4] is run.RunOutcome.STOPPED
     ]
 
@@ -119,15 +89,8 @@
 @behave.then("the wave is completed within {seconds:g} seconds")
 def await_wave(context, seconds):
     harness = context.harness
-    wave = harness.declared.waves[0]
-
-    def is_completed():
-        record = harness.store.newest[ports.Stream.STATUS].get(f"wave/{WAVE}")
-        return record is not None and json.loads(record.value) == "completed"
-
-    harness.run_until(is_completed, seconds)
-    serviced = {name for number, name in harness.machine_service.serviced}
-    assert serviced == set(wave.machines), serviced
+    harness.run_until(context.site.is_completed, seconds)
+    assert not context.site.list_unserviced()
     harness.run_for(harness.machine_service.upkeep_seconds + 3.0)
 
 
@@ -139,4 +102,58 @@
 
 @behave.then("all tasks of the job are at work")
 def check_all_working(context):
-    assert count_working(context.harness) == LASTING_TASKS
+    assert context.site.count_working() == context.site.tasks
+
+
+@behave.given("{count:d} waves beside faults drawn from seed {seed:d}")
+def draw_waves(context, count, seed):
+    rng = random.Random(seed)
+    context.seeds = [rng.randrange(1 << 30) for _ in range(count)]
+
+
+@behave.then(
+    "no wave goes over its cap, forgets a machine or leaves a task waiting"
+)
+def check_waves(context):
+    for seed in context.seeds:
+        site = wave_faults.run_wave(seed)
+        broken = wave_faults.list_violations(site)
+        assert not broken, (seed, broken)
+
+
+@behave.given("a machine order without a response")
+def create_uncertain_order(context):
+    context.orders = machineorders.MachineOrders()
+    context.order = context.orders.add(
+        MACHINE, machineorders.Maintenance(1), OLD_MINION, 0.0
+    )
+    context.orders.apply_outcome(
+        context.order, ports.MachineOutcome.UNKNOWN, 1.0
+    )
+
+
+@behave.when('the next attempt has the outcome "{outcome}"')
+def apply_outcome(context, outcome):
+    context.orders.apply_outcome(
+        context.order, ports.MachineOutcome(outcome), 2.0
+    )
+
+
+@behave.then("the machine {does} count against the wave's cap")
+def check_counted(context, does):
+    counted = MACHINE in context.orders.list_maintained(1)
+    assert counted is (does == "does"), does
+
+
+@behave.then("a list that shows it up {does} free its place")
+def check_settled(context, does):
+    listed = catalog.Machine(
+        machine_id=MACHINE,
+        pool=job_harness.QUOTES_POOL,
+        state=catalog.MachineState.UP,
+        zone=identifiers.ZoneId("zone-0"),
+        minion_id=OLD_MINION,
+    )
+    context.orders.settle({MACHINE: listed}, 10.0)
+    counted = MACHINE in context.orders.list_maintained(1)
+    assert counted is (does == "does not"), does
