Let a successor go on draining the machines of a wave

Cause: which machines are drained was known to the leader alone. Its successor placed tasks on them again, most of all in the 3 s before its first machine order, chose other machines to drain, and stopped the same tasks once more. Change: draining is stored for each machine and wave; a successor keeps work off these machines from its start, before it has read the list, and goes on stopping long-running tasks within their budgets. Which minions get no new work follows from the waves and orders (set_cordoned), so none is forgotten. Runs on a machine whose order was accepted end when the list shows it, since the service accepts also what was done before.

--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -173,6 +173,8 @@
             state = waveplanner.WaveState(wave, now - age)
         for machine_id, progress in stored.machines.items():
             match progress.stage:
+                case jobtable.MaintenanceStage.DRAINING:
+                    state.draining_machines[machine_id] = progress.minion_id
                 case jobtable.MaintenanceStage.ORDERED:
                     state.draining_machines[machine_id] = progress.minion_id
                     self._orders.restore(
@@ -183,8 +185,6 @@
                     )
                 case jobtable.MaintenanceStage.BEGUN:
                     state.done.add(machine_id)
-                case jobtable.MaintenanceStage.DRAINING:
-                    pass
         return state
 
     # Reading.
@@ -288,6 +288,8 @@
             return
         self._mark_maintenance_pending()
         self._update_cordons()
+        for state in self._waves.values():
+            self._continue_draining(state)
         listed_again = self._started_at + machineorders.LIST_LAG_SECONDS
         if now < self._first_order_at or self._listed_at < listed_again:
             # What the former leader has ordered may not show yet.
@@ -301,7 +303,6 @@
             )
             for action in actions:
                 self._carry_out(state, action)
-            self._continue_draining(state)
             self._report_wave(state)
         self._plan_moves(now)
         self._send_orders()
@@ -365,6 +366,9 @@
         match action.step:
             case waveplanner.WaveAction.DRAIN:
                 state.draining_machines[action.machine_id] = machine.minion_id
+                self._record_stage(
+                    state, machine, jobtable.MaintenanceStage.DRAINING
+                )
             case waveplanner.WaveAction.START_MAINTENANCE:
                 self._order_maintenance(state, machine)
 
@@ -490,10 +494,6 @@
         if outcome is ports.MachineOutcome.FENCED:
             self._on_fenced()
             return
-        if outcome is ports.MachineOutcome.ACCEPTED and not order.uncertain:
-            self._decisions.handle_minion_ended(
-                order.minion_id, self._timers.clock()
-            )
         match self._orders.apply_outcome(order, outcome, self._timers.clock()):
             case machineorders.Effect.CARRIED_OUT:
                 self._handle_carried_out(order)
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -611,6 +611,7 @@
         self.ended_at = {}
         self.minions = {}
         self.entries = []
+        self.on_run_end = lambda task, how: None
         self.machine_links = {}
         self.machine_order_links = {}
         self.isolated_entries = frozenset()
@@ -933,6 +934,7 @@
         key = (minion.minion_id, task, running.number)
         self.ended_at[key] = self.clock()
         self.live.get(task, set()).discard(minion.minion_id)
+        self.on_run_end(task, how)
 
     def record_acknowledgement(self, minion, row):
         if row.outcome is not run.RunOutcome.DONE:
--- a/features/machine_handover.feature
+++ b/features/machine_handover.feature
@@ -54,3 +54,11 @@
       | refused     | does     | does not |
       | accepted    | does     | does     |
       | not-in-wave | does not | does     |
+
+  Scenario: Waves keep their rules whatever becomes of the dispatcher
+    Given 12 waves beside faults drawn from seed 29
+    Then no wave goes over its cap, forgets a machine or leaves a task waiting
+
+  Scenario: A dispatcher that disregards listed maintenance breaks some wave
+    Given 12 waves beside faults drawn from seed 29
+    Then some wave breaks a rule without regard to listed maintenance
--- a/features/steps/machine_handover_steps.py
+++ b/features/steps/machine_handover_steps.py
@@ -157,3 +157,12 @@
     context.orders.settle({MACHINE: listed}, 10.0)
     counted = MACHINE in context.orders.list_maintained(1)
     assert counted is (does == "does not"), does
+
+
+@behave.then("some wave breaks a rule without regard to {mechanism}")
+def check_mutant(context, mechanism):
+    with wave_faults.MUTANTS[mechanism]():
+        assert any(
+            wave_faults.list_violations(wave_faults.run_wave(seed))
+            for seed in context.seeds
+        )
--- a/features/wave_faults.py
+++ b/features/wave_faults.py
@@ -3,8 +3,16 @@
 import enum
 import json
 import random
-
-from clementinewood import catalog, identifiers, job, ports
+from unittest import mock
+
+from clementinewood import (
+    catalog,
+    identifiers,
+    job,
+    machinecontrol,
+    ports,
+    run,
+)
 from features import job_faults, job_harness
 
 WAVE = 1
@@ -47,6 +55,8 @@
         )
         self.harness.run_for(1.5)
         self.tasks = tasks
+        self.stops_over_budget = []
+        self.harness.on_run_end = self._check_budget
         self.wave = catalog.Wave(
             number=WAVE,
             machines=tuple(
@@ -80,6 +90,14 @@
             for task in minion.running
         )
 
+    def _check_budget(self, task, how):
+        """Checks the one task that orders may make unavailable at a time."""
+        away = self.tasks - self.count_working()
+        if task.job == LASTING and how is run.RunOutcome.STOPPED and away > 1:
+            self.stops_over_budget.append(
+                f"{task.render()} is stopped while {away - 1} are away"
+            )
+
     def restart(self, entry):
         """Kills the process of an entry, which starts again on its host."""
         self.harness.kill(entry)
@@ -192,7 +210,7 @@
 def list_violations(site):
     """Returns what broke in a wave that has settled."""
     harness = site.harness
-    broken = list(harness.violations)
+    broken = harness.violations + site.stops_over_budget
     if not site.is_completed():
         broken.append("the wave was not completed")
     broken += [f"{name} had no upkeep" for name in site.list_unserviced()]
@@ -200,3 +218,18 @@
     if site.count_working() != site.tasks:
         broken.append(f"{site.count_working()} long-running tasks at work")
     return broken
+
+
+def ignore_listed_maintenance():
+    """Counts only machines that this leader has ordered down."""
+    return mock.patch.object(
+        machinecontrol.MachineControl,
+        "_list_down",
+        lambda self, wave: self._orders.list_maintained(wave.number),
+    )
+
+
+MUTANTS = {
+    "listed maintenance": ignore_listed_maintenance,
+}
+"""Variants that lack one mechanism, by what they disregard."""
