--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -53,6 +53,7 @@
 ORDER_SECONDS = minionclient.ORDER_TIMEOUT_SECONDS
 MAX_LEASE_SECONDS = 6.0
 CRASH_SECONDS = 1.2
+DEADLY_SECONDS = 0.01
 WALL_OFFSET = 1_000_000.0
 QUOTES_POOL = identifiers.PoolId("quotes")
 SPARE_POOL = identifiers.PoolId("noticeboard")
@@ -361,8 +362,19 @@
             order.number, self.now, seconds, entry
         )
         self.harness.record_run_start(self, order.task, order.number, entry)
+        if order.task in self.harness.deadly:
+            self.harness.timers.subscribe_once(
+                DEADLY_SECONDS, lambda: self._crash_under(order)
+            )
         return dispatcher.StartOutcome.STARTED
 
+    def _crash_under(self, order):
+        """Crashes because of a task that it has just started."""
+        running = self.running.get(order.task)
+        if running is not None and running.number == order.number:
+            self.harness.crashes.append(order.task)
+            self.crash()
+
     def stop(self, term, order):
         if term < self.token:
             return False
@@ -611,6 +623,8 @@
         self.ended_at = {}
         self.minions = {}
         self.entries = []
+        self.deadly = set()
+        self.crashes = []
         self.on_run_end = lambda task, how: None
         self.machine_links = {}
         self.machine_order_links = {}
