Give up a task that crashes the minions that start it

Cause: a run that ended with its minion left no trace; neither max_attempts nor a successor counted it, and the runs lost together started together again. Change: suspicion decides who is to blame. Runs started in the 0.3 s before a crash are suspects; they start again apart from others, in groups of four, then alone; a task whose minion crashes right after it started alone, for the third time, is given up and its job fails. Crashes of most of a zone or rack count for nobody, nor do planned ends. Counts are stored with the job's progress, with the number of the last run counted, so a successor neither starts at zero nor counts twice. A restarted minion is not ejected for what the crash left unanswered. CW1611 and CW1612 name task and minions, clementinewood.tasks.given_up counts. One deadly task costs three minions in the directed scenarios.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -88,6 +88,7 @@
             is lost.
         machine_order_delay_seconds: Seconds before the first machine order.
         count_start: Counts orders to start a run, by outcome.
+        count_given_up: Counts a task that is given up.
     """
 
     def __init__(
@@ -108,6 +109,7 @@
         on_leadership_lost: Callable[[str], None],
         machine_order_delay_seconds: float,
         count_start: Callable[[str], None],
+        count_given_up: Callable[[], None],
     ) -> None:
         self.term = term
         self.dispatcher = dispatcher.Dispatcher(term, timers.clock())
@@ -122,6 +124,7 @@
         self._wall = wall
         self._on_stored = on_stored
         self._count_start = count_start
+        self._count_given_up = count_given_up
         self._on_leadership_lost = on_leadership_lost
         self._active = True
         self._plan_pending = False
@@ -473,6 +476,8 @@
         )
         for order in orders:
             self._send(order)
+        for _ in range(self.dispatcher.take_given_up()):
+            self._count_given_up()
         query = self.dispatcher.policy_cache.take_query()
         if query is not None:
             self._send_query(query)
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -7,7 +7,7 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Iterable, Mapping, Sequence, Set
 
 from clementinewood import (
     activejob,
@@ -24,6 +24,7 @@
     quorum,
     reservation,
     run,
+    suspicion,
     teamrate,
 )
 
@@ -43,6 +44,13 @@
 """Delay before a stop order is sent again if the minion has acknowledged it but
 still reports the run."""
 
+HOLD_SECONDS = suspicion.PROBATION_SECONDS + 0.2
+"""Time for which a minion is held for a suspected task: until nothing has just
+started there, and two rounds of planning."""
+
+MAX_HELD_RATIO = 3
+"""At most one of this many minions of a pool is held for suspected tasks."""
+
 MAX_FENCING_DELAY_SECONDS = quorum.CONFIRMATION_WINDOW_SECONDS
 """Time after which an earlier leader extends no more leases, once half of the
 minions have accepted the new leader's token."""
@@ -149,6 +157,15 @@
     reserved: tuple[reservation.Reservation, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Verdict:
+    """A task to blame for a crash, unless the crash proves to be its zone's."""
+
+    finding: suspicion.Finding
+    noticed: float
+    view: run.MinionView
+
+
 class Dispatcher:
     """Holds the leader's state and decides its orders.
 
@@ -179,6 +196,9 @@
         self.policy_cache = policycache.PolicyCache()
         self.live_minions: Set[identifiers.MinionId] | None = None
         self.cursors: dict[identifiers.MinionId, jobtable.Cursor] = {}
+        self._given_up_tasks = 0
+        self._crash_history = suspicion.CrashHistory()
+        self._verdicts: dict[job.TaskId, _Verdict] = {}
         self._cordoned: frozenset[identifiers.MinionId] = frozenset()
         self._started_at = now
         self._former_leaders_excluded_at = math.inf
@@ -222,11 +242,12 @@
         for place, (number, minion_id) in progress.assignments.items():
             task = job.TaskId(accepted.job_id, *place)
             if active.has_task(task) and not progress.is_done(task):
-                self._recover(active, task, number, minion_id)
+                self._recover(active, progress, task, number, minion_id)
 
     def _recover(
         self,
         active: activejob.ActiveJob,
+        progress: job.Progress,
         task: job.TaskId,
         number: int,
         minion_id: identifiers.MinionId,
@@ -242,6 +263,12 @@
         item.state_changed_at = self._started_at
         item.tries = MAX_START_ATTEMPTS
         item.unconfirmed = True
+        item.isolated = (
+            suspicion.find_isolation(
+                progress.crashed.get(_find_crash_place(item))
+            )
+            is not suspicion.Isolation.NONE
+        )
         view.add_run(item)
         active.add_run(item)
         self._count_usage(item.team, item.need, 1)
@@ -321,7 +348,11 @@
         stays until the next report.
         """
         listed = [item for item in view.runs.values() if item.seen_in_report]
+        self._assess_crash(view, listed, now)
         self._lose_runs(view, now, listed)
+        for item in view.runs.values():
+            if item.state is not run.RunState.PLANNED:
+                item.lost_at = view.last_contact
         self._reset_view(view)
 
     def _reset_view(self, view: run.MinionView) -> None:
@@ -332,6 +363,7 @@
         view.applied_sequence = view.stored_sequence = 0
         view.failed_polls = 0
         view.failure_score = 0.0
+        view.ejected_until = -math.inf
 
     def handle_report(
         self,
@@ -365,7 +397,7 @@
             if confirmed.exclude_former_leader():
                 self._former_leaders_excluded_at = now
         view.failed_polls = 0
-        view.last_answer = now
+        view.last_answer = view.last_contact = now
         view.clock_offset = report.clock - now
         for row in report.ended:
             if row.sequence > view.applied_sequence:
@@ -387,14 +419,18 @@
     ) -> None:
         """Drops all runs of a minion whose address has a new incarnation."""
         view = self.views[minion_id]
+        self._assess_crash(view, view.runs.values(), now)
         self._lose_runs(view, now)
         self._reset_view(view)
         view.listed = False
 
     def expire_unresponsive(self, view: run.MinionView, now: float) -> None:
         """Drops runs of an unresponsive minion whose leases have expired."""
-        if view.failed_polls and self._have_leases_expired(view, now):
+        expired = view.failed_polls and self._have_leases_expired(view, now)
+        if expired and view.runs:
+            self._assess_crash(view, view.runs.values(), now, confirmed=False)
             self._lose_runs(view, now)
+        if expired:
             view.token_accepted = False
 
     def forget_minions(self, now: float) -> None:
@@ -445,6 +481,7 @@
         item.attempts_in_flight -= 1
         match outcome:
             case StartOutcome.STARTED:
+                view.last_contact = now
                 if item.tries == 1:
                     self._start_hedge.observe(now - item.last_ordered_at)
                 if item.state is run.RunState.STARTING:
@@ -534,6 +571,8 @@
         orders: list[Order] = []
         for view in self.views.values():
             self.expire_unresponsive(view, now)
+        self._end_probations(now)
+        self._decide_verdicts(now)
         if may_start:
             self._hedge_starts(now)
             orders.extend(
@@ -628,7 +667,10 @@
             if not options:
                 continue
             if may_start:
-                orders += self._use_reservations(active, options, now)
+                unreserved = [
+                    option for option in options if not option.set_aside
+                ]
+                orders += self._use_reservations(active, unreserved, now)
             self._place_job(active, options, now)
         return orders
 
@@ -692,6 +734,9 @@
             key = _get_step_key(active, work)
             if queue.advice is not None:
                 allowed = self.policy_cache.list_allowed(key, options, now)
+            if active.progress.crashed:
+                self._place_suspects(active, work, allowed, now)
+            allowed = [option for option in allowed if not option.set_aside]
             if work.step.gang:
                 chosen = self._place_gang(active, work, allowed)
             else:
@@ -781,6 +826,9 @@
         runs_by_minion = dict(work.runs_by_minion)
         found: placement.Candidate | None = None
         for index in list(work.pending):
+            isolation = self._find_isolation(active, work, index)
+            if isolation is not suspicion.Isolation.NONE:
+                continue
             if not self._fits_team_cap(active.job.team, work.step.need):
                 break
             if found is None or not placement.is_still_best(
@@ -830,6 +878,8 @@
         work: activejob.OpenStep,
         index: int,
         candidate: placement.Candidate,
+        *,
+        isolation: suspicion.Isolation = suspicion.Isolation.NONE,
     ) -> None:
         """Plans a run; it is ordered once its assignment is stored."""
         step = work.step
@@ -844,6 +894,8 @@
                 for member in range(step.count)
             )
         item = self._create_run(active, task, number, candidate.view.minion_id)
+        item.isolated = isolation is not suspicion.Isolation.NONE
+        item.alone = isolation is suspicion.Isolation.ALONE
         active.add_run(item)
         candidate.view.add_run(item)
         place = (task.occurrence, task.step, task.position)
@@ -915,6 +967,7 @@
             need=step.need,
             long_running=step.long_running,
             fills=step.fills,
+            gang=step.gang,
             tail_target=step.tail_target,
             max_unavailable=step.max_unavailable,
             image=step.image,
@@ -1017,11 +1070,14 @@
         view = self.views.get(minion_id)
         if view is None:
             return
+        known = view.ended
         view.ended = True
         view.token_accepted = False
         lost = [
             item for item in view.runs.values() if item.state_changed_at < asked
         ]
+        if lost or not known:
+            self._assess_crash(view, lost, asked)
         self._lose_runs(view, asked, lost)
         if not view.runs:
             view.leases_expire_at = 0.0
@@ -1181,12 +1237,14 @@
             item.unconfirmed = False
             item.awaits_report = False
             item.seen_in_report = True
+            item.lost_at = 0.0
             item.percent = row.percent
             item.usage = row.usage
             if row.checkpoint:
                 self.jobs[row.task.job].checkpoints[row.task] = row.checkpoint
         if report.truncated:
             return
+        self._assess_unseen_runs(view, listed, sent)
         for item in list(view.runs.values()):
             if (item.task, item.number) in listed:
                 continue
@@ -1304,6 +1362,261 @@
         for item in items:
             self._remove_run(view, item)
 
+    # Crashes of minions.
+
+    def _assess_unseen_runs(
+        self,
+        view: run.MinionView,
+        listed: Set[run.RunKey],
+        sent: float,
+    ) -> None:
+        """Assesses runs that a restarted minion does not have.
+
+        No report had shown them before the restart, so they were on it or not
+        yet ordered there.
+        """
+        unseen = [
+            item
+            for item in view.runs.values()
+            if item.lost_at
+            and item.key not in listed
+            and item.state_changed_at < sent
+        ]
+        if unseen:
+            self._assess_crash(view, unseen, sent, crashed_at=unseen[0].lost_at)
+            self._lose_runs(view, sent, unseen)
+
+    def _assess_crash(
+        self,
+        view: run.MinionView,
+        lost: Iterable[run.Run],
+        noticed: float,
+        *,
+        crashed_at: float | None = None,
+        confirmed: bool = True,
+    ) -> None:
+        """Counts a minion's crash for the tasks that may have caused it.
+
+        Args:
+            view: The minion.
+            lost: Runs that have ended with it.
+            noticed: Monotonic time in seconds of the information.
+            crashed_at: Monotonic time in seconds of its last sign of life; by
+                default, that of the last response.
+            confirmed: Whether it has crashed; otherwise it may be cut off, and
+                nothing is given up unless that recurs.
+        """
+        if view.draining or view.cordoned:
+            # It ended as planned.
+            return
+        self._crash_history.add(noticed, view.minion_id)
+        if self._is_crash_shared(view, noticed):
+            return
+        runs = [
+            (item, self._find_crash_record(item))
+            for item in lost
+            if item.state is not run.RunState.PLANNED
+            and item.task.job in self.jobs
+        ]
+        findings = suspicion.assess_crash(
+            view.minion_id,
+            runs,
+            view.last_contact if crashed_at is None else crashed_at,
+        )
+        for finding in findings:
+            active = self.jobs[finding.item.task.job]
+            place = _find_crash_place(finding.item)
+            active.progress.crashed[place] = finding.record
+            self._dirty.add(active.job.job_id)
+        if findings:
+            event.emit(
+                event.Event.MINION_CRASHED,
+                minion=view.minion_id,
+                runs=len(findings),
+                suspects=sum(
+                    suspicion.find_isolation(finding.record)
+                    is not suspicion.Isolation.NONE
+                    for finding in findings
+                ),
+                term=self.term,
+            )
+        for finding in findings:
+            proven = confirmed or (
+                finding.record.suspected >= suspicion.MAX_CRASHES
+            )
+            if finding.to_blame and proven:
+                verdict = _Verdict(finding, noticed, view)
+                self._verdicts[finding.item.task] = verdict
+
+    def _find_crash_record(self, item: run.Run) -> job.CrashRecord | None:
+        crashed = self.jobs[item.task.job].progress.crashed
+        return crashed.get(_find_crash_place(item))
+
+    def _decide_verdicts(self, now: float) -> None:
+        """Gives up the tasks to blame, unless their zone was.
+
+        The other crashes of a zone become known a little later.
+        """
+        for task, verdict in list(self._verdicts.items()):
+            if now < verdict.noticed + suspicion.COMPANY_SECONDS:
+                continue
+            del self._verdicts[task]
+            shared = self._is_crash_shared(verdict.view, verdict.noticed)
+            if task.job in self.jobs and not shared:
+                self._give_up(verdict.finding)
+
+    def take_given_up(self) -> int:
+        """Returns the number of tasks given up since the last call."""
+        count, self._given_up_tasks = self._given_up_tasks, 0
+        return count
+
+    def _is_crash_shared(self, view: run.MinionView, noticed: float) -> bool:
+        """Whether most of a minion's zone or rack crashed at the same time."""
+        zone = view.minion.zone
+        rack = view.minion.labels[-1:]
+        return self._crash_history.is_shared(
+            noticed,
+            [
+                other.minion_id
+                for other in self.views.values()
+                if other.minion.zone == zone
+            ],
+        ) or self._crash_history.is_shared(
+            noticed,
+            [
+                other.minion_id
+                for other in self.views.values()
+                if rack and other.minion.labels[-1:] == rack
+            ],
+        )
+
+    def _give_up(self, finding: suspicion.Finding) -> None:
+        """Ends the job of a task that crashes the minions that start it."""
+        task = finding.item.task
+        self._given_up_tasks += 1
+        event.emit(
+            event.Event.TASK_GIVEN_UP,
+            task=task.render(),
+            minions=",".join(finding.record.minions),
+            term=self.term,
+        )
+        self._finish(self.jobs[task.job], job.JobState.FAILED)
+
+    def _end_probations(self, now: float) -> None:
+        """Clears the suspected tasks whose minions have survived their start.
+
+        A successor would start them apart again otherwise.
+        """
+        for view in self.views.values():
+            if view.failed_polls or placement.is_on_probation(view, now):
+                continue
+            for item in list(view.isolated):
+                survived = (
+                    view.last_contact
+                    >= item.last_ordered_at + suspicion.PROBATION_SECONDS
+                )
+                if survived and item.state is run.RunState.RUNNING:
+                    view.isolated.remove(item)
+                    self._clear_suspicion(item)
+
+    def _clear_suspicion(self, item: run.Run) -> None:
+        active = self.jobs.get(item.task.job)
+        place = _find_crash_place(item)
+        if active is not None and place in active.progress.crashed:
+            record = active.progress.crashed[place]
+            active.progress.crashed[place] = dataclasses.replace(
+                record, suspected=0
+            )
+            self._dirty.add(active.job.job_id)
+
+    def _find_isolation(
+        self, active: activejob.ActiveJob, work: activejob.OpenStep, index: int
+    ) -> suspicion.Isolation:
+        if not active.progress.crashed or work.step.gang:
+            return suspicion.Isolation.NONE
+        place = (work.occurrence, work.number, index)
+        return suspicion.find_isolation(active.progress.crashed.get(place))
+
+    def _place_suspects(
+        self,
+        active: activejob.ActiveJob,
+        work: activejob.OpenStep,
+        options: list[placement.Candidate],
+        now: float,
+    ) -> None:
+        """Plans suspected tasks where nothing else has just started.
+
+        Where no minion is quiet, one is held for them until it is.
+        """
+        for index in list(work.pending):
+            isolation = self._find_isolation(active, work, index)
+            task = job.TaskId(
+                active.job.job_id, work.occurrence, work.number, index
+            )
+            if isolation is suspicion.Isolation.NONE or task in self._verdicts:
+                continue
+            if not self._fits_team_cap(active.job.team, work.step.need):
+                return
+            found = placement.choose_minion(
+                work.step,
+                self._list_quiet(options, isolation, now),
+                work.runs_by_minion,
+            )
+            if found is None:
+                self._hold_minion(work, options, now)
+                continue
+            found.set_aside = True
+            found.view.held_until = 0.0
+            placement.take_room(found, work.step)
+            self._count_usage(active.job.team, work.step.need, 1)
+            self._plan_run(active, work, index, found, isolation=isolation)
+
+    def _list_quiet(
+        self,
+        options: Iterable[placement.Candidate],
+        isolation: suspicion.Isolation,
+        now: float,
+    ) -> list[placement.Candidate]:
+        """Returns the minions on which a suspected task may start."""
+        if isolation is suspicion.Isolation.GROUP:
+            return [
+                option
+                for option in options
+                if placement.is_quiet(option.view, now)
+                or placement.may_join_group(option.view)
+            ]
+        # One at a time in each zone: see `suspicion.CrashHistory`.
+        busy_zones = {
+            view.minion.zone
+            for view in self.views.values()
+            if placement.is_on_probation(view, now)
+        }
+        return [
+            option
+            for option in options
+            if option.view.minion.zone not in busy_zones
+            and placement.is_quiet(option.view, now)
+        ]
+
+    def _hold_minion(
+        self,
+        work: activejob.OpenStep,
+        options: Sequence[placement.Candidate],
+        now: float,
+    ) -> None:
+        """Keeps other starts off a minion, so that a suspect may start soon."""
+        held = sum(option.view.held_until > now for option in options)
+        if held >= max(1, len(options) // MAX_HELD_RATIO):
+            return
+        found = placement.choose_minion(
+            work.step,
+            [option for option in options if not option.set_aside],
+            work.runs_by_minion,
+        )
+        if found is not None:
+            found.set_aside = True
+            found.view.held_until = now + HOLD_SECONDS
+
     def _record_failure(
         self, view: run.MinionView, now: float, why: str
     ) -> None:
@@ -1351,6 +1664,13 @@
     return count + int(item.at_work) <= item.max_unavailable
 
 
+def _find_crash_place(item: run.Run) -> tuple[int, int, int]:
+    """Returns the key of a task's crashes; members of a gang share one."""
+    task = item.task
+    position = 0 if item.gang else task.position
+    return (task.occurrence, task.step, position)
+
+
 def _get_step_key(
     active: activejob.ActiveJob, work: activejob.OpenStep
 ) -> policycache.StepKey:
--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -70,6 +70,8 @@
     RUN_FAILED = (1608, "INFO", "run ended without success")
     START_REFUSED = (1609, "INFO", "minion did not start a run")
     COMPLETION_STORED = (1610, "INFO", "reported completion stored")
+    TASK_GIVEN_UP = (1611, "WARNING", "task given up: it crashes minions")
+    MINION_CRASHED = (1612, "WARNING", "minion crashed with runs")
     CANDIDACY_STARTED = (1701, "INFO", "dispatcher candidacy started")
     LEADERSHIP_ACQUIRED = (1702, "INFO", "elected dispatcher")
     LEADERSHIP_ENDED = (1703, "WARNING", "stepped down as dispatcher")
--- a/clementinewood/job.py
+++ b/clementinewood/job.py
@@ -289,6 +289,23 @@
     return result.Success(job)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """Crashes of minions on which a task ran.
+
+    Attributes:
+        crashes: Number of crashes.
+        suspected: Number of these that the task may have caused.
+        number: Number of the last run that is included.
+        minions: The minions of the last crashes.
+    """
+
+    crashes: int = 0
+    suspected: int = 0
+    number: int = 0
+    minions: tuple[identifiers.MinionId, ...] = ()
+
+
 @dataclasses.dataclass(slots=True)
 class Progress:
     """Stored progress of a job.
@@ -300,6 +317,7 @@
         assignments: Number and minion of the newest start of each task that is
             not done. Stored before the start is ordered, so that the next
             leader knows where a task may run.
+        crashed: Crashes under each task that is not done.
     """
 
     state: JobState = JobState.QUEUED
@@ -310,6 +328,9 @@
     assignments: dict[
         tuple[int, int, int], tuple[int, identifiers.MinionId]
     ] = dataclasses.field(default_factory=dict)
+    crashed: dict[tuple[int, int, int], CrashRecord] = dataclasses.field(
+        default_factory=dict
+    )
 
     def copy(self) -> "Progress":
         """Returns an independent copy."""
@@ -318,6 +339,7 @@
             dict(self.done),
             dict(self.failed),
             dict(self.assignments),
+            dict(self.crashed),
         )
 
     def is_done(self, task: TaskId) -> bool:
@@ -332,6 +354,7 @@
         place = (task.occurrence, task.step, task.position)
         self.failed.pop(place, None)
         self.assignments.pop(place, None)
+        self.crashed.pop(place, None)
 
     def set_step_done(self, occurrence: int, step: int, count: int) -> None:
         """Marks all `count` tasks of a step as done."""
@@ -339,6 +362,7 @@
         for position in range(count):
             self.failed.pop((occurrence, step, position), None)
             self.assignments.pop((occurrence, step, position), None)
+            self.crashed.pop((occurrence, step, position), None)
 
     def is_step_done(self, occurrence: int, step: int, count: int) -> bool:
         """Whether all `count` tasks of a step are done."""
@@ -363,6 +387,16 @@
             "placed": [
                 [*key, *place] for key, place in progress.assignments.items()
             ],
+            "crashed": [
+                [
+                    *key,
+                    record.crashes,
+                    record.suspected,
+                    record.number,
+                    *record.minions,
+                ]
+                for key, record in progress.crashed.items()
+            ],
         }
         document.update((name, rows) for name, rows in fields.items() if rows)
     return json.dumps(document, separators=(",", ":")).encode()
@@ -391,6 +425,20 @@
                     "placed", ()
                 )
             },
+            {
+                (occurrence, step, index): CrashRecord(
+                    int(crashes), int(suspected), int(number), tuple(minions)
+                )
+                for (
+                    occurrence,
+                    step,
+                    index,
+                    crashes,
+                    suspected,
+                    number,
+                    *minions,
+                ) in document.get("crashed", ())
+            },
         )
     except decoding.ERRORS as error:
         return result.Failure(f"stored progress is malformed: {error!r}")
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -690,6 +690,7 @@
             count_start=lambda outcome: self._metrics.count(
                 metric.RUN_STARTS, outcome=outcome
             ),
+            count_given_up=lambda: self._metrics.count(metric.TASKS_GIVEN_UP),
         )
         driver.dispatcher.early = self._early_seconds
         return driver
--- a/clementinewood/metric.py
+++ b/clementinewood/metric.py
@@ -191,6 +191,12 @@
     "Orders to start a run, by what the minion did.",
     ("outcome",),
 )
+TASKS_GIVEN_UP = Instrument(
+    "clementinewood.tasks.given_up",
+    Kind.COUNTER,
+    "1",
+    "Tasks given up because minions crashed under them.",
+)
 STORE_READS = Instrument(
     "clementinewood.store.reads",
     Kind.COUNTER,
--- a/clementinewood/placement.py
+++ b/clementinewood/placement.py
@@ -9,7 +9,7 @@
 import dataclasses
 from collections.abc import Iterable, Mapping, Sequence
 
-from clementinewood import catalog, identifiers, job, run
+from clementinewood import catalog, identifiers, job, run, suspicion
 
 BASE_EJECTION_SECONDS = 2.0
 """Ejection time at the first ejection; it grows with the failure score."""
@@ -29,11 +29,13 @@
         view: The minion.
         free: Room left after the tasks that this round has placed.
         has_long_running: Whether it runs long-running tasks.
+        set_aside: Whether it only takes a task suspected of crashing minions.
     """
 
     view: run.MinionView
     free: job.Resources
     has_long_running: bool
+    set_aside: bool = False
 
     @property
     def rack(self) -> str:
@@ -61,6 +63,35 @@
     )
 
 
+def is_set_aside(view: run.MinionView, now: float) -> bool:
+    """Whether only a task suspected of crashing minions may start on `view`."""
+    return view.held_until > now or is_on_probation(view, now)
+
+
+def is_on_probation(view: run.MinionView, now: float) -> bool:
+    """Whether suspected tasks have just started, or are about to."""
+    return any(_has_just_started(item, now) for item in view.isolated)
+
+
+def is_quiet(view: run.MinionView, now: float) -> bool:
+    """Whether nothing has just started on `view`, or is about to."""
+    return not any(_has_just_started(item, now) for item in view.runs.values())
+
+
+def may_join_group(view: run.MinionView) -> bool:
+    """Whether one more suspect may start with a group planned on `view`."""
+    return 0 < len(view.isolated) < suspicion.GROUP_SIZE and all(
+        item.state is run.RunState.PLANNED and not item.alone
+        for item in view.isolated
+    )
+
+
+def _has_just_started(item: run.Run, now: float) -> bool:
+    return item.state is run.RunState.PLANNED or (
+        now - item.last_ordered_at < suspicion.PROBATION_SECONDS
+    )
+
+
 def list_candidates(
     views: Iterable[run.MinionView],
     now: float,
@@ -73,7 +104,10 @@
             continue
         found.setdefault(view.minion.pool, []).append(
             Candidate(
-                view, view.free(), has_long_running=view.long_running_count > 0
+                view,
+                view.free(),
+                has_long_running=view.long_running_count > 0,
+                set_aside=is_set_aside(view, now),
             )
         )
     return found
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -74,6 +74,12 @@
             has listed it.
         long_running: Whether it never ends by itself.
         fills: Whether it uses capacity that others leave unused.
+        gang: Whether it is a member of a gang.
+        isolated: Whether it started apart from other starts, since its task is
+            suspected of crashing minions.
+        alone: Whether nothing else may start beside it until it has survived.
+        lost_at: Monotonic time in seconds of the last sign of life before its
+            minion restarted, if no report has shown the run since; else 0.
         tail_target: Target of its tail latency in seconds; 0 if it has none.
         max_unavailable: Budget of its step, or None.
         image: What it runs.
@@ -102,6 +108,10 @@
     seen_in_report: bool = False
     long_running: bool = False
     fills: bool = False
+    gang: bool = False
+    isolated: bool = False
+    alone: bool = False
+    lost_at: float = 0.0
     tail_target: float = 0.0
     max_unavailable: int | None = None
     image: str = ""
@@ -200,6 +210,8 @@
         clock_offset: Its clock minus the local monotonic clock in seconds; None
             while unknown.
         last_answer: Monotonic time in seconds of its last response to a poll.
+        last_contact: Monotonic time in seconds of its last response to a poll
+            or a start order.
         failed_polls: Consecutive polls without a response since then.
         applied_sequence: Number of the last outcome applied here.
         stored_sequence: Number of the last outcome that is stored and may be
@@ -213,6 +225,9 @@
         ejected_until: Monotonic time in seconds until which it gets no new work
             after failures.
         failure_score: Failed starts and runs; halved by each successful run.
+        held_until: Monotonic time in seconds until which only a suspected task
+            may start on it.
+        isolated: The suspected runs on probation here.
     """
 
     minion: catalog.Minion
@@ -223,6 +238,7 @@
     leases_expire_at: float = 0.0
     clock_offset: float | None = None
     last_answer: float = 0.0
+    last_contact: float = 0.0
     failed_polls: int = 0
     applied_sequence: int = 0
     stored_sequence: int = 0
@@ -233,6 +249,8 @@
     maintenance_pending: bool = False
     ejected_until: float = 0.0
     failure_score: float = 0.0
+    held_until: float = 0.0
+    isolated: list[Run] = dataclasses.field(default_factory=list)
 
     @property
     def minion_id(self) -> identifiers.MinionId:
@@ -254,6 +272,8 @@
         self.runs[item.key] = item
         self.used = self.used.plus(item.room)
         self.long_running_count += item.long_running
+        if item.isolated:
+            self.isolated.append(item)
 
     def remove_run(self, item: Run) -> None:
         """Removes a run, if present, and frees its room."""
@@ -261,6 +281,8 @@
             del self.runs[item.key]
             self.used = self.used.minus(item.room)
             self.long_running_count -= item.long_running
+            if item in self.isolated:
+                self.isolated.remove(item)
 
     def free(self) -> job.Resources:
         """Returns the room that is left."""
--- a/features/deadly_tasks.feature
+++ b/features/deadly_tasks.feature
@@ -45,3 +45,31 @@
     When a long-running job with a deadly task is submitted
     Then the deadly job fails within 12 seconds
     And at most 3 minions crashed under a deadly task
+
+  Scenario Outline: Crashes of most of a zone are not put down to tasks
+    Given a zone of 6 minions of which <crashed> crash within <seconds> seconds
+    Then the crash of its first minion <is> shared
+
+    Examples:
+      | crashed | seconds | is     |
+      | 1       | 0.0     | is not |
+      | 2       | 0.0     | is not |
+      | 3       | 0.2     | is     |
+      | 6       | 0.0     | is     |
+      | 6       | 6.0     | is not |
+
+  Scenario Outline: Only a crash right after a start apart from others proves a task deadly
+    Given a task that was suspected of <suspected> crashes
+    And it started <start>
+    And another task started <other> seconds before the crash
+    When its minion crashes <age> seconds after its start
+    Then the task <is> given up
+
+    Examples:
+      | suspected | start                 | other | age  | is     |
+      | 2         | alone                 | 2.0   | 0.05 | is     |
+      | 1         | in a group            | 2.0   | 0.05 | is not |
+      | 2         | alone                 | 0.1   | 0.05 | is not |
+      | 2         | alone                 | 2.0   | 1.5  | is not |
+      | 2         | beside others         | 2.0   | 0.05 | is not |
+      | 2         | in a run that counted | 2.0   | 0.05 | is not |
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -277,7 +277,10 @@
         """Ends this incarnation; the next one begins after a while."""
         self.harness.record_crash(self)
         self.incarnation += 1
+        closed = self.waiting
         self.reset()
+        for finish in closed:
+            finish()
         if not self.unreachable:
             self.unreachable = True
             self.harness.timers.subscribe_once(CRASH_SECONDS, self._come_back)
--- a/features/steps/deadly_tasks_steps.py
+++ b/features/steps/deadly_tasks_steps.py
@@ -1,13 +1,15 @@
 """Steps for tasks that crash the minions that start them."""
 
 import collections
+import dataclasses
 
 import behave
 
-from clementinewood import identifiers, job
+from clementinewood import identifiers, job, run, suspicion
 from features import job_faults, job_harness
 
 OTHERS = 12
+MINION = identifiers.MinionId("m0")
 
 
 def name_job(number):
@@ -130,3 +132,79 @@
 
     harness.run_until(lambda: list_states() <= set(job.TERMINAL), 30.0)
     assert list_states() == {job.JobState.COMPLETED}, list_states()
+
+
+@behave.given(
+    "a zone of {size:d} minions of which {crashed:d} crash within {seconds:g}"
+    " seconds"
+)
+def create_zone(context, size, crashed, seconds):
+    context.zone = [identifiers.MinionId(f"m{n}") for n in range(size)]
+    context.history = suspicion.CrashHistory()
+    for number in range(crashed):
+        at = 100.0 + seconds * number / max(1, crashed - 1)
+        context.history.add(at, context.zone[number])
+
+
+@behave.then("the crash of its first minion {does} shared")
+def check_shared(context, does):
+    shared = context.history.is_shared(100.0, context.zone)
+    assert shared is (does == "is"), does
+
+
+def create_run(name, ordered_at, number=2, **fields):
+    return run.Run(
+        task=job.TaskId(name_job(name), 0, 0, 0),
+        number=number,
+        minion_id=MINION,
+        team=identifiers.TeamId("canvas"),
+        queue=identifiers.QueueId("quotes"),
+        room=job.Resources(),
+        need=job.Resources(),
+        last_ordered_at=ordered_at,
+        **fields,
+    )
+
+
+@behave.given("a task that was suspected of {count:d} crashes")
+def create_record(context, count):
+    context.record = job.CrashRecord(crashes=count, suspected=count, number=1)
+
+
+@behave.given("it started {how}")
+def start_suspect(context, how):
+    if how == "in a run that counted":
+        context.record = dataclasses.replace(context.record, number=2)
+    isolated = how in ("alone", "in a group", "in a run that counted")
+    context.suspect = create_run(
+        1, 100.0, isolated=isolated, alone=isolated and how != "in a group"
+    )
+
+
+@behave.given("another task started {seconds:g} seconds before the crash")
+def start_other(context, seconds):
+    context.other_age = seconds
+
+
+@behave.when("its minion crashes {seconds:g} seconds after its start")
+def crash_minion(context, seconds):
+    at = 100.0 + seconds
+    other = create_run(2, at - context.other_age)
+    context.findings = suspicion.assess_crash(
+        MINION, [(context.suspect, context.record), (other, None)], at
+    )
+
+
+@behave.then("the task {does} given up")
+def check_given_up(context, does):
+    given_up = any(
+        finding.to_blame
+        for finding in context.findings
+        if finding.item is context.suspect
+    )
+    assert given_up is (does == "is"), context.findings
+    assert not any(
+        finding.to_blame
+        for finding in context.findings
+        if finding.item is not context.suspect
+    )
