Check the room again when a planned start is ordered

Cause: the room was checked when a minion was chosen; the order goes out only after its assignment is stored, up to a quarter of a second later on a slow store. Change: a run that no longer fits is placed anew instead. What is being stopped counts until its end is listed, as before.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -914,7 +914,9 @@
             return None
         if item.state is not run.RunState.PLANNED:
             return None
-        if not placement.accepts_work(view, now, self.evacuated):
+        if not placement.accepts_work(
+            view, now, self.evacuated
+        ) or not view.has_room_for(item):
             self._remove_run(view, item)
             return None
         item.state = run.RunState.STARTING
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -288,6 +288,13 @@
         """Returns the room that is left."""
         return self.minion.capacity.minus(self.used)
 
+    def has_room_for(self, item: Run) -> bool:
+        """Whether a run that is counted already fits.
+
+        The capacity may have shrunk since its minion was chosen.
+        """
+        return item.room.fits(self.free().plus(item.room))
+
     def lease_deadline(self, now: float) -> float | None:
         """Returns the end of a lease granted now, on the minion's clock.
 
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -188,3 +188,9 @@
     When the dispatcher of term 4 takes the job over
     And a minion reports a run of a task that is done
     Then that run is stopped and does not count as one of the job
+
+  Scenario: No start goes over a capacity that shrinks while it is stored
+    Given a dispatcher that stores the assignments of 4 tasks
+    When the capacity shrinks to 2 tasks and the assignments are stored
+    Then 2 starts are ordered
+    And after it has grown again, the other tasks are ordered
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -946,3 +946,45 @@
     assert found == [(0, 2000)], found
     live = context.dispatch.jobs[JOB_ID].live
     assert all(task.position != 0 for task in live), live
+
+
+@behave.given("a dispatcher that stores the assignments of {count:d} tasks")
+def create_storing(context, count):
+    context.dispatch = create_dispatcher(1)
+    context.dispatch.add_job(create_job(count), job.Progress(), 0.0)
+    poll(context.dispatch, 0.0)
+    context.dispatch.plan(0.1, 0.1)
+    context.batch = context.dispatch.take_batch()
+    assert len(context.batch.planned) == count
+
+
+def set_capacity(context, tasks):
+    minion = dataclasses.replace(
+        create_minion().minion, capacity=job.Resources(1000 * tasks, 65536)
+    )
+    context.dispatch.update_minions([minion], 0.15)
+
+
+@behave.when(
+    "the capacity shrinks to {tasks:d} tasks and the assignments are stored"
+)
+def shrink_capacity(context, tasks):
+    set_capacity(context, tasks)
+    context.orders = context.dispatch.handle_batch_stored(context.batch, 0.2)
+
+
+@behave.then("{count:d} starts are ordered")
+def check_starts(context, count):
+    assert len(context.orders) == count, context.orders
+    context.ordered = {order.task for order in context.orders}
+
+
+@behave.then("after it has grown again, the other tasks are ordered")
+def check_rest(context):
+    set_capacity(context, 8)
+    context.dispatch.plan(0.3, 0.3)
+    orders = context.dispatch.handle_batch_stored(
+        context.dispatch.take_batch(), 0.4
+    )
+    ordered = {order.task for order in orders}
+    assert len(ordered) == 2 and not ordered & context.ordered, orders
