--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -853,6 +853,7 @@
         seconds = step["ms"] / 1000.0
         if how == "failed":
             seconds = step.get("fail_ms", step["ms"]) / 1000.0
+            seconds += int(name.split(".")[3]) * step.get("stagger_ms", 0) / 1e3
         return (step["cpu"], step["mem_mb"]), seconds, how
 
     def _members(self, name, run):
@@ -1077,6 +1078,7 @@
                             "mem_mb",
                             "fail_first",
                             "fail_ms",
+                            "stagger_ms",
                         )
                         if k in s
                     }
