--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,4 +1,4 @@
-"""A worker fails all that it starts; a gang runs there once."""
+"""The store turns two entries of a zone away, one a second after the other."""
 
 import asyncio
 import pathlib
@@ -8,36 +8,17 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 from standins import site as stand_ins
 
-WORKERS = 10
-GREY_S = 6.5
-"""`srv_grey` (errors): a share of 0.1 for 6.5 s; here one worker of ten."""
+ENTRIES = ("hobart", "hobart", "launceston", "launceston", "burnie", "burnie")
+BUSY_S = 7.0
+"""`platform_down` (nodes busy): up to 9 s for a share of 0.35, two of six."""
 
-GANG = [{"count": 3, "cpu": 4000, "mem_mb": 2000, "ms": 1500, "gang": True}]
-
-
-class Site(stand_ins.Site):
-    """The worker that gets the first member fails all that it starts."""
-
-    armed = False
-
-    def on_start(self, minion, name, run):
-        """Records a start."""
-        super().on_start(minion, name, run)
-        if self.armed:
-            self.armed = False
-            minion.bad = True
-            self.log("grey", f"{minion.id} fails all that it starts")
-
-            def heal():
-                minion.bad = False
-                self.log("grey", f"{minion.id} is sound again")
-
-            asyncio.get_running_loop().call_later(GREY_S, heal)
+ROLLBACK_SLACK_S = 0.25
+JOB = [{"count": 2, "cpu": 1000, "mem_mb": 500, "ms": 300}]
 
 
 def create(case):
     """Returns the site of this case."""
-    return Site(case, minions=WORKERS, max_attempts=2)
+    return stand_ins.Site(case, entry_zones=ENTRIES)
 
 
 async def play(site):
@@ -47,32 +28,49 @@
     if not await site.wait_ready():
         return 2
     await asyncio.sleep(4.0)
-    site.armed = site.trouble
-    job, status = await site.submit(site.entries[0], "quotes", GANG)
+    leader = site.last_writer
+    site.log("leader", f"{leader.name} has last written under a condition")
+    zone = next(zone for zone in ENTRIES if zone != leader.zone)
+    behind, ahead = (e for e in site.entries if e.zone == zone)
+
+    def refuse(entry):
+        entry.gate.mode = "busy"
+        site.log("store", f"turns {entry.name} away with 503")
+
+        def serve():
+            entry.gate.mode = "pass"
+            site.log("store", f"serves {entry.name} again")
+
+        asyncio.get_running_loop().call_later(BUSY_S, serve)
+
+    if site.trouble:
+        refuse(behind)
+    await asyncio.sleep(0.3)
+    site.configure(["quotes", "stores"])
+    await asyncio.sleep(0.4)
+    job, status = await site.submit(ahead, "stores", JOB)
     if status != 200:
         return 2
-    state = None
-    end = time.monotonic() + 20.0
-    while time.monotonic() < end:
-        state = await site.state(job, quiet=True)
-        if state in ("completed", "failed", "cancelled"):
-            break
+    while not any(row[2].startswith(job) for row in site.starts):
+        await asyncio.sleep(0.01)
+    seen_at = time.monotonic()
+    site.log("config", "a worker has seen the effect of the new version")
+    await asyncio.sleep(0.3)
+    if site.trouble:
+        refuse(ahead)
+    regressed = 0
+    for _ in range(6):
         await asyncio.sleep(0.2)
-    failed = {}
-    for _, _, row in site.ends:
-        if row[3] == "failed":
-            failed.setdefault(row[1], set()).add(row[2])
-    runs = {run for numbers in failed.values() for run in numbers}
+        sent_at = time.monotonic()
+        _, status = await site.submit(ahead, "stores", JOB)
+        if status in (401, 403, 404):
+            regressed += sent_at > seen_at + ROLLBACK_SLACK_S
     site.log(
         "judge",
-        f"the job is shown as {state}; runs of the gang with an"
-        f" end `failed`: {sorted(runs)}; most such runs of one task:"
-        f" {max(map(len, failed.values()), default=0)};"
-        f" max_attempts is {site.max_attempts}",
+        f"{regressed} of 6 requests at {ahead.name} were refused as only the"
+        " older version allows",
     )
-    if state == "completed":
-        return 0
-    return 1 if state == "failed" and len(runs) < site.max_attempts else 2
+    return 1 if regressed else 0
 
 
 stand_ins.run(pathlib.Path(__file__).parent, sys.modules[__name__])
