--- a/review/1/play.py
+++ b/review/1/play.py
@@ -6,7 +6,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
-from standins import site as stand_ins
+import standins as stand_ins
 
 ENTRIES = ("hobart", "hobart", "hobart", "launceston", "burnie", "burnie")
 AWAY_S = 7.0
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -5,7 +5,7 @@
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
-from standins import site as stand_ins
+import standins as stand_ins
 
 TASKS = 4000
 STEPS = 3
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -6,7 +6,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
-from standins import site as stand_ins
+import standins as stand_ins
 
 CUT_S = 5.5
 """`node_cut` of workers: 5.5 s in the site file, one worker of six (0.17)."""
--- a/review/standins/site.py
+++ b/review/standins.py
@@ -24,7 +24,7 @@
 import tomllib
 from urllib import parse
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HEARTBEAT_S = 1.5
 STOP_S = 0.1
 MAX_HOLD_S = 6.0
