Collect reported completions before a new leader repeats lost runs

Cause: an entry whose log is old reports what the leader knows and has not stored, and stores it when its own access to the store is back. If the store turns both away and serves others, a successor is elected before that, reads no completion, finds the worker gone and starts the task again. It never asked the entries that had reported it, although it could reach them.

Change: a new leader asks every other entry for the completions that it has reported, or let others report as the leader, and until then (at most two attempts of 0.5 s) holds back the jobs of which a run of an earlier leader is lost. An entry that was asked passes on no completion of an earlier term, also if the answer comes late; a former leader that was asked steps down and keeps what others report. Related path: an entry that answers for a job that it has not read itself kept nothing; it does now. CW1613 and CW1713 show both sides.

--- a/clementinewood/completions.py
+++ b/clementinewood/completions.py
@@ -4,12 +4,13 @@
 ask for their states. The leader knows from the minions' reports which jobs are
 completed, and other entries pass this on to callers. If the leader and a minion
 with the outcomes are lost before the store is back, the next leader would run
-such a job again; the entries that have reported it store it for that case.
+such a job again; the entries that have reported it store it for that case. A
+leader that is elected before that asks them (`takeover`).
 """
 
 from collections.abc import Callable
 
-from clementinewood import event, identifiers, job, jobtable, ports, timer
+from clementinewood import event, identifiers, jobtable, ports, timer
 
 CHECK_INTERVAL_SECONDS = 0.1
 """Period of checking whether the store is back."""
@@ -54,14 +55,19 @@
 
     def add(self, job_id: identifiers.JobId) -> None:
         """Adds a job whose completion is reported to a caller."""
-        entry = self._table.find(job_id)
-        if entry is None or entry.progress.state in job.TERMINAL:
+        if self._table.has_ended(job_id):
             return
-        entry.completion_reported = True
+        # This entry may not have read the job itself yet.
+        self._table.report_completion(job_id)
         if not self._pending:
             self._schedule_check()
         self._pending.add(job_id)
 
+    @property
+    def pending(self) -> frozenset[identifiers.JobId]:
+        """Jobs whose reported completion is not stored as far as is known."""
+        return frozenset(self._pending)
+
     def _schedule_check(self) -> None:
         self._timers.subscribe_once(CHECK_INTERVAL_SECONDS, self._check)
 
@@ -72,8 +78,7 @@
         elif self._current_since is None:
             self._current_since = now
         for job_id in list(self._pending):
-            entry = self._table.find(job_id)
-            if entry is None or entry.progress.state in job.TERMINAL:
+            if self._table.has_ended(job_id):
                 self._pending.discard(job_id)
         since = self._current_since
         if since is not None and now - since >= LEADER_HEAD_START_SECONDS:
--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -232,6 +232,15 @@
             return now
         return now - self._wall() + max(accepted.accepted, accepted.start)
 
+    def await_completions(self) -> None:
+        """Holds back lost runs until `handle_completions_collected`."""
+        self.dispatcher.awaits_completions = True
+
+    def handle_completions_collected(self) -> None:
+        """Continues the jobs that `await_completions` has held back."""
+        self.dispatcher.awaits_completions = False
+        self._schedule_plan()
+
     def apply_declarations(self, declared: ports.Declarations) -> None:
         """Applies the operators' current declarations."""
         self.dispatcher.config = declared.configuration
--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -72,6 +72,11 @@
     COMPLETION_STORED = (1610, "INFO", "reported completion stored")
     TASK_GIVEN_UP = (1611, "WARNING", "task given up: it crashes minions")
     MINION_CRASHED = (1612, "WARNING", "minion crashed with runs")
+    COMPLETION_REPORTED = (
+        1613,
+        "INFO",
+        "completion reported before it is stored",
+    )
     CANDIDACY_STARTED = (1701, "INFO", "dispatcher candidacy started")
     LEADERSHIP_ACQUIRED = (1702, "INFO", "elected dispatcher")
     LEADERSHIP_ENDED = (1703, "WARNING", "stepped down as dispatcher")
@@ -88,6 +93,11 @@
     POLICY_UNANSWERED = (1710, "WARNING", "policy service returned no tickets")
     ENTRY_UNRESPONSIVE = (1711, "WARNING", "entry does not answer another")
     ENTRY_RESPONSIVE = (1712, "INFO", "entry answers another again")
+    COMPLETIONS_COLLECTED = (
+        1713,
+        "INFO",
+        "reported completions collected from entries",
+    )
     MACHINE_ORDERED = (1801, "INFO", "machine move or maintenance ordered")
     MACHINE_REFUSED = (1802, "WARNING", "order about a machine refused")
     MACHINES_UNREACHABLE = (1803, "WARNING", "machines can't be listed")
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -24,6 +24,7 @@
     leaderelector,
     metric,
     ports,
+    takeover,
     timer,
     verdict,
 )
@@ -113,9 +114,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobDescription:
-    """Current state of a job."""
+    """Current state of a job.
+
+    Attributes:
+        state: The state.
+        unstored_term: Term of the leader that reports it, if it is not stored;
+            it no longer holds once a later term has begun.
+    """
 
     state: job.JobState
+    unstored_term: identifiers.Term | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,10 +173,13 @@
             dispatchers.
         early_seconds: Seconds by which a timed job may start early.
         link_bytes_per_second: Capacity of this host's link; 0 if unknown.
+        collector: Asks other entries at the start of a term; None if they
+            can't be asked.
         wall: Source of Unix time in seconds.
         random_fraction: Source of random numbers from 0 to 1.
 
     Attributes:
+        collector: As in `Args`.
         declared: The operators' current declarations.
         draining: Whether the entry is stopping.
         table: All jobs of the site.
@@ -189,6 +200,7 @@
         lease_seconds: float = 3.0,
         early_seconds: float = 0.0,
         link_bytes_per_second: float = 0.0,
+        collector: takeover.CompletionCollector | None = None,
         wall: Callable[[], float] = time.time,
         random_fraction: Callable[[], float] = _SYSTEM_RANDOM.random,
     ) -> None:
@@ -196,6 +208,9 @@
         self.draining = False
         self.table = jobtable.JobTable()
         self.incarnation = identifiers.create_incarnation(entry_id)
+        self.collector = collector
+        self._announced: ports.Takeover | None = None
+        self._reported_to_entries: set[identifiers.JobId] = set()
         self._store = store
         self._minions = minions
         self._machines = machines
@@ -451,12 +466,13 @@
             if entry is None:
                 on_answer(_refuse_unknown(known=known))
                 return
-            state = entry.state
             if for_entry and self._driver is not None:
                 unstored = self._driver.find_unstored_state(job_id)
                 if unstored is job.JobState.COMPLETED and not entry.cancelled:
-                    state = unstored
-            on_answer(JobDescription(state))
+                    self._reported_to_entries.add(job_id)
+                    on_answer(JobDescription(unstored, self._driver.term))
+                    return
+            on_answer(JobDescription(entry.state))
 
         self._find(job_id, answer, newest=True)
 
@@ -468,7 +484,7 @@
         Returns None if this entry's own state of the job is to be reported.
         """
         entry = self.table.find(job_id)
-        leader = self.table.leader
+        leader = self._find_leader()
         if (
             entry is None
             or entry.state in job.TERMINAL
@@ -479,9 +495,56 @@
             return None
         return identifiers.get_entry(leader.leader)
 
-    def record_completion(self, job_id: identifiers.JobId) -> None:
-        """Keeps a completion that this entry reports for the leader."""
+    def keep_completion(
+        self, job_id: identifiers.JobId, term: identifiers.Term | None
+    ) -> bool:
+        """Keeps a completion that another entry has answered.
+
+        Args:
+            job_id: The job.
+            term: Term of the leader that reports it, if it is not stored.
+
+        Returns:
+            Whether callers may be told; a later leader does not know of it.
+        """
+        leader = self._find_leader()
+        if term is not None and leader is not None and term < leader.term:
+            return False
+        if term is not None and not self.table.has_ended(job_id):
+            event.emit(
+                event.Event.COMPLETION_REPORTED,
+                job=job_id,
+                term=term,
+                log_age=round(self._dispatch_feed.seconds_since_caught_up(), 3),
+            )
         self._completions.add(job_id)
+        return True
+
+    def handle_takeover(
+        self, announced: ports.Takeover
+    ) -> tuple[identifiers.JobId, ...]:
+        """Follows a new leader, which the store may not show to this entry.
+
+        Returns:
+            The jobs reported as completed whose completion may not be stored.
+        """
+        leader = self._find_leader()
+        if leader is None or announced.term > leader.term:
+            self._announced = announced
+        if self._driver is not None and self._driver.term < announced.term:
+            self._driver.step_down(
+                f"{announced.leader} has begun term {announced.term}"
+            )
+        return tuple(sorted(self._completions.pending))
+
+    def _find_leader(self) -> ports.Takeover | None:
+        """Returns the leader of the newest term that this entry knows."""
+        announced, stored = self._announced, self.table.leader
+        if stored is None or (
+            announced is not None and announced.term > stored.term
+        ):
+            return announced
+        return ports.Takeover(stored.term, stored.leader)
 
     def _is_state_stale(self) -> bool:
         age = self._dispatch_feed.seconds_since_caught_up()
@@ -628,6 +691,8 @@
                 return entry.cancelled
 
     def _apply_job_entry(self, entry: jobtable.JobEntry) -> None:
+        if entry.accepted and entry.progress.state in job.TERMINAL:
+            self._reported_to_entries.discard(entry.accepted.job_id)
         if self._driver is not None:
             self._driver.apply_job_entry(entry)
 
@@ -702,9 +767,29 @@
         self._dispatch_feed.min_read_interval = (
             DISPATCHER_DISPATCH_READ_INTERVAL_SECONDS
         )
+        if self.collector is None:
+            driver.start(self.declared)
+            return
+        driver.await_completions()
         driver.start(self.declared)
+        self.collector.collect(
+            ports.Takeover(driver.term, self.incarnation),
+            self._apply_reported_completion,
+            driver.handle_completions_collected,
+        )
+
+    def _apply_reported_completion(self, job_id: identifiers.JobId) -> None:
+        self._completions.add(job_id)
+        entry = self.table.find(job_id)
+        if entry is not None:
+            self._apply_job_entry(entry)
 
     def _on_stepped_down(self) -> None:
+        # Other entries have reported these; until now, this one kept them as
+        # the leader.
+        for job_id in self._reported_to_entries:
+            self._completions.add(job_id)
+        self._reported_to_entries.clear()
         self._jobs_feed.min_read_interval = FOLLOWER_JOBS_READ_INTERVAL_SECONDS
         self._dispatch_feed.min_read_interval = (
             FOLLOWER_DISPATCH_READ_INTERVAL_SECONDS
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -253,6 +253,17 @@
             entry if entry is not None and entry.accepted is not None else None
         )
 
+    def report_completion(self, job_id: identifiers.JobId) -> JobEntry:
+        """Marks a job, known or not, whose completion a caller knows of."""
+        entry = self._entries.setdefault(job_id, JobEntry())
+        entry.completion_reported = True
+        return entry
+
+    def has_ended(self, job_id: identifiers.JobId) -> bool:
+        """Whether a final state of the job is stored."""
+        entry = self._entries.get(job_id)
+        return entry is not None and entry.progress.state in job.TERMINAL
+
     def apply(self, record: StoredRecord) -> JobEntry | LeaderRecord | None:
         """Applies one record.
 
--- a/clementinewood/ports.py
+++ b/clementinewood/ports.py
@@ -196,9 +196,49 @@
 PeerResult = PeerAnswered | PeerRefused | Failed
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Takeover:
+    """A leadership that has just begun.
+
+    Attributes:
+        term: Its term.
+        leader: Incarnation of the leader's process.
+    """
+
+    term: identifiers.Term
+    leader: identifiers.Incarnation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completions:
+    """Jobs that an entry has reported as completed before that was stored."""
+
+    job_ids: tuple[identifiers.JobId, ...]
+
+
+CollectResult = Completions | Failed
+
+
 class Peers(Protocol):
     """Sends requests to other entries."""
 
+    def collect(
+        self,
+        address: tuple[str, int],
+        takeover: Takeover,
+        timeout: float,
+        on_result: Callable[[CollectResult], None],
+    ) -> None:
+        """Announces a leadership and asks for reported completions.
+
+        Args:
+            address: Address of the other entry's listener.
+            takeover: The leadership.
+            timeout: Seconds until it times out.
+            on_result: Called once with the result, after `collect` has
+                returned.
+        """
+
     def send(
         self,
         address: tuple[str, int],
--- a/features/forwarding_harness.py
+++ b/features/forwarding_harness.py
@@ -12,6 +12,7 @@
     forwarder,
     identifiers,
     ports,
+    takeover,
     verdict,
 )
 from clementinewood_platform import ingress, peerclient
@@ -35,8 +36,10 @@
 
     def __init__(self, site):
         self.client = peerclient.PeerClient(site.loop.sockets, site.loop.timers)
+        self.timers = site.loop.timers
         self.sent = []
         self.lost = set()
+        self.cut = set()
 
     def send(self, address, request, timeout, on_result):
         self.sent.append(address)
@@ -48,6 +51,13 @@
 
         return self.client.send(address, request, timeout, answer)
 
+    def collect(self, address, announced, timeout, on_result):
+        if address not in self.cut:
+            self.client.collect(address, announced, timeout, on_result)
+            return
+        lost = ports.Failed(verdict.Execution.MAY_HAVE_RUN, "cut")
+        self.timers.subscribe_once(timeout, lambda: on_result(lost))
+
 
 class Entry:
     """One entry with its listeners."""
@@ -70,6 +80,9 @@
             random_fraction=harness.random.random,
         )
         self.peers = Peers(site)
+        self.service.collector = takeover.CompletionCollector(
+            self.directory, self.peers
+        )
         self.forwarder = forwarder.Forwarder(
             self.directory,
             self.peers,
--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -65,6 +65,72 @@
     And 12 seconds pass on that site
     Then some task has started again
 
+  Scenario Outline: A job that was reported as completed does not run again where the store serves some entries
+    Given a site of entries in zones "a b c a b" with 3 minions
+    And a job of 3 tasks of 1 seconds that runs
+    When the leader and a follower are <fault> by the store
+    And all tasks have ended and their minions crash
+    And that follower comes to report the job as "completed" within 1 seconds
+    And <loss>
+    And 10 seconds pass on that site
+    Then every entry reports the job as "completed" within 1 seconds
+    When the store serves every entry again
+    And 3 seconds pass on that site
+    Then every entry reports the job as "completed" within 1 seconds
+    And each task has started once
+
+    # Without the leader, only the follower knows of the completion.
+    Examples:
+      | fault        | loss                                                   |
+      | refused      | nothing else fails                                     |
+      | not answered | nothing else fails                                     |
+      | refused      | the former leader is killed                            |
+      | not answered | the former leader is killed                            |
+      | refused      | its successor is killed as soon as it dispatches       |
+      | not answered | its successor is killed as soon as it dispatches       |
+      | refused      | the leader does not respond to other entries           |
+
+  Scenario: Without asking other entries a successor would run the job again
+    Given a site of entries in zones "a b c a b" with 3 minions
+    And entries that ask no others for completions
+    And a job of 3 tasks of 1 seconds that runs
+    When the leader and a follower are refused by the store
+    And all tasks have ended and their minions crash
+    And that follower comes to report the job as "completed" within 1 seconds
+    And 10 seconds pass on that site
+    Then some task has started again
+
+  Scenario: An entry that a successor has asked takes no completion from the former leader
+    Given a site of entries in zones "a b c a b" with 3 minions
+    And a job of 3 tasks of 1 seconds that runs
+    When the leader and a follower are refused by the store
+    And all tasks have ended and their minions crash
+    And the successor can't ask the former leader
+    And another entry dispatches
+    Then that follower does not pass on a completion of the former leader
+
+  Scenario: A completion of a job that the entry has not read yet is kept
+    Given a site of entries in zones "a b c a b" with 3 minions
+    When the leader reports a job as completed that a follower has not read
+    Then that follower tells a new leader of the completion
+    When that follower reads the job
+    Then it reports that job as "completed"
+
+  Scenario Outline: A silent entry delays only lost runs, for a second
+    Given a site of entries in zones "a b c a b" with 3 minions
+    And a job of 3 tasks of <task> seconds that runs
+    When a follower does not respond to other entries
+    And the leader is killed and <minions> of the minions crash
+    And another entry dispatches
+    And 6 seconds pass on that site
+    Then <minions> lost tasks have started again within <seconds> seconds of the takeover
+    And no other task has started again
+
+    Examples:
+      | task | minions | seconds |
+      | 9    | 1       | 1.2     |
+      | 9    | 3       | 1.2     |
+
   Scenario: A leader that reaches few minions tells no outcomes that are not stored
     Given a site of entries in zones "a b c" with 3 minions
     And a job of 3 tasks of 1 seconds that runs
--- a/features/steps/job_states_steps.py
+++ b/features/steps/job_states_steps.py
@@ -5,7 +5,7 @@
 
 import behave
 
-from clementinewood import completions, job
+from clementinewood import completions, identifiers, job, ports
 from features import forwarding_harness
 from features.steps import job_service_steps
 
@@ -159,6 +159,172 @@
     check_state(context, [context.cut], state, seconds)
 
 
+@behave.given("entries that ask no others for completions")
+def drop_collectors(context):
+    for entry in context.site.entries:
+        entry.service.collector = None
+
+
+@behave.when("the leader and a follower are {fault} by the store")
+def refuse_some(context, fault):
+    context.former = find_leader(context.site)
+    context.cut = find_followers(context.site)[0]
+    for entry in (context.former, context.cut):
+        entry.link.refuses = fault == "refused"
+        entry.link.down = fault == "not answered"
+
+
+@behave.when("all tasks have ended and their minions crash")
+def crash_after_ends(context):
+    decisions = context.former.service.elector.driver.dispatcher
+    name = identifiers.JobId(NAME)
+    context.site.loop.run_until(lambda: decisions.find_final_state(name))
+    for minion in context.site.harness.minions.values():
+        minion.crash()
+
+
+@behave.when(
+    'that follower comes to report the job as "{state}" within {seconds:g}'
+    " seconds"
+)
+def await_state(context, state, seconds):
+    loop = context.site.loop
+    end = loop.clock.now + seconds
+    while read_state(context, context.cut) != state:
+        assert loop.clock.now < end, "the state was not reported"
+        loop.run_for(0.02)
+
+
+def read_state(context, entry, name=NAME):
+    status, _, body, _ = context.site.call(entry, "GET", name)
+    assert status == 200, (entry.name, status, body)
+    return json.loads(body)["state"]
+
+
+@behave.when("nothing else fails")
+def lose_nothing(context):
+    pass
+
+
+def kill_entry(site, entry):
+    entry.fall_silent()
+    site.harness.kill(entry.service)
+    site.entries.remove(entry)
+
+
+@behave.when("the former leader is killed")
+def kill_former(context):
+    kill_entry(context.site, context.former)
+
+
+def await_successor(context):
+    def find():
+        return [
+            entry
+            for entry in context.site.entries
+            if entry.service.dispatching and entry is not context.former
+        ]
+
+    context.site.loop.run_until(find)
+    return find()[0]
+
+
+@behave.when("its successor is killed as soon as it dispatches")
+def kill_successor(context):
+    kill_entry(context.site, await_successor(context))
+
+
+@behave.when("the successor can't ask the former leader")
+def cut_successors(context):
+    for entry in find_followers(context.site):
+        if entry is not context.cut:
+            entry.peers.cut.add(context.former.address)
+
+
+@behave.when("another entry dispatches")
+def run_until_taken_over(context):
+    context.successor = await_successor(context)
+    context.taken_over_at = context.site.harness.clock()
+
+
+@behave.then("that follower does not pass on a completion of the former leader")
+def check_not_passed_on(context):
+    context.site.loop.run_for(0.1)
+    name = identifiers.JobId(NAME)
+    former = context.former.service.elector.driver
+    assert former.find_unstored_state(name) is job.JobState.COMPLETED
+    assert not context.cut.service.keep_completion(name, former.term)
+    assert read_state(context, context.cut) == "running"
+
+
+@behave.when(
+    "the leader reports a job as completed that a follower has not read"
+)
+def keep_unread(context):
+    context.cut = find_followers(context.site)[0]
+    term = find_leader(context.site).service.elector.driver.term
+    context.term = identifiers.Term(term + 1)
+    name = identifiers.JobId(OTHER_NAME)
+    assert context.cut.service.keep_completion(name, term)
+
+
+@behave.then("that follower tells a new leader of the completion")
+def check_told(context):
+    announced = ports.Takeover(context.term, identifiers.Incarnation("e/1"))
+    told = context.cut.service.handle_takeover(announced)
+    assert told == (identifiers.JobId(OTHER_NAME),), told
+
+
+@behave.when("that follower reads the job")
+def read_job(context):
+    step = job.Step(count=1, need=job.Resources(1000, 100), estimate=20.0)
+    harness = context.site.harness
+    harness.submit(context.cut.service, OTHER_NAME, [step])
+    context.site.loop.run_for(0.3)
+
+
+@behave.then('it reports that job as "{state}"')
+def check_other_state(context, state):
+    assert read_state(context, context.cut, OTHER_NAME) == state
+
+
+@behave.when("a follower does not respond to other entries")
+def silence_follower(context):
+    context.former = find_leader(context.site)
+    find_followers(context.site)[0].fall_silent()
+
+
+@behave.when("the leader is killed and {count:d} of the minions crash")
+def kill_with_minions(context, count):
+    minions = list(context.site.harness.minions.values())[:count]
+    context.lost = {task for minion in minions for task in minion.running}
+    assert len(context.lost) == count
+    for minion in minions:
+        minion.crash()
+    kill_entry(context.site, context.former)
+
+
+@behave.then(
+    "{count:d} lost tasks have started again within {seconds:g} seconds of the"
+    " takeover"
+)
+def check_restarted(context, count, seconds):
+    again = {
+        entry[3]: entry[1] - context.taken_over_at
+        for entry in context.site.harness.history
+        if entry[0] == "begin" and entry[1] > context.taken_over_at
+    }
+    assert len(context.lost) == count and set(again) == context.lost, again
+    assert max(again.values()) <= seconds, again
+
+
+@behave.then("no other task has started again")
+def check_others(context):
+    starts = count_starts(context)
+    again = {task for task, count in starts.items() if count > 1}
+    assert again == context.lost, again
+
+
 def count_starts(context):
     starts = {}
     for entry in context.site.harness.history:
