Count each failed run once, by its start number

Cause: a worker that is cut off and forgotten lists its unacknowledged ends again. The dispatcher then took the number of the last counted end from what was stored before its term, and counted the same failures a second time. Counting was not idempotent, so every place that creates or resets the view of a worker had to restore that number.

Change: progress keeps the start numbers of the failed runs, and a run counts once. Stored numbers of ends are kept for the term, a minion with ends that are not stored yet isn't forgotten, and a view that is reset takes its number back. Entries of the former version ignore the field.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -428,6 +428,8 @@
         self._assess_crash(view, view.runs.values(), now)
         self._lose_runs(view, now)
         self._reset_view(view)
+        # The address may be another minion's by now, and this one may be back.
+        self._apply_cursor(view)
         view.listed = False
 
     def expire_unresponsive(self, view: run.MinionView, now: float) -> None:
@@ -440,9 +442,14 @@
             view.token_accepted = False
 
     def forget_minions(self, now: float) -> None:
-        """Drops unlisted minions whose leases have all expired."""
+        """Drops unlisted minions whose leases have all expired.
+
+        One with outcomes that are not stored yet stays until they are.
+        """
         for minion_id, view in list(self.views.items()):
-            if not view.listed and self._have_leases_expired(view, now):
+            if view.listed or view.has_unstored_outcomes:
+                continue
+            if self._have_leases_expired(view, now):
                 self._lose_runs(view, now)
                 del self.views[minion_id]
 
@@ -1018,6 +1025,7 @@
         Returns:
             Orders for the runs whose assignments are now stored.
         """
+        self.cursors.update(batch.cursors)
         for minion_id, cursor in batch.cursors.items():
             view = self.views.get(minion_id)
             if (
@@ -1178,7 +1186,7 @@
             )
         if row.outcome is run.RunOutcome.FAILED:
             self._record_failure(view, now, "a run failed")
-            self._apply_failure(active, task, step)
+            self._apply_failure(active, row, step)
         if known:
             assert item is not None
             self._remove_run(view, item)
@@ -1186,13 +1194,15 @@
             self._finish(active, job.JobState.COMPLETED)
 
     def _apply_failure(
-        self, active: activejob.ActiveJob, task: job.TaskId, step: job.Step
+        self, active: activejob.ActiveJob, row: run.EndedRun, step: job.Step
     ) -> None:
+        task = row.task
         if step.long_running or active.progress.is_done(task):
             return
         if step.gang:
+            # All members of one run share its number and count as one.
             task = task._replace(position=0)
-        count = active.progress.add_failure(task)
+        count = active.progress.add_failure(task, row.number)
         self._dirty.add(task.job)
         if active.queue is not None and count >= active.queue.max_attempts:
             self._finish(active, job.JobState.FAILED)
--- a/clementinewood/job.py
+++ b/clementinewood/job.py
@@ -313,7 +313,10 @@
     Attributes:
         state: State reported to callers.
         done: Bit set of the tasks that are done, by occurrence and step.
-        failed: Failed runs of each task that is not done.
+        failed: Number of failed runs of each task that is not done.
+        failed_runs: Start numbers of these runs, so that one whose end is
+            listed again is not counted twice; without those that an entry of
+            an earlier version has counted.
         assignments: Number and minion of the newest start of each task that is
             not done. Stored before the start is ordered, so that the next
             leader knows where a task may run.
@@ -325,6 +328,9 @@
     failed: dict[tuple[int, int, int], int] = dataclasses.field(
         default_factory=dict
     )
+    failed_runs: dict[tuple[int, int, int], tuple[int, ...]] = (
+        dataclasses.field(default_factory=dict)
+    )
     assignments: dict[
         tuple[int, int, int], tuple[int, identifiers.MinionId]
     ] = dataclasses.field(default_factory=dict)
@@ -338,6 +344,7 @@
             self.state,
             dict(self.done),
             dict(self.failed),
+            dict(self.failed_runs),
             dict(self.assignments),
             dict(self.crashed),
         )
@@ -351,28 +358,40 @@
         """Marks `task` as done; clears its failures and its assignment."""
         key = (task.occurrence, task.step)
         self.done[key] = self.done.get(key, 0) | 1 << task.position
-        place = (task.occurrence, task.step, task.position)
-        self.failed.pop(place, None)
-        self.assignments.pop(place, None)
-        self.crashed.pop(place, None)
+        self._forget_runs((task.occurrence, task.step, task.position))
 
     def set_step_done(self, occurrence: int, step: int, count: int) -> None:
         """Marks all `count` tasks of a step as done."""
         self.done[occurrence, step] = (1 << count) - 1
         for position in range(count):
-            self.failed.pop((occurrence, step, position), None)
-            self.assignments.pop((occurrence, step, position), None)
-            self.crashed.pop((occurrence, step, position), None)
+            self._forget_runs((occurrence, step, position))
+
+    def _forget_runs(self, place: tuple[int, int, int]) -> None:
+        self.failed.pop(place, None)
+        self.failed_runs.pop(place, None)
+        self.assignments.pop(place, None)
+        self.crashed.pop(place, None)
 
     def is_step_done(self, occurrence: int, step: int, count: int) -> bool:
         """Whether all `count` tasks of a step are done."""
         return self.done.get((occurrence, step), 0) == (1 << count) - 1
 
-    def add_failure(self, task: TaskId) -> int:
-        """Counts a failed run of `task` and returns the new count."""
-        key = (task.occurrence, task.step, task.position)
-        self.failed[key] = self.failed.get(key, 0) + 1
-        return self.failed[key]
+    def add_failure(self, task: TaskId, number: int) -> int:
+        """Counts a failed run of `task` once.
+
+        Args:
+            task: The task.
+            number: Number of the run's start.
+
+        Returns:
+            The number of its failed runs.
+        """
+        place = (task.occurrence, task.step, task.position)
+        numbers = self.failed_runs.get(place, ())
+        if number not in numbers:
+            self.failed_runs[place] = (*numbers, number)
+            self.failed[place] = self.failed.get(place, 0) + 1
+        return self.failed[place]
 
 
 def encode_progress(progress: Progress) -> bytes:
@@ -384,6 +403,10 @@
                 [*key, f"{bits:x}"] for key, bits in progress.done.items()
             ],
             "failed": [[*key, count] for key, count in progress.failed.items()],
+            "failed_runs": [
+                [*key, *numbers]
+                for key, numbers in progress.failed_runs.items()
+            ],
             "placed": [
                 [*key, *place] for key, place in progress.assignments.items()
             ],
@@ -416,6 +439,12 @@
                 (occurrence, step, index): count
                 for occurrence, step, index, count in document.get("failed", ())
             },
+            {
+                (occurrence, step, index): tuple(map(int, numbers))
+                for occurrence, step, index, *numbers in document.get(
+                    "failed_runs", ()
+                )
+            },
             {
                 (occurrence, step, index): (
                     number,
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -194,3 +194,23 @@
     When the capacity shrinks to 2 tasks and the assignments are stored
     Then 2 starts are ordered
     And after it has grown again, the other tasks are ordered
+
+  Scenario Outline: A run that has failed counts once however often its end is listed
+    Given a dispatcher whose run has failed
+    When <event>
+    And the minion lists the same end again
+    Then the task has 1 failed attempt
+    When its next run fails
+    Then the task has 2 failed attempts
+
+    Examples:
+      | event                                             |
+      | its minion is forgotten before that is stored     |
+      | its minion is forgotten after that is stored      |
+      | another minion answers at its address for a while |
+      | a successor reads the progress without the cursor |
+
+  Scenario: Members of a gang that fail in one run count as one failed attempt
+    Given a dispatcher whose gang of 3 tasks runs
+    When 3 members of the gang fail in that run
+    Then the task has 1 failed attempt
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -173,6 +173,21 @@
     And the dispatcher is killed as soon as a failure is stored
     Then every entry says that the job is "completed" within 10 seconds
 
+  Scenario Outline: A failure counts once although its minion is forgotten and listed again
+    Given a site with 3 entries and 4 minions
+    When a job of 1 steps with 1 tasks of 9 seconds is submitted
+    And its run fails and the minion is cut off before the failure is acknowledged
+    And the minion is not listed for <unlisted> seconds and <event>
+    Then every entry says that the job is "completed" within 15 seconds
+    And 2 runs began
+    And no rule was broken
+
+    Examples:
+      | unlisted | event                   |
+      | 6        | the dispatcher stays    |
+      | 6        | the dispatcher changes  |
+      | 2        | the dispatcher changes  |
+
   Scenario: History that expired unread is replaced by the newest records
     Given a site with 3 entries and 4 minions
     When a job of 1 steps with 6 tasks is submitted
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -574,6 +574,121 @@
     )
 
 
+def allow_attempts(dispatch):
+    """Lets runs fail a few times before their job does."""
+    queue = dataclasses.replace(QUEUE, max_attempts=9)
+    dispatch.config = dataclasses.replace(
+        dispatch.config, queues={queue.name: queue}
+    )
+
+
+def start_job(dispatch, accepted, progress=None, now=0.0):
+    """Starts the tasks of a job and returns the orders."""
+    allow_attempts(dispatch)
+    dispatch.add_job(accepted, progress or job.Progress(), now)
+    poll(dispatch, now)
+    dispatch.plan(now + 0.1, now + 0.1)
+    orders = dispatch.handle_batch_stored(dispatch.take_batch(), now + 0.2)
+    for order in orders:
+        started = dispatcher.StartOutcome.STARTED
+        dispatch.handle_start_outcome(order, started, now + 0.3, now + 0.3)
+    return orders
+
+
+def create_failure(order, sequence):
+    return run.EndedRun(
+        sequence=sequence,
+        task=order.task,
+        number=order.number,
+        outcome=run.RunOutcome.FAILED,
+        checkpoint="",
+    )
+
+
+@behave.given("a dispatcher whose run has failed")
+def create_failed(context):
+    context.dispatch = create_dispatcher(1)
+    (context.order,) = start_job(context.dispatch, create_job(1))
+    context.listed = create_failure(context.order, 1)
+    poll(context.dispatch, 1.0, context.listed)
+    context.now = 1.1
+
+
+@behave.when("its minion is forgotten {when} that is stored")
+def forget_minion(context, when):
+    dispatch = context.dispatch
+    batch = dispatch.take_batch()
+    if when == "after":
+        dispatch.handle_batch_stored(batch, 1.2, may_start=False)
+    dispatch.update_minions([], 1.3)
+    dispatch.forget_minions(20.0)
+    dispatch.update_minions([create_minion().minion], 20.1)
+    context.now = 20.2
+
+
+@behave.when("another minion answers at its address for a while")
+def mismatch_incarnation(context):
+    dispatch = context.dispatch
+    dispatch.handle_incarnation_mismatch(identifiers.MinionId("m1"), 1.3)
+    dispatch.update_minions([create_minion().minion], 1.4)
+    context.now = 1.5
+
+
+@behave.when("a successor reads the progress without the cursor")
+def take_over_without_cursor(context):
+    batch = context.dispatch.take_batch()
+    (progress,) = batch.progress.values()
+    stored = job.decode_progress(job.encode_progress(progress)).unwrap()
+    context.dispatch = create_dispatcher(2)
+    allow_attempts(context.dispatch)
+    context.dispatch.add_job(create_job(1), stored, 1.3)
+    context.now = 1.5
+
+
+@behave.when("the minion lists the same end again")
+def repeat_end(context):
+    poll(context.dispatch, context.now, context.listed)
+
+
+@behave.when("its next run fails")
+def fail_again(context):
+    dispatch, now = context.dispatch, context.now
+    dispatch.plan(now + 0.1, now + 0.1)
+    batch = dispatch.take_batch()
+    (order,) = dispatch.handle_batch_stored(batch, now + 0.2)
+    assert order.number > context.order.number
+    started = dispatcher.StartOutcome.STARTED
+    dispatch.handle_start_outcome(order, started, now + 0.3, now + 0.3)
+    poll(dispatch, now + 1.0, create_failure(order, 2))
+
+
+@behave.given("a dispatcher whose gang of {count:d} tasks runs")
+def create_gang(context, count):
+    accepted = create_job(count)
+    step = dataclasses.replace(accepted.steps[0], gang=True)
+    accepted = dataclasses.replace(accepted, steps=(step,))
+    context.dispatch = create_dispatcher(1)
+    context.orders = start_job(context.dispatch, accepted)
+    assert len({order.number for order in context.orders}) == 1
+
+
+@behave.when("{count:d} members of the gang fail in that run")
+def fail_members(context, count):
+    assert len(context.orders) == count
+    ends = [
+        create_failure(order, number)
+        for number, order in enumerate(context.orders, start=1)
+    ]
+    poll(context.dispatch, 1.0, *ends)
+
+
+@behave.then("the task has {count:d} failed attempt")
+@behave.then("the task has {count:d} failed attempts")
+def check_failed(context, count):
+    progress = context.dispatch.jobs[JOB_ID].progress
+    assert progress.failed == {(0, 0, 0): count}, progress.failed
+
+
 @behave.when("an older record of the job's progress arrives")
 def take_older(context):
     context.dispatch.add_job(context.accepted, context.older, 0.0)
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -508,9 +508,7 @@
         minion.failing = True
 
 
-@behave.when("the dispatcher is killed as soon as a failure is stored")
-def kill_after_failure(context):
-    harness = context.harness
+def await_stored_failure(harness):
     key = f"p/{NAME}"
     newest = harness.store.newest[ports.Stream.DISPATCH]
 
@@ -523,12 +521,47 @@
             break
         harness.run_for(0.0005)
     assert is_stored()
+
+
+@behave.when("the dispatcher is killed as soon as a failure is stored")
+def kill_after_failure(context):
+    harness = context.harness
+    await_stored_failure(harness)
     assert any(minion.ended for minion in harness.minions.values())
     harness.kill(harness.dispatcher())
     for minion in harness.minions.values():
         minion.failing = False
 
 
+@behave.when(
+    "its run fails and the minion is cut off before the failure is acknowledged"
+)
+def cut_off_after_failure(context):
+    harness = context.harness
+    minions = harness.minions.values()
+    harness.run_until(lambda: any(minion.running for minion in minions))
+    harness.run_for(0.3)
+    context.cut = next(minion for minion in minions if minion.running)
+    context.cut.end(next(iter(context.cut.running)), run.RunOutcome.FAILED)
+    await_stored_failure(harness)
+    assert context.cut.ended
+    context.cut.unreachable = True
+    harness.store.put(ports.Stream.MINIONS, context.cut.minion_id, b"")
+
+
+@behave.when(
+    "the minion is not listed for {seconds:g} seconds and the dispatcher"
+    " {event}"
+)
+def list_again(context, seconds, event):
+    harness = context.harness
+    harness.run_for(seconds)
+    if event == "changes":
+        harness.kill(harness.dispatcher())
+    context.cut.unreachable = False
+    harness.publish(context.cut)
+
+
 @behave.then("the job is accepted")
 def check_accepted(context):
     context.harness.run_until(lambda: context.answers, 3.0)
