Divide progress and appends that exceed the limits of the store

Cause: a job's progress was one record with a row for each assigned, failed or crashed task. Above record_bytes the store refuses the append, with the leader's renewal and all other progress in it, and the dispatcher repeats it for ever; each successor plans the same record. On related paths, many jobs that change together exceed call_bytes, and a job whose own record is too large was refused as if the store were away, together with the submissions in its append.

Change: progress that doesn't fit is stored in blocks of a fixed number of tasks, of which only the changed ones are stored again and which are deleted at the job's end. Their size is bounded by the number of tasks, whatever these do. Appends are divided into calls that each renew the leadership, with the cursors last. A job that can't be stored is refused with 400 and the limit. The store of features/job_harness.py refuses what the platform refuses.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -17,6 +17,7 @@
     machinecontrol,
     policycache,
     ports,
+    progressrecord,
     responsetime,
     run,
     timer,
@@ -133,6 +134,7 @@
         self._queued_records: dict[str, bytes] = {}
         self._on_records_stored: list[Callable[[], None]] = []
         self._resigning = False
+        self._encoder = progressrecord.ProgressEncoder(store.limits)
         self._response_times = responsetime.ResponseTimes()
         self._polling: set[identifiers.MinionId] = set()
         self._paused_polls: set[identifiers.MinionId] = set()
@@ -168,6 +170,7 @@
         self.dispatcher.cursors.update(self._table.cursors)
         for entry in self._table:
             self.apply_job_entry(entry)
+            self._delete_blocks(entry)
         self._taken_over = True
         self.apply_declarations(declared)
         self._feed.start()
@@ -210,17 +213,23 @@
         if entry.cancelled:
             self.dispatcher.cancel_job(accepted.job_id)
         elif entry.progress.state not in job.TERMINAL:
-            self.dispatcher.add_job(
-                accepted,
-                entry.progress.copy(),
-                self._compute_arrival_time(accepted),
-            )
+            if not self.dispatcher.knows_job(accepted.job_id):
+                self._take_over_job(accepted, entry)
             if entry.completion_reported:
                 self.dispatcher.complete_job(accepted.job_id)
         else:
             return
         self._schedule_plan()
 
+    def _take_over_job(
+        self, accepted: job.Job, entry: jobtable.JobEntry
+    ) -> None:
+        progress = entry.read_progress()
+        self._encoder.restore(accepted, progress.block_tasks, entry.blocks)
+        self.dispatcher.add_job(
+            accepted, progress, self._compute_arrival_time(accepted)
+        )
+
     def _compute_arrival_time(self, accepted: job.Job) -> float:
         """Returns when a job was accepted or is due, in monotonic seconds.
 
@@ -266,6 +275,15 @@
             self._on_records_stored.append(on_stored)
         self._flush()
 
+    def _delete_blocks(self, entry: jobtable.JobEntry) -> None:
+        """Deletes what an earlier leader has left of a job that has ended."""
+        accepted = entry.accepted
+        if accepted is not None and entry.progress.state in job.TERMINAL:
+            for item in self._encoder.delete_blocks(
+                accepted.job_id, entry.blocks
+            ):
+                self._queued_records[item.key] = item.value
+
     def find_unstored_state(
         self, job_id: identifiers.JobId
     ) -> job.JobState | None:
@@ -617,14 +635,28 @@
         if not self._queued_records and not self.dispatcher.has_changes():
             return
         batch = self.dispatcher.take_batch()
-        items = [
-            ports.KeyedRecord(
-                jobtable.render_key(jobtable.RecordKind.PROGRESS, job_id),
-                job.encode_progress(progress),
-            )
-            for job_id, progress in batch.progress.items()
-        ]
-        if items:
+        items = self._encode_batch(batch)
+        callbacks, self._on_records_stored = self._on_records_stored, []
+        if not items:
+            self._handle_stored(batch)
+            return
+        # Outcomes are acknowledged only once all of them are stored; the
+        # cursors come last.
+        calls = progressrecord.split_calls(items, self._store.limits)
+        self._append_calls(
+            calls, lambda: self._finish_append(items, batch, callbacks)
+        )
+
+    def _encode_batch(self, batch: dispatcher.Batch) -> list[ports.KeyedRecord]:
+        """Returns the queued records and those of a batch."""
+        queued = self._queued_records
+        items = [ports.KeyedRecord(key, value) for key, value in queued.items()]
+        self._queued_records = {}
+        for job_id, progress in batch.progress.items():
+            entry = self._table.find(job_id)
+            if entry is not None and entry.accepted is not None:
+                items += self._encoder.encode(entry.accepted, progress)
+        if batch.progress:
             items += [
                 ports.KeyedRecord(
                     jobtable.render_cursor_key(minion_id),
@@ -632,37 +664,50 @@
                 )
                 for minion_id, cursor in batch.cursors.items()
             ]
-        items += [
-            ports.KeyedRecord(key, value)
-            for key, value in self._queued_records.items()
-        ]
-        self._queued_records.clear()
-        callbacks, self._on_records_stored = self._on_records_stored, []
-        if not items:
-            self._handle_stored(batch)
-            return
-        self._log.append(
-            items,
-            lambda outcome: self._on_append(items, batch, callbacks, outcome),
-        )
+        if self._resigning:
+            # Nothing is stored after the leadership is released.
+            items.sort(key=lambda item: item.key == jobtable.LEADER_KEY)
+        return items
 
-    def _on_append(
+    def _append_calls(
         self,
-        items: Sequence[ports.KeyedRecord],
-        batch: dispatcher.Batch,
-        callbacks: Sequence[Callable[[], None]],
-        outcome: fencedlog.Outcome,
+        calls: Sequence[Sequence[ports.KeyedRecord]],
+        on_stored: Callable[[], None],
     ) -> None:
-        match outcome:
-            case fencedlog.Superseded():
-                self.step_down(
-                    f"the store rejected term {self.term}: it has a later one"
-                )
-            case fencedlog.Stored(offset, sent):
-                self._leadership_confirmed_at = sent
-                if offset is not None:
-                    self._on_stored(items, offset)
-                self._finish_append(items, batch, callbacks)
+        """Appends one call after the other; each renews the leadership."""
+        items, *rest = calls
+
+        def handle(outcome: fencedlog.Outcome) -> None:
+            match outcome:
+                case fencedlog.Superseded():
+                    self.step_down(
+                        f"the store rejected term {self.term}: it has a later"
+                        " one"
+                    )
+                case fencedlog.Stored(offset, sent):
+                    self._leadership_confirmed_at = sent
+                    if offset is not None:
+                        self._on_stored(items, offset)
+                    if not self._active:
+                        return
+                    if not rest:
+                        on_stored()
+                        return
+                    self._append_calls(
+                        [self._add_renewal(rest[0]), *rest[1:]], on_stored
+                    )
+
+        self._log.append(items, handle)
+
+    def _add_renewal(
+        self, items: Sequence[ports.KeyedRecord]
+    ) -> Sequence[ports.KeyedRecord]:
+        """Returns `items` with a renewal, so that many calls lose no lead."""
+        if any(item.key == jobtable.LEADER_KEY for item in items):
+            return items
+        record = jobtable.LeaderRecord(self.term, self._own_incarnation)
+        value = jobtable.encode_leader_record(record)
+        return [ports.KeyedRecord(jobtable.LEADER_KEY, value), *items]
 
     def _finish_append(
         self,
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -232,7 +232,7 @@
             progress: Its stored progress.
             arrived: When it was accepted or is due, in monotonic seconds.
         """
-        if accepted.job_id in self.jobs or accepted.job_id in self._ended:
+        if self.knows_job(accepted.job_id):
             # A record read late must not restore a job that has ended.
             return
         numbers_from = (self.term - 1) * NUMBERS_PER_TERM
@@ -249,6 +249,10 @@
             if active.has_task(task) and not progress.is_done(task):
                 self._recover(active, progress, task, number, minion_id)
 
+    def knows_job(self, job_id: identifiers.JobId) -> bool:
+        """Whether a job is unfinished here, or has ended in this term."""
+        return job_id in self.jobs or job_id in self._ended
+
     def _recover(
         self,
         active: activejob.ActiveJob,
@@ -914,7 +918,7 @@
         active.add_run(item)
         candidate.view.add_run(item)
         place = (task.occurrence, task.step, task.position)
-        active.progress.assignments[place] = (number, item.minion_id)
+        active.progress.assign(place, number, item.minion_id)
         active.progress.state = job.JobState.RUNNING
         self._dirty.add(active.job.job_id)
         self._planned.append(item)
@@ -1453,7 +1457,7 @@
         for finding in findings:
             active = self.jobs[finding.item.task.job]
             place = _find_crash_place(finding.item)
-            active.progress.crashed[place] = finding.record
+            active.progress.set_crashes(place, finding.record)
             self._dirty.add(active.job.job_id)
         if findings:
             event.emit(
@@ -1533,8 +1537,8 @@
         place = _find_crash_place(item)
         if active is not None and place in active.progress.crashed:
             record = active.progress.crashed[place]
-            active.progress.crashed[place] = dataclasses.replace(
-                record, suspected=0
+            active.progress.set_crashes(
+                place, dataclasses.replace(record, suspected=0)
             )
             self._dirty.add(active.job.job_id)
 
--- a/clementinewood/job.py
+++ b/clementinewood/job.py
@@ -289,6 +289,14 @@
     return result.Success(job)
 
 
+Place = tuple[int, int, int]
+"""Occurrence, step and position of a task in its job."""
+
+MAX_FAILED_RUNS = 16
+"""Most numbers of failed runs kept of one task: ends of earlier ones have been
+acknowledged by then, and are not listed again."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashRecord:
     """Crashes of minions on which a task ran.
@@ -321,22 +329,23 @@
             not done. Stored before the start is ordered, so that the next
             leader knows where a task may run.
         crashed: Crashes under each task that is not done.
+        block_tasks: Tasks in each block that holds these rows in their place;
+            0 if they are stored whole.
+        changed: Tasks whose rows have changed since they were last stored.
     """
 
     state: JobState = JobState.QUEUED
     done: dict[tuple[int, int], int] = dataclasses.field(default_factory=dict)
-    failed: dict[tuple[int, int, int], int] = dataclasses.field(
+    failed: dict[Place, int] = dataclasses.field(default_factory=dict)
+    failed_runs: dict[Place, tuple[int, ...]] = dataclasses.field(
         default_factory=dict
     )
-    failed_runs: dict[tuple[int, int, int], tuple[int, ...]] = (
+    assignments: dict[Place, tuple[int, identifiers.MinionId]] = (
         dataclasses.field(default_factory=dict)
     )
-    assignments: dict[
-        tuple[int, int, int], tuple[int, identifiers.MinionId]
-    ] = dataclasses.field(default_factory=dict)
-    crashed: dict[tuple[int, int, int], CrashRecord] = dataclasses.field(
-        default_factory=dict
-    )
+    crashed: dict[Place, CrashRecord] = dataclasses.field(default_factory=dict)
+    block_tasks: int = 0
+    changed: set[Place] = dataclasses.field(default_factory=set, compare=False)
 
     def copy(self) -> "Progress":
         """Returns an independent copy."""
@@ -347,8 +356,46 @@
             dict(self.failed_runs),
             dict(self.assignments),
             dict(self.crashed),
+            self.block_tasks,
+            set(self.changed),
         )
 
+    def add(self, part: "Progress") -> None:
+        """Adds the rows of a part of the same job's progress."""
+        for key, bits in part.done.items():
+            self.done[key] = self.done.get(key, 0) | bits
+        self.failed.update(part.failed)
+        self.failed_runs.update(part.failed_runs)
+        self.assignments.update(part.assignments)
+        self.crashed.update(part.crashed)
+
+    def list_places(self) -> set[Place]:
+        """Returns the tasks that have a row or are done."""
+        places = {
+            (*key, position)
+            for key, bits in self.done.items()
+            for position in range(bits.bit_length())
+            if bits >> position & 1
+        }
+        return places.union(self.failed, self.assignments, self.crashed)
+
+    def take_changed(self) -> set[Place]:
+        """Returns the tasks that have changed since the last call."""
+        changed, self.changed = self.changed, set()
+        return changed
+
+    def assign(
+        self, place: Place, number: int, minion_id: identifiers.MinionId
+    ) -> None:
+        """Sets the number and minion of a task's newest start."""
+        self.assignments[place] = (number, minion_id)
+        self.changed.add(place)
+
+    def set_crashes(self, place: Place, record: CrashRecord) -> None:
+        """Sets the crashes under a task."""
+        self.crashed[place] = record
+        self.changed.add(place)
+
     def is_done(self, task: TaskId) -> bool:
         """Whether `task` is done."""
         bits = self.done.get((task.occurrence, task.step), 0)
@@ -371,6 +418,7 @@
         self.failed_runs.pop(place, None)
         self.assignments.pop(place, None)
         self.crashed.pop(place, None)
+        self.changed.add(place)
 
     def is_step_done(self, occurrence: int, step: int, count: int) -> bool:
         """Whether all `count` tasks of a step are done."""
@@ -389,7 +437,8 @@
         place = (task.occurrence, task.step, task.position)
         numbers = self.failed_runs.get(place, ())
         if number not in numbers:
-            self.failed_runs[place] = (*numbers, number)
+            self.failed_runs[place] = (*numbers, number)[-MAX_FAILED_RUNS:]
+            self.changed.add(place)
             self.failed[place] = self.failed.get(place, 0) + 1
         return self.failed[place]
 
@@ -398,6 +447,8 @@
     """Returns the stored form of `progress`, without empty fields."""
     document: dict[str, Any] = {"state": progress.state.value}
     if progress.state not in TERMINAL:
+        if progress.block_tasks:
+            document["block_tasks"] = progress.block_tasks
         fields = {
             "done": [
                 [*key, f"{bits:x}"] for key, bits in progress.done.items()
@@ -468,6 +519,7 @@
                     *minions,
                 ) in document.get("crashed", ())
             },
+            int(document.get("block_tasks", 0)),
         )
     except decoding.ERRORS as error:
         return result.Failure(f"stored progress is malformed: {error!r}")
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -383,6 +383,17 @@
             on_answer(Accepted())
             return
         key = jobtable.render_key(jobtable.RecordKind.JOB, accepted.job_id)
+        record = ports.KeyedRecord(key, job.encode_job(accepted))
+        limit = self._store.limits.record_bytes
+        if record.size > limit:
+            on_answer(
+                verdict.Refusal(
+                    verdict.Reason.MALFORMED,
+                    detail=f"The job takes {record.size} bytes in the store,"
+                    f" which allows {limit}.",
+                )
+            )
+            return
 
         def answer(outcome: ports.AppendResult) -> None:
             match outcome:
@@ -399,7 +410,7 @@
                 case _:
                     on_answer(self._refuse_append(outcome))
 
-        self._append(key, job.encode_job(accepted), timeout_seconds, answer)
+        self._append(key, record.value, timeout_seconds, answer)
 
     def cancel(
         self,
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -47,6 +47,11 @@
     return f"{kind.value}/{job_id}"
 
 
+def render_block_key(job_id: identifiers.JobId, block: int) -> str:
+    """Returns the key of a block of a job's progress."""
+    return f"{render_key(RecordKind.PROGRESS, job_id)}/{block}"
+
+
 def render_cursor_key(minion_id: identifiers.MinionId) -> str:
     """Returns the key of a minion's cursor."""
     return f"{RecordKind.CURSOR.value}/{minion_id}"
@@ -203,12 +208,15 @@
         cancelled: Whether its cancellation is stored.
         completion_reported: Whether a caller knows that it is completed,
             although its stored progress does not say so yet.
+        blocks: Records of its progress besides the one in `progress`, by
+            number; read only by a leader that takes the job over.
     """
 
     accepted: job.Job | None = None
     progress: job.Progress = dataclasses.field(default_factory=job.Progress)
     cancelled: bool = False
     completion_reported: bool = False
+    blocks: dict[int, StoredRecord] = dataclasses.field(default_factory=dict)
 
     @property
     def state(self) -> job.JobState:
@@ -221,6 +229,19 @@
             return job.JobState.CANCELLED
         return self.progress.state
 
+    def read_progress(self) -> job.Progress:
+        """Returns a copy of the stored progress, with that in blocks."""
+        whole = self.progress.copy()
+        # A leader of an earlier version stores all rows in one record.
+        whole.changed = whole.list_places()
+        for record in self.blocks.values():
+            match job.decode_progress(record.value):
+                case result.Success(part):
+                    whole.add(part)
+                case result.Failure(reason):
+                    _drop(record, reason)
+        return whole
+
 
 class JobTable:
     """Holds every job of the site, replayed from the job log.
@@ -284,8 +305,12 @@
         if kind in _RECORDS_WITHOUT_JOB:
             self._apply_other(kind, name, record)
             return None
+        name, _, block = name.partition("/")
         job_id = identifiers.JobId(name)
         entry = self._entries.setdefault(job_id, JobEntry())
+        if block:
+            _apply_block(entry, block, record)
+            return None
         match kind:
             case RecordKind.JOB:
                 if entry.accepted is None:
@@ -384,6 +409,15 @@
                 _drop(record, reason)
 
 
+def _apply_block(entry: JobEntry, block: str, record: StoredRecord) -> None:
+    if not block.isdecimal():
+        _drop(record, f"unknown part {block!r} of a job")
+    elif record.value:
+        entry.blocks[int(block)] = record
+    else:
+        entry.blocks.pop(int(block), None)
+
+
 def _drop(record: StoredRecord, reason: str) -> None:
     event.emit(
         event.Event.RECORD_REFUSED,
--- a/clementinewood/jobwriter.py
+++ b/clementinewood/jobwriter.py
@@ -25,7 +25,7 @@
 """Most appends of one entry without a response at a slow store."""
 
 MAX_BATCH_BYTES = 1 << 20
-"""Size in bytes from which a batch is full; an append may have 2 MB."""
+"""Largest batch in bytes, where the store takes as much."""
 
 RETRY_SECONDS = 0.15
 """Pause before a record whose outcome is unknown is sent again."""
@@ -93,6 +93,7 @@
         self._timers = timers
         self._on_stored = on_stored
         self._is_store_unresponsive = is_store_unresponsive
+        self._max_batch_bytes = min(MAX_BATCH_BYTES, store.limits.call_bytes)
         self._hedge = hedge.HedgingPolicy()
         self._writes: dict[str, _Write] = {}
         self._queue: list[_Write] = []
@@ -163,12 +164,15 @@
         ):
             batch: list[_Write] = []
             size = 0
-            while self._queue and size < MAX_BATCH_BYTES:
-                write = self._queue.pop(0)
+            while self._queue:
+                write = self._queue[0]
+                if batch and size + write.item.size > self._max_batch_bytes:
+                    break
+                self._queue.pop(0)
                 write.queued = False
                 if self._writes.get(write.item.key) is write:
                     batch.append(write)
-                    size += len(write.item.value)
+                    size += write.item.size
             if batch:
                 self._send(batch)
 
--- a/clementinewood/ports.py
+++ b/clementinewood/ports.py
@@ -59,13 +59,35 @@
     sequence: int
 
 
+RECORD_HEAD_BYTES = 5
+"""Bytes of the lengths of a record and of its key."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """Largest appends that the store takes.
+
+    Attributes:
+        record_bytes: Bytes of one record.
+        call_bytes: Bytes of all records of one append.
+    """
+
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyedRecord:
-    """Record to append."""
+    """Record to append; without a value, it deletes its key."""
 
     key: str
     value: bytes
 
+    @property
+    def size(self) -> int:
+        """Bytes that it counts for in the limits of the store."""
+        return len(self.key.encode()) + len(self.value) + RECORD_HEAD_BYTES
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Appended:
@@ -139,7 +161,13 @@
 
 
 class Store(Protocol):
-    """The platform's log of keyed records."""
+    """The platform's log of keyed records.
+
+    Attributes:
+        limits: Limits of its appends.
+    """
+
+    limits: StoreLimits
 
     def append(
         self,
--- a/clementinewood/reservation.py
+++ b/clementinewood/reservation.py
@@ -80,6 +80,6 @@
             continue
         counts[minion_id] = count + 1
         reserved = Reservation(task, active.next_number(task), minion_id)
-        assignments[place] = (reserved.number, minion_id)
+        active.progress.assign(place, reserved.number, minion_id)
         made.append(reserved)
     return made
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -49,6 +49,7 @@
 STORE_SECONDS = 0.004
 MINION_SECONDS = 0.002
 SILENCE_SECONDS = 1.0
+STORE_LIMITS = ports.StoreLimits()
 MAX_APPEND_QUEUE_SECONDS = 2.0
 ORDER_SECONDS = minionclient.ORDER_TIMEOUT_SECONDS
 MAX_LEASE_SECONDS = 6.0
@@ -79,12 +80,14 @@
 class Store:
     """The log of keyed records."""
 
-    def __init__(self, harness):
+    def __init__(self, harness, limits=STORE_LIMITS):
         self.harness = harness
         self.records = {stream: [] for stream in ports.Stream}
         self.newest = {stream: {} for stream in ports.Stream}
         self.first = dict.fromkeys(ports.Stream, 0)
         self.term = 0
+        self.limits = limits
+        self.refused = 0
         self.sequence = None
         self.waiting = []
         self.append_seconds = dict.fromkeys(ports.Stream, 0.0)
@@ -104,6 +107,9 @@
         return offset
 
     def append(self, stream, items, fence):
+        if not self.takes(items):
+            self.refused += 1
+            return ports.Failed(verdict.Execution.NOT_RUN, "status 400")
         if fence is not None:
             if fence.term < self.term:
                 return ports.Fenced()
@@ -119,6 +125,16 @@
             self.last_offset = offsets[0]
         return ports.Appended(offsets[0])
 
+    def takes(self, items):
+        """Whether the records are within the limits of the store."""
+        sizes = [
+            4 + 1 + len(item.key.encode()) + len(item.value) for item in items
+        ]
+        return (
+            max(sizes) <= self.limits.record_bytes
+            and sum(sizes) <= self.limits.call_bytes
+        )
+
     def queue_append(self, stream):
         """Returns seconds until an append is done, one after the other.
 
@@ -152,6 +168,10 @@
         self.page_records = None
         self.page_seconds = STORE_SECONDS
 
+    @property
+    def limits(self):
+        return self.store.limits
+
     def append(self, stream, items, on_result, *, fence=None):
         seconds = STORE_SECONDS
         if self.store.append_seconds[stream]:
@@ -597,6 +617,7 @@
             move.
         policy_share: Share of minions that a policy allows for a step;
             without it, there is no policy.
+        limits: Largest appends that the store takes.
         timers: Timer service; by default one on a manual clock.
     """
 
@@ -609,6 +630,7 @@
         cap=0,
         spare=None,
         policy_share=None,
+        limits=STORE_LIMITS,
         timers=None,
     ):
         self.random = random.Random(seed)
@@ -616,7 +638,7 @@
             timers = timer.TimerService(clock=clock.ManualClock(100.0))
         self.clock = timers.clock
         self.timers = timers
-        self.store = Store(self)
+        self.store = Store(self, limits)
         self.accepted = {}
         self.history = []
         self.violations = []
--- a/features/steps/job_writing_steps.py
+++ b/features/steps/job_writing_steps.py
@@ -12,6 +12,8 @@
 class SerialStore:
     """Takes appends one after the other; some answers are lost or refusals."""
 
+    limits = ports.StoreLimits()
+
     def __init__(self, timers, seconds):
         self.timers = timers
         self.seconds = seconds
