Limit the unconfirmed starts of a minion

Cause: every task that fits was ordered at once. Thousands of orders shared five connections to each minion, timed out after 0.6 s, were repeated up to three times and ejected healthy minions from placement.

Change: at most 32 starts of a minion are planned or unconfirmed. Gangs, whose members wait for each other, and reserved tasks are exempt; at most 1,024 tasks of later steps are reserved. A reservation is dropped when its task is assigned anew, which also held when starts are not permitted.

Cost: a step with more than 32 tasks for one minion starts in rounds of some milliseconds.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -216,7 +216,9 @@
         self._start_hedge = hedge.HedgingPolicy()
         self._planned: list[run.Run] = []
         self._reserved: list[reservation.Reservation] = []
-        self._reservations: dict[job.TaskId, reservation.Reservation] = {}
+        self._reservations: dict[
+            identifiers.JobId, dict[job.TaskId, reservation.Reservation]
+        ] = {}
         self._pacer = pacing.Pacer()
         self._team_buckets = teamrate.TeamTokenBuckets()
 
@@ -503,6 +505,7 @@
                     self._start_hedge.observe(now - item.last_ordered_at)
                 if item.state is run.RunState.STARTING:
                     item.state = run.RunState.RUNNING
+                view.starting.discard(item.key)
                 item.state_changed_at = now
                 self._log_job_started(item, wall)
             case StartOutcome.UNKNOWN:
@@ -776,7 +779,9 @@
     ) -> None:
         made = reservation.reserve_next_steps(active, work)
         self._reserved += made
-        self._reservations.update((item.task, item) for item in made)
+        if made:
+            reserved = self._reservations.setdefault(active.job.job_id, {})
+            reserved.update((item.task, item) for item in made)
 
     def _use_reservations(
         self,
@@ -789,12 +794,15 @@
         A reservation whose minion has no room is dropped.
         """
         orders: list[StartRun] = []
+        reservations = self._reservations.get(active.job.job_id)
+        if not reservations:
+            return orders
         for work in list(active.work.values()):
             for index in list(work.pending):
                 task = job.TaskId(
                     active.job.job_id, work.occurrence, work.number, index
                 )
-                reserved = self._reservations.pop(task, None)
+                reserved = reservations.pop(task, None)
                 if reserved is None or not reserved.stored:
                     continue
                 order = self._start_reserved(
@@ -813,15 +821,15 @@
         now: float,
     ) -> StartRun | None:
         step = work.step
-        found = placement.choose_minion(
-            step,
-            [
-                candidate
-                for candidate in options
-                if candidate.view.minion_id == reserved.minion_id
-            ],
-            work.runs_by_minion,
-        )
+        reserved_on = [
+            candidate
+            for candidate in options
+            if candidate.view.minion_id == reserved.minion_id
+        ]
+        for candidate in reserved_on:
+            # `reservation` bounds these starts; one that waits would be lost.
+            candidate.starts_left = max(1, candidate.starts_left)
+        found = placement.choose_minion(step, reserved_on, work.runs_by_minion)
         if found is None or not self._fits_team_cap(active.job.team, step.need):
             return None
         if step.rack and step.rack not in found.view.minion.labels:
@@ -833,6 +841,7 @@
         )
         active.add_run(item)
         found.view.add_run(item)
+        found.view.starting.add(item.key)
         return self._order_planned(item, now)
 
     def _place_tasks(
@@ -917,6 +926,8 @@
         item.alone = isolation is suspicion.Isolation.ALONE
         active.add_run(item)
         candidate.view.add_run(item)
+        candidate.view.starting.add(item.key)
+        self._reservations.get(active.job.job_id, {}).pop(task, None)
         place = (task.occurrence, task.step, task.position)
         active.progress.assign(place, number, item.minion_id)
         active.progress.state = job.JobState.RUNNING
@@ -1233,12 +1244,7 @@
         if not active.live and (stored or active.cancelled):
             self.jobs.pop(active.job.job_id, None)
             self.policy_cache.forget_job(active.job.job_id)
-            self._forget_reservations(active)
-
-    def _forget_reservations(self, active: activejob.ActiveJob) -> None:
-        for place in active.progress.assignments:
-            task = job.TaskId(active.job.job_id, *place)
-            self._reservations.pop(task, None)
+            self._reservations.pop(active.job.job_id, None)
 
     def _apply_running(
         self,
@@ -1258,6 +1264,7 @@
             if item.state is run.RunState.STARTING:
                 item.state = run.RunState.RUNNING
                 item.state_changed_at = now
+            view.starting.discard(item.key)
             item.unconfirmed = False
             item.awaits_report = False
             item.seen_in_report = True
@@ -1350,6 +1357,7 @@
             self._remove_run(self.views[item.minion_id], item)
             return
         item.state = run.RunState.STOPPING
+        self.views[item.minion_id].starting.discard(item.key)
         item.tries = 0
         item.state_changed_at = 0.0
         self._stops[item.key] = item
--- a/clementinewood/placement.py
+++ b/clementinewood/placement.py
@@ -17,6 +17,10 @@
 EJECTION_FAILURE_SCORE = 3.0
 """Failure score, in failed starts and runs, at which a minion is ejected."""
 
+MAX_STARTS_IN_FLIGHT = 32
+"""Most starts of one minion that are not confirmed. Orders share few
+connections to a minion: thousands of them would time out and be repeated."""
+
 REMOTE_PENALTY = 1.5
 """Factor on the run time on a rack without the data, if none is declared."""
 
@@ -30,12 +34,14 @@
         free: Room left after the tasks that this round has placed.
         has_long_running: Whether it runs long-running tasks.
         set_aside: Whether it only takes a task suspected of crashing minions.
+        starts_left: Starts that may be ordered before others are confirmed.
     """
 
     view: run.MinionView
     free: job.Resources
     has_long_running: bool
     set_aside: bool = False
+    starts_left: int = MAX_STARTS_IN_FLIGHT
 
     @property
     def rack(self) -> str:
@@ -108,6 +114,7 @@
                 view.free(),
                 has_long_running=view.long_running_count > 0,
                 set_aside=is_set_aside(view, now),
+                starts_left=MAX_STARTS_IN_FLIGHT - len(view.starting),
             )
         )
     return found
@@ -133,7 +140,7 @@
     best_rank: tuple[float, ...] = ()
     wanted = rack or step.rack
     for candidate in candidates:
-        if not step.room.fits(candidate.free):
+        if candidate.starts_left <= 0 or not step.room.fits(candidate.free):
             continue
         minion = candidate.view.minion
         if step.label and step.label not in minion.labels:
@@ -177,6 +184,7 @@
     here = runs_by_minion.get(candidate.view.minion_id, 0)
     return (
         not step.long_running
+        and candidate.starts_left > 0
         and step.room.fits(candidate.free)
         and not (limit and here >= limit)
     )
@@ -185,6 +193,7 @@
 def take_room(candidate: Candidate, step: job.Step) -> None:
     """Subtracts the room of one task of `step` from `candidate`."""
     candidate.free = candidate.free.minus(step.room)
+    candidate.starts_left -= 1
     if step.long_running:
         candidate.has_long_running = True
 
@@ -218,7 +227,8 @@
     rack: str,
 ) -> list[Candidate]:
     trial = [
-        dataclasses.replace(candidate)
+        # Its members can't wait for each other's starts.
+        dataclasses.replace(candidate, starts_left=count)
         for candidate in candidates
         if not rack or candidate.rack == rack
     ]
--- a/clementinewood/reservation.py
+++ b/clementinewood/reservation.py
@@ -13,6 +13,10 @@
 
 from clementinewood import activejob, identifiers, job
 
+MAX_RESERVED_TASKS = 1024
+"""Tasks of later steps after which no further step is assigned in advance: each
+takes memory at the leader and a row of the job's stored progress."""
+
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Reservation:
@@ -56,6 +60,8 @@
         opened = active.has_opened(work.occurrence, number)
         if opened or step.gang or step.long_running:
             continue
+        if len(made) + step.count > MAX_RESERVED_TASKS:
+            break
         made += _reserve_step(active, work.occurrence, number, minions)
     return made
 
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -228,6 +228,7 @@
         held_until: Monotonic time in seconds until which only a suspected task
             may start on it.
         isolated: The suspected runs on probation here.
+        starting: Runs of this leader whose start is planned or not confirmed.
     """
 
     minion: catalog.Minion
@@ -251,6 +252,7 @@
     failure_score: float = 0.0
     held_until: float = 0.0
     isolated: list[Run] = dataclasses.field(default_factory=list)
+    starting: set[RunKey] = dataclasses.field(default_factory=set)
 
     @property
     def minion_id(self) -> identifiers.MinionId:
@@ -279,6 +281,7 @@
         """Removes a run, if present, and frees its room."""
         if self.runs.get(item.key) is item:
             del self.runs[item.key]
+            self.starting.discard(item.key)
             self.used = self.used.minus(item.room)
             self.long_running_count -= item.long_running
             if item in self.isolated:
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -214,3 +214,11 @@
     Given a dispatcher whose gang of 3 tasks runs
     When 3 members of the gang fail in that run
     Then the task has 1 failed attempt
+
+  Scenario: Starts on one minion wait until earlier ones are confirmed
+    Given a dispatcher with one minion that confirms no start yet
+    And a job of 100 small tasks and a gang of 40
+    When it plans for 1 seconds
+    Then it has ordered 32 starts of the job and 40 of the gang
+    When the minion confirms what was ordered, round by round
+    Then all 100 tasks have started once
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -5,10 +5,12 @@
 import json
 import random
 from typing import NamedTuple
+from unittest import mock
 
 import behave
 
 from clementinewood import (
+    activejob,
     catalog,
     dispatcher,
     election,
@@ -689,6 +691,108 @@
     assert progress.failed == {(0, 0, 0): count}, progress.failed
 
 
+@behave.given("a dispatcher with one minion that confirms no start yet")
+def create_unconfirmed(context):
+    context.dispatch = create_dispatcher(1)
+    allow_attempts(context.dispatch)
+    poll(context.dispatch, 0.0)
+    context.orders = []
+    context.now = 0.0
+
+
+@behave.given("a job of {count:d} small tasks and a gang of {members:d}")
+def add_wide_jobs(context, count, members):
+    wide = create_job(count)
+    small = dataclasses.replace(wide.steps[0], need=job.Resources(10, 10))
+    gang = dataclasses.replace(small, count=members, gang=True)
+    other = dataclasses.replace(
+        wide, job_id=identifiers.JobId("00000000000000bb"), steps=(gang,)
+    )
+    wide = dataclasses.replace(wide, steps=(small,))
+    for accepted in (wide, other):
+        context.dispatch.add_job(accepted, job.Progress(), 0.0)
+
+
+def plan_once(context):
+    """Plans once and returns the new start orders."""
+    dispatch = context.dispatch
+    context.now += 0.05
+    orders = dispatch.plan(context.now, context.now)
+    orders += dispatch.handle_batch_stored(dispatch.take_batch(), context.now)
+    known = {(order.task, order.number) for order in context.orders}
+    new = [
+        order
+        for order in orders
+        if isinstance(order, dispatcher.StartRun)
+        and (order.task, order.number) not in known
+    ]
+    context.orders += new
+    return new
+
+
+@behave.when("it plans for {seconds:g} seconds")
+def plan_for(context, seconds):
+    while context.now < seconds:
+        plan_once(context)
+
+
+@behave.then(
+    "it has ordered {count:d} starts of the job and {members:d} of the gang"
+)
+def check_ordered(context, count, members):
+    ordered = [order.task.job for order in context.orders]
+    assert ordered.count(JOB_ID) == count, len(ordered)
+    assert len(ordered) == count + members, len(ordered)
+
+
+@behave.when("the minion confirms what was ordered, round by round")
+def confirm_rounds(context):
+    new = list(context.orders)
+    while new:
+        for order in new:
+            context.dispatch.handle_start_outcome(
+                order,
+                dispatcher.StartOutcome.STARTED,
+                context.now,
+                context.now,
+            )
+        new = plan_once(context)
+
+
+@behave.then("all {count:d} tasks have started once")
+def check_started_once(context, count):
+    tasks = [order.task for order in context.orders if order.task.job == JOB_ID]
+    assert len(tasks) == len(set(tasks)) == count, len(tasks)
+
+
+@behave.given("jobs of {few:d} and of {many:d} tasks of which none has started")
+def create_waiting(context, few, many):
+    context.active = []
+    for count in (few, many):
+        active = activejob.ActiveJob(create_job(count), job.Progress(), 0, 0.0)
+        active.open_steps(0.0)
+        context.active.append(active)
+
+
+@behave.when("one task of each ends")
+def end_one(context):
+    context.looks = []
+    is_done = job.Progress.is_done
+    for active in context.active:
+        with mock.patch.object(
+            job.Progress, "is_done", autospec=True, side_effect=is_done
+        ) as looked:
+            active.mark_done(job.TaskId(JOB_ID, 0, 0, 50))
+        context.looks.append(looked.call_count)
+        assert active.progress.is_done(job.TaskId(JOB_ID, 0, 0, 50))
+        assert 50 not in active.work[0, 0].pending
+
+
+@behave.then("both ends looked at the same number of tasks")
+def check_same_cost(context):
+    assert context.looks[0] == context.looks[1], context.looks
+
+
 @behave.when("an older record of the job's progress arrives")
 def take_older(context):
     context.dispatch.add_job(context.accepted, context.older, 0.0)
