--- a/features/decoder_fuzz.feature
+++ b/features/decoder_fuzz.feature
@@ -11,28 +11,31 @@
     Then every variant is rejected or read
 
     Examples: documents
-      | document            |
-      | submitted job       |
-      | minion report       |
-      | start rejection     |
-      | list of machines    |
-      | policy answer       |
-      | read of the log     |
-      | page of records     |
-      | append response     |
-      | append conflict     |
-      | minion record       |
-      | configuration       |
-      | wave                |
-      | stored job          |
-      | stored progress     |
-      | stored cursor       |
-      | stored wave         |
-      | stored wave machine |
-      | stored move         |
-      | leader record       |
-      | entry record        |
-      | settings            |
+      | document             |
+      | submitted job        |
+      | minion report        |
+      | start rejection      |
+      | list of machines     |
+      | policy answer        |
+      | read of the log      |
+      | page of records      |
+      | append response      |
+      | append conflict      |
+      | minion record        |
+      | configuration        |
+      | wave                 |
+      | stored job           |
+      | stored progress      |
+      | block of progress    |
+      | takeover             |
+      | reported completions |
+      | stored cursor        |
+      | stored wave          |
+      | stored wave machine  |
+      | stored move          |
+      | leader record        |
+      | entry record         |
+      | settings             |
 
   Scenario Outline: A job with a negative amount is refused
     Given a valid submitted job
--- a/features/steps/decoder_fuzz_steps.py
+++ b/features/steps/decoder_fuzz_steps.py
@@ -23,6 +23,7 @@
 from clementinewood_platform import (
     machineclient,
     minionclient,
+    peerclient,
     platformsettings,
     policyclient,
     storeclient,
@@ -280,10 +281,31 @@
             "state": "running",
             "done": [[0, 0, "3"]],
             "failed": [[0, 0, 2, 1]],
+            "failed_runs": [[0, 0, 2, 1]],
             "placed": [[0, 0, 3, 1001, "i1"]],
+            "crashed": [[0, 0, 3, 1, 1, 1, "i1"]],
+            "block_tasks": 256,
         },
         lambda body: apply_record(f"p/{JOB_ID}", body),
     ),
+    "block of progress": (
+        {
+            "state": "queued",
+            "done": [[0, 0, "3"]],
+            "failed": [[0, 0, 2, 1]],
+            "failed_runs": [[0, 0, 2, 1]],
+            "placed": [[0, 0, 3, 1001, "i1"]],
+        },
+        lambda body: read_block(body),
+    ),
+    "takeover": (
+        {"term": 3, "leader": "edge-1/5"},
+        peerclient.decode_takeover,
+    ),
+    "reported completions": (
+        {"completed": [JOB_ID]},
+        lambda body: peerclient._read_completions(respond(200, body)),
+    ),
     "stored cursor": ([5, 6], lambda body: apply_record("m/i1", body)),
     "stored wave": (
         {"began": 1.0},
@@ -309,6 +331,14 @@
 }
 
 
+def read_block(body):
+    table = jobtable.JobTable()
+    key = jobtable.render_block_key(identifiers.JobId(JOB_ID), 0)
+    table.apply(jobtable.StoredRecord(key, body, 0))
+    for entry in table:
+        entry.read_progress()
+
+
 def list_places(value, path=()):
     """Yields the path of every part of a document."""
     yield path
