End no leadership because of a message from another entry

Cause: an entry that was asked for reported completions stepped down as the dispatcher at once. The listener for forwarded requests has no authentication, so a false announcement could have stopped all dispatching.

--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -477,11 +477,12 @@
             if entry is None:
                 on_answer(_refuse_unknown(known=known))
                 return
-            if for_entry and self._driver is not None:
-                unstored = self._driver.find_unstored_state(job_id)
+            driver = self._driver
+            if for_entry and driver is not None and self._leads():
+                unstored = driver.find_unstored_state(job_id)
                 if unstored is job.JobState.COMPLETED and not entry.cancelled:
                     self._reported_to_entries.add(job_id)
-                    on_answer(JobDescription(unstored, self._driver.term))
+                    on_answer(JobDescription(unstored, driver.term))
                     return
             on_answer(JobDescription(entry.state))
 
@@ -542,11 +543,16 @@
         leader = self._find_leader()
         if leader is None or announced.term > leader.term:
             self._announced = announced
-        if self._driver is not None and self._driver.term < announced.term:
-            self._driver.step_down(
-                f"{announced.leader} has begun term {announced.term}"
-            )
-        return tuple(sorted(self._completions.pending))
+        return tuple(
+            sorted(self._completions.pending | self._reported_to_entries)
+        )
+
+    def _leads(self) -> bool:
+        """Whether this entry dispatches and knows of no later leader."""
+        leader = self._find_leader()
+        return self._driver is not None and (
+            leader is None or leader.term <= self._driver.term
+        )
 
     def _find_leader(self) -> ports.Takeover | None:
         """Returns the leader of the newest term that this entry knows."""
