End the wait for other entries after a second, whatever becomes of requests

Cause: a new leader held back jobs with lost runs until each request to another entry had an outcome; a request that never gets one would have held them for the whole term. Change: a timer ends the wait after the two attempts' time. Test: a question without any outcome delays lost runs by a second at most.

--- a/clementinewood/takeover.py
+++ b/clementinewood/takeover.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Callable
 
-from clementinewood import entrydirectory, event, identifiers, ports
+from clementinewood import entrydirectory, event, identifiers, ports, timer
 
 ATTEMPTS = 2
 """Requests to an entry that does not answer."""
@@ -21,19 +21,28 @@
 new leader takes no minion of its predecessor for lost."""
 
 
+MAX_SECONDS = ATTEMPTS * ATTEMPT_TIMEOUT_SECONDS
+"""Longest wait for all answers, whatever becomes of the requests."""
+
+
 class CompletionCollector:
     """Asks the other entries of the site.
 
     Args:
         directory: The entries of the site.
         peers: Sends requests to them.
+        timers: Timer service.
     """
 
     def __init__(
-        self, directory: entrydirectory.EntryDirectory, peers: ports.Peers
+        self,
+        directory: entrydirectory.EntryDirectory,
+        peers: ports.Peers,
+        timers: timer.TimerService,
     ) -> None:
         self._directory = directory
         self._peers = peers
+        self._timers = timers
 
     def collect(
         self,
@@ -47,15 +56,17 @@
             takeover: The new leadership.
             on_completion: Called with each job that was reported as completed.
             on_done: Called once, perhaps at once, when all have answered or
-                all attempts have ended.
+                all attempts have ended, within `MAX_SECONDS`.
         """
-        _Collection(
+        collection = _Collection(
             takeover,
             list(self._directory.peers.values()),
             self._peers,
             on_completion,
             on_done,
-        ).start()
+        )
+        self._timers.subscribe_once(MAX_SECONDS, collection.finish)
+        collection.start()
 
 
 class _Collection:
@@ -74,7 +85,8 @@
         self._peers = peers
         self._on_completion = on_completion
         self._on_done = on_done
-        self._waiting = len(entries)
+        self._waiting = {entry.entry_id for entry in entries}
+        self._done = False
         self._silent: list[identifiers.EntryId] = []
         self._completions: set[identifiers.JobId] = set()
 
@@ -82,7 +94,7 @@
         for entry in self._entries:
             self._ask(entry, ATTEMPTS)
         if not self._entries:
-            self._on_done()
+            self.finish()
 
     def _ask(self, entry: entrydirectory.EntryAddress, attempts: int) -> None:
         self._peers.collect(
@@ -108,17 +120,22 @@
                 return
             case ports.Failed():
                 self._silent.append(entry.entry_id)
-        self._waiting -= 1
+        self._waiting.discard(entry.entry_id)
         if not self._waiting:
-            self._finish()
-
-    def _finish(self) -> None:
-        if self._completions or self._silent:
+            self.finish()
+
+    def finish(self) -> None:
+        """Ends the wait; answers that arrive later are still passed on."""
+        if self._done:
+            return
+        self._done = True
+        silent = {*self._silent, *self._waiting}
+        if self._completions or silent:
             event.emit(
                 event.Event.COMPLETIONS_COLLECTED,
                 term=self._takeover.term,
                 completions=len(self._completions),
                 entries=len(self._entries),
-                silent=",".join(sorted(self._silent)),
+                silent=",".join(sorted(silent)),
             )
         self._on_done()
--- a/features/forwarding_harness.py
+++ b/features/forwarding_harness.py
@@ -81,7 +81,7 @@
         )
         self.peers = Peers(site)
         self.service.collector = takeover.CompletionCollector(
-            self.directory, self.peers
+            self.directory, self.peers, timers
         )
         self.forwarder = forwarder.Forwarder(
             self.directory,
--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -131,6 +131,15 @@
       | 9    | 1       | 1.2     |
       | 9    | 3       | 1.2     |
 
+  Scenario: A question without any outcome delays lost runs for a second at most
+    Given a site of entries in zones "a b c a b" with 3 minions
+    And a job of 3 tasks of 9 seconds that runs
+    When questions to a follower have no outcome
+    And the leader is killed and 3 of the minions crash
+    And another entry dispatches
+    And 6 seconds pass on that site
+    Then 3 lost tasks have started again within 1.2 seconds of the takeover
+
   Scenario: A leader that reaches few minions tells no outcomes that are not stored
     Given a site of entries in zones "a b c" with 3 minions
     And a job of 3 tasks of 1 seconds that runs
--- a/features/steps/job_states_steps.py
+++ b/features/steps/job_states_steps.py
@@ -294,6 +294,20 @@
     find_followers(context.site)[0].fall_silent()
 
 
+@behave.when("questions to a follower have no outcome")
+def drop_questions(context):
+    context.former = find_leader(context.site)
+    lost = find_followers(context.site)[0].address
+    for entry in context.site.entries:
+        collect = entry.peers.collect
+
+        def ask(address, *arguments, collect=collect):
+            if address != lost:
+                collect(address, *arguments)
+
+        entry.peers.collect = ask
+
+
 @behave.when("the leader is killed and {count:d} of the minions crash")
 def kill_with_minions(context, count):
     minions = list(context.site.harness.minions.values())[:count]
