Log cancellations that are answered without a record, and what a new leader has read

Change: CW1614 for such a cancellation, with the state and whether the store has a record of it; CW1714 with the jobs in each state and both offsets at the beginning of a term. No logic changed.

--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -77,6 +77,11 @@
         "INFO",
         "completion reported before it is stored",
     )
+    CANCEL_OF_ENDED_JOB = (
+        1614,
+        "INFO",
+        "cancellation of an ended job answered",
+    )
     CANDIDACY_STARTED = (1701, "INFO", "dispatcher candidacy started")
     LEADERSHIP_ACQUIRED = (1702, "INFO", "elected dispatcher")
     LEADERSHIP_ENDED = (1703, "WARNING", "stepped down as dispatcher")
@@ -98,6 +103,7 @@
         "INFO",
         "reported completions collected from entries",
     )
+    JOBS_TAKEN_OVER = (1714, "INFO", "jobs taken over by a new leader")
     MACHINE_ORDERED = (1801, "INFO", "machine move or maintenance ordered")
     MACHINE_REFUSED = (1802, "WARNING", "order about a machine refused")
     MACHINES_UNREACHABLE = (1803, "WARNING", "machines can't be listed")
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -4,6 +4,7 @@
 is the dispatcher.
 """
 
+import collections
 import dataclasses
 import enum
 import random
@@ -440,6 +441,12 @@
             on_answer(_refuse_unknown(known=known))
             return
         if entry.state in job.TERMINAL:
+            event.emit(
+                event.Event.CANCEL_OF_ENDED_JOB,
+                job=job_id,
+                state=entry.state.value,
+                stored=self.table.has_ended(job_id) or entry.cancelled,
+            )
             on_answer(Cancelled())
             return
         key = jobtable.render_key(jobtable.RecordKind.CANCEL, job_id)
@@ -784,6 +791,20 @@
         self._dispatch_feed.min_read_interval = (
             DISPATCHER_DISPATCH_READ_INTERVAL_SECONDS
         )
+        states = collections.Counter(
+            entry.state for entry in self.table if entry.accepted is not None
+        )
+        event.emit(
+            event.Event.JOBS_TAKEN_OVER,
+            term=driver.term,
+            queued=states[job.JobState.QUEUED],
+            running=states[job.JobState.RUNNING],
+            completed=states[job.JobState.COMPLETED],
+            failed=states[job.JobState.FAILED],
+            cancelled=states[job.JobState.CANCELLED],
+            jobs_offset=self._jobs_feed.next_offset,
+            dispatch_offset=self._dispatch_feed.next_offset,
+        )
         if self.collector is None:
             driver.start(self.declared)
             return
