--- a/features/forwarding_harness.py
+++ b/features/forwarding_harness.py
@@ -144,6 +144,21 @@
         count = len(self.entries) - 1
         return all(len(item.directory.peers) == count for item in self.entries)
 
+    def lose_power(self, seconds):
+        """Ends all entries and minions at once, and starts the entries anew."""
+        for minion in self.harness.minions.values():
+            minion.crash()
+        for entry in self.entries:
+            entry.fall_silent()
+            self.harness.kill(entry.service)
+        self.loop.run_for(seconds)
+        zones = [entry.directory.own.zone for entry in self.entries]
+        for entry in self.entries:
+            self.harness.add_entry(entry.name)
+        self.entries = [
+            Entry(self, number, zone) for number, zone in enumerate(zones)
+        ]
+
     def call(self, entry, method, name, *, body=b"", key="key", patience=3.0):
         """Sends a request and returns (status, headers, body, seconds)."""
         asked = self.loop.clock.now
--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -140,6 +140,38 @@
     And 6 seconds pass on that site
     Then 3 lost tasks have started again within 1.2 seconds of the takeover
 
+  Scenario Outline: A job that was shown as completed does not run again after all hosts and minions lost power
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 1 seconds that runs
+    When every entry is <fault> by the store
+    And 1.5 seconds pass on that site
+    And every entry is asked for the job's state
+    And all hosts and minions lose power for 1 seconds
+    And 12 seconds pass on that site
+    Then every entry reports the job as "completed" within 0.5 seconds
+    And no task has started after its job was shown as completed
+
+    Examples:
+      | fault        |
+      | refused      |
+      | not answered |
+
+  Scenario Outline: A job whose cancellation was acknowledged does not run again after all hosts and minions lost power
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 1 seconds that runs
+    When every entry is <fault> by the store
+    And 1.5 seconds pass on that site
+    And every entry is asked for the job's state
+    And every entry is asked to cancel the job
+    And all hosts and minions lose power for 1 seconds
+    And 12 seconds pass on that site
+    Then no task has started after its job's cancellation was acknowledged
+
+    Examples:
+      | fault        |
+      | refused      |
+      | not answered |
+
   Scenario: A leader that reaches few minions tells no outcomes that are not stored
     Given a site of entries in zones "a b c" with 3 minions
     And a job of 3 tasks of 1 seconds that runs
--- a/features/steps/job_states_steps.py
+++ b/features/steps/job_states_steps.py
@@ -159,6 +159,49 @@
     check_state(context, [context.cut], state, seconds)
 
 
+@behave.when("every entry is asked for the job's state")
+def ask_all(context):
+    context.completed_at = None
+    for entry in context.site.entries:
+        if read_state(context, entry) == "completed":
+            context.completed_at = context.site.loop.clock.now
+
+
+@behave.when("every entry is asked to cancel the job")
+def cancel_everywhere(context):
+    context.cancelled_at = None
+    for entry in context.site.entries:
+        status, _, _, _ = context.site.call(entry, "DELETE", NAME)
+        if status in (200, 410):
+            context.cancelled_at = context.site.loop.clock.now
+
+
+@behave.when("all hosts and minions lose power for {seconds:g} seconds")
+def lose_power(context, seconds):
+    context.site.lose_power(seconds)
+
+
+@behave.then("no task has started after its job was shown as completed")
+def check_completion_holds(context):
+    check_no_start_after(context, context.completed_at)
+
+
+@behave.then(
+    "no task has started after its job's cancellation was acknowledged"
+)
+def check_cancellation_holds(context):
+    check_no_start_after(context, context.cancelled_at)
+
+
+def check_no_start_after(context, shown_at):
+    late = [
+        entry
+        for entry in context.site.harness.history
+        if entry[0] == "begin" and shown_at is not None and entry[1] > shown_at
+    ]
+    assert not late, late
+
+
 @behave.given("entries that ask no others for completions")
 def drop_collectors(context):
     for entry in context.site.entries:
