Show completions and cancellations only once the store has them

Cause: a fact that callers were shown without a stored record. While the store took nothing, entries reported a job as completed that the leader knew from the minions' reports, and answered a cancellation of such a job at once. The leader, the entry and the minions kept it in memory. A power loss of all hosts and minions ends all of them at the same moment; the successor reads everything that is stored, and that says that the job runs.

Change: the leader answers other entries what is stored, as it does its own callers. A new leader still announces itself, so that entries which can't read the store ask it for states. An entry remembers a stored completion that another one has answered.

Scenarios that asked for the former behaviour ask for what holds instead: a job that ends while the store is away is running for all, and completed within a second of its return; of a job that was shown as completed no task starts, whoever is lost. A variant in which the leader answers from memory fails that check. The fuzzed decoder of collected completions is gone with them; that of another entry's state takes its place.

--- a/clementinewood/activejob.py
+++ b/clementinewood/activejob.py
@@ -190,17 +190,6 @@
             and 0 <= task.position < self.job.steps[task.step].count
         )
 
-    def has_lost_run(self) -> bool:
-        """Whether a task waits to start again after an earlier leader's run."""
-        assignments = self.progress.assignments
-        return any(
-            place in assignments and assignments[place][0] <= self.numbers_from
-            for work in self.work.values()
-            for place in (
-                (work.occurrence, work.number, index) for index in work.pending
-            )
-        )
-
     def measure_critical_path(
         self, seconds: Iterable[float]
     ) -> tuple[float, float]:
--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -215,7 +215,7 @@
         elif entry.progress.state not in job.TERMINAL:
             if not self.dispatcher.knows_job(accepted.job_id):
                 self._take_over_job(accepted, entry)
-            if entry.completion_reported:
+            if entry.completion_stored:
                 self.dispatcher.complete_job(accepted.job_id)
         else:
             return
@@ -241,15 +241,6 @@
             return now
         return now - self._wall() + max(accepted.accepted, accepted.start)
 
-    def await_completions(self) -> None:
-        """Holds back lost runs until `handle_completions_collected`."""
-        self.dispatcher.awaits_completions = True
-
-    def handle_completions_collected(self) -> None:
-        """Continues the jobs that `await_completions` has held back."""
-        self.dispatcher.awaits_completions = False
-        self._schedule_plan()
-
     def apply_declarations(self, declared: ports.Declarations) -> None:
         """Applies the operators' current declarations."""
         self.dispatcher.config = declared.configuration
@@ -284,21 +275,6 @@
             ):
                 self._queued_records[item.key] = item.value
 
-    def find_unstored_state(
-        self, job_id: identifiers.JobId
-    ) -> job.JobState | None:
-        """Returns the final state of a job that the store may not hold yet.
-
-        Returns None while the store takes appends, since the state is stored
-        within milliseconds then, and where a successor may know more.
-        """
-        now = self._timers.clock()
-        if now < self._compute_leadership_end():
-            return None
-        if not self.dispatcher.may_extend_leases(now):
-            return None
-        return self.dispatcher.find_final_state(job_id)
-
     # Minions.
 
     def _load_minions(self, records: Sequence[jobtable.StoredRecord]) -> None:
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -183,9 +183,6 @@
         policy_cache: Which minions may run which step, on queues with a policy.
         live_minions: Minions that machines run, as the machine service says;
             None if that is not known.
-        awaits_completions: Whether callers may know of completions that this
-            leader has not learned yet. Meanwhile no job continues of which an
-            earlier leader's run is lost: its outcome may have been reported.
     """
 
     def __init__(self, term: identifiers.Term, now: float) -> None:
@@ -198,7 +195,6 @@
         self.times = joborder.RunTimes()
         self.policy_cache = policycache.PolicyCache()
         self.live_minions: Set[identifiers.MinionId] | None = None
-        self.awaits_completions = False
         self.cursors: dict[identifiers.MinionId, jobtable.Cursor] = {}
         self._given_up_tasks = 0
         self._crash_history = suspicion.CrashHistory()
@@ -296,17 +292,11 @@
         self._drop_if_idle(active)
 
     def complete_job(self, job_id: identifiers.JobId) -> None:
-        """Ends a job whose completion has been reported to a caller."""
+        """Ends a job whose completion is stored beside its progress."""
         active = self.jobs.get(job_id)
         if active is not None:
             self._finish(active, job.JobState.COMPLETED)
 
-    def find_final_state(
-        self, job_id: identifiers.JobId
-    ) -> job.JobState | None:
-        """Returns the state in which a job has ended here, stored or not."""
-        return self._ended.get(job_id)
-
     # Minions.
 
     def update_minions(
@@ -673,8 +663,6 @@
             active.open_steps(wall, self.early)
             if queue is None:
                 continue
-            if self.awaits_completions and active.has_lost_run():
-                continue
             if any(work.pending for work in active.work.values()):
                 ranked.append((self._rank(active, queue, now), active))
         orders: list[StartRun] = []
--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -69,14 +69,8 @@
     RUNS_LOST = (1607, "WARNING", "runs of an unresponsive minion lost")
     RUN_FAILED = (1608, "INFO", "run ended without success")
     START_REFUSED = (1609, "INFO", "minion did not start a run")
-    COMPLETION_STORED = (1610, "INFO", "reported completion stored")
     TASK_GIVEN_UP = (1611, "WARNING", "task given up: it crashes minions")
     MINION_CRASHED = (1612, "WARNING", "minion crashed with runs")
-    COMPLETION_REPORTED = (
-        1613,
-        "INFO",
-        "completion reported before it is stored",
-    )
     CANCEL_OF_ENDED_JOB = (
         1614,
         "INFO",
@@ -98,11 +92,6 @@
     POLICY_UNANSWERED = (1710, "WARNING", "policy service returned no tickets")
     ENTRY_UNRESPONSIVE = (1711, "WARNING", "entry does not answer another")
     ENTRY_RESPONSIVE = (1712, "INFO", "entry answers another again")
-    COMPLETIONS_COLLECTED = (
-        1713,
-        "INFO",
-        "reported completions collected from entries",
-    )
     JOBS_TAKEN_OVER = (1714, "INFO", "jobs taken over by a new leader")
     MACHINE_ORDERED = (1801, "INFO", "machine move or maintenance ordered")
     MACHINE_REFUSED = (1802, "WARNING", "order about a machine refused")
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -13,7 +13,6 @@
 
 from clementinewood import (
     catalog,
-    completions,
     dispatchdriver,
     event,
     feed,
@@ -119,12 +118,9 @@
 
     Attributes:
         state: The state.
-        unstored_term: Term of the leader that reports it, if it is not stored;
-            it no longer holds once a later term has begun.
     """
 
     state: job.JobState
-    unstored_term: identifiers.Term | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,13 +170,13 @@
             dispatchers.
         early_seconds: Seconds by which a timed job may start early.
         link_bytes_per_second: Capacity of this host's link; 0 if unknown.
-        collector: Asks other entries at the start of a term; None if they
-            can't be asked.
+        announcer: Tells other entries of a new term; None if they can't be
+            told.
         wall: Source of Unix time in seconds.
         random_fraction: Source of random numbers from 0 to 1.
 
     Attributes:
-        collector: As in `Args`.
+        announcer: As in `Args`.
         declared: The operators' current declarations.
         draining: Whether the entry is stopping.
         table: All jobs of the site.
@@ -201,7 +197,7 @@
         lease_seconds: float = 3.0,
         early_seconds: float = 0.0,
         link_bytes_per_second: float = 0.0,
-        collector: takeover.CompletionCollector | None = None,
+        announcer: takeover.LeaderAnnouncer | None = None,
         wall: Callable[[], float] = time.time,
         random_fraction: Callable[[], float] = _SYSTEM_RANDOM.random,
     ) -> None:
@@ -209,9 +205,8 @@
         self.draining = False
         self.table = jobtable.JobTable()
         self.incarnation = identifiers.create_incarnation(entry_id)
-        self.collector = collector
+        self.announcer = announcer
         self._announced: ports.Takeover | None = None
-        self._reported_to_entries: set[identifiers.JobId] = set()
         self._store = store
         self._minions = minions
         self._machines = machines
@@ -227,12 +222,6 @@
             on_stored=self._apply_own,
             is_store_unresponsive=self._is_store_unresponsive,
         )
-        self._completions = completions.CompletionRecorder(
-            self.table,
-            self._append,
-            timers,
-            lambda: not self._is_state_stale(),
-        )
         metrics.observe(
             metric.DISPATCHING, lambda: [({}, float(self.dispatching))]
         )
@@ -445,7 +434,6 @@
                 event.Event.CANCEL_OF_ENDED_JOB,
                 job=job_id,
                 state=entry.state.value,
-                stored=self.table.has_ended(job_id) or entry.cancelled,
             )
             on_answer(Cancelled())
             return
@@ -461,37 +449,18 @@
 
         self._append(key, b"1", timeout_seconds, answer)
 
-    def describe(
-        self,
-        job_id: identifiers.JobId,
-        on_answer: OnAnswer,
-        *,
-        for_entry: bool = False,
-    ) -> None:
-        """Reports the state of a job after the next read of the log.
+    def describe(self, job_id: identifiers.JobId, on_answer: OnAnswer) -> None:
+        """Reports the stored state of a job after the next read of the log.
 
         If that takes longer than `STATE_REFRESH_TIMEOUT_SECONDS`, the known
         state is reported.
-
-        Args:
-            job_id: The job.
-            on_answer: Called once with the state.
-            for_entry: Whether another entry asks, which records a completion
-                that is not stored yet.
         """
 
         def answer(entry: jobtable.JobEntry | None, known: bool) -> None:
             if entry is None:
                 on_answer(_refuse_unknown(known=known))
-                return
-            driver = self._driver
-            if for_entry and driver is not None and self._leads():
-                unstored = driver.find_unstored_state(job_id)
-                if unstored is job.JobState.COMPLETED and not entry.cancelled:
-                    self._reported_to_entries.add(job_id)
-                    on_answer(JobDescription(unstored, driver.term))
-                    return
-            on_answer(JobDescription(entry.state))
+            else:
+                on_answer(JobDescription(entry.state))
 
         self._find(job_id, answer, newest=True)
 
@@ -514,52 +483,19 @@
             return None
         return identifiers.get_entry(leader.leader)
 
-    def keep_completion(
-        self, job_id: identifiers.JobId, term: identifiers.Term | None
-    ) -> bool:
-        """Keeps a completion that another entry has answered.
+    def observe_completion(self, job_id: identifiers.JobId) -> None:
+        """Remembers a stored completion that another entry has answered.
 
-        Args:
-            job_id: The job.
-            term: Term of the leader that reports it, if it is not stored.
-
-        Returns:
-            Whether callers may be told; a later leader does not know of it.
+        Otherwise this entry would report an older state again while it can't
+        read the log.
         """
-        leader = self._find_leader()
-        if term is not None and leader is not None and term < leader.term:
-            return False
-        if term is not None and not self.table.has_ended(job_id):
-            event.emit(
-                event.Event.COMPLETION_REPORTED,
-                job=job_id,
-                term=term,
-                log_age=round(self._dispatch_feed.seconds_since_caught_up(), 3),
-            )
-        self._completions.add(job_id)
-        return True
-
-    def handle_takeover(
-        self, announced: ports.Takeover
-    ) -> tuple[identifiers.JobId, ...]:
-        """Follows a new leader, which the store may not show to this entry.
+        self.table.mark_completed(job_id)
 
-        Returns:
-            The jobs reported as completed whose completion may not be stored.
-        """
+    def handle_takeover(self, announced: ports.Takeover) -> None:
+        """Follows a new leader, which the store may not show to this entry."""
         leader = self._find_leader()
         if leader is None or announced.term > leader.term:
             self._announced = announced
-        return tuple(
-            sorted(self._completions.pending | self._reported_to_entries)
-        )
-
-    def _leads(self) -> bool:
-        """Whether this entry dispatches and knows of no later leader."""
-        leader = self._find_leader()
-        return self._driver is not None and (
-            leader is None or leader.term <= self._driver.term
-        )
 
     def _find_leader(self) -> ports.Takeover | None:
         """Returns the leader of the newest term that this entry knows."""
@@ -708,15 +644,10 @@
         match prefix:
             case jobtable.RecordKind.JOB.value:
                 return True
-            case jobtable.RecordKind.COMPLETION.value:
-                # This entry's own mark does not show that it is stored.
-                return entry.progress.state in job.TERMINAL
             case _:
                 return entry.cancelled
 
     def _apply_job_entry(self, entry: jobtable.JobEntry) -> None:
-        if entry.accepted and entry.progress.state in job.TERMINAL:
-            self._reported_to_entries.discard(entry.accepted.job_id)
         if self._driver is not None:
             self._driver.apply_job_entry(entry)
 
@@ -805,29 +736,13 @@
             jobs_offset=self._jobs_feed.next_offset,
             dispatch_offset=self._dispatch_feed.next_offset,
         )
-        if self.collector is None:
-            driver.start(self.declared)
-            return
-        driver.await_completions()
         driver.start(self.declared)
-        self.collector.collect(
-            ports.Takeover(driver.term, self.incarnation),
-            self._apply_reported_completion,
-            driver.handle_completions_collected,
-        )
-
-    def _apply_reported_completion(self, job_id: identifiers.JobId) -> None:
-        self._completions.add(job_id)
-        entry = self.table.find(job_id)
-        if entry is not None:
-            self._apply_job_entry(entry)
+        if self.announcer is not None:
+            self.announcer.announce(
+                ports.Takeover(driver.term, self.incarnation)
+            )
 
     def _on_stepped_down(self) -> None:
-        # Other entries have reported these; until now, this one kept them as
-        # the leader.
-        for job_id in self._reported_to_entries:
-            self._completions.add(job_id)
-        self._reported_to_entries.clear()
         self._jobs_feed.min_read_interval = FOLLOWER_JOBS_READ_INTERVAL_SECONDS
         self._dispatch_feed.min_read_interval = (
             FOLLOWER_DISPATCH_READ_INTERVAL_SECONDS
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -19,7 +19,7 @@
     CANCEL = "c"
     PROGRESS = "p"
     COMPLETION = "e"
-    """Completion that an entry has reported before the leader stored it."""
+    """Completion, stored by an entry of an earlier version for the leader."""
 
     CURSOR = "m"
     WAVE = "w"
@@ -206,8 +206,8 @@
         accepted: The job; None while only its later records were read.
         progress: Its stored progress.
         cancelled: Whether its cancellation is stored.
-        completion_reported: Whether a caller knows that it is completed,
-            although its stored progress does not say so yet.
+        completion_stored: Whether the store has its completion, although the
+            progress that was read does not say so.
         blocks: Records of its progress besides the one in `progress`, by
             number; read only by a leader that takes the job over.
     """
@@ -215,7 +215,7 @@
     accepted: job.Job | None = None
     progress: job.Progress = dataclasses.field(default_factory=job.Progress)
     cancelled: bool = False
-    completion_reported: bool = False
+    completion_stored: bool = False
     blocks: dict[int, StoredRecord] = dataclasses.field(default_factory=dict)
 
     @property
@@ -223,7 +223,7 @@
         """State as reported to callers."""
         if self.progress.state in job.TERMINAL:
             return self.progress.state
-        if self.completion_reported:
+        if self.completion_stored:
             return job.JobState.COMPLETED
         if self.cancelled:
             return job.JobState.CANCELLED
@@ -274,16 +274,10 @@
             entry if entry is not None and entry.accepted is not None else None
         )
 
-    def report_completion(self, job_id: identifiers.JobId) -> JobEntry:
-        """Marks a job, known or not, whose completion a caller knows of."""
+    def mark_completed(self, job_id: identifiers.JobId) -> None:
+        """Marks a job, known or not, whose completion is stored."""
         entry = self._entries.setdefault(job_id, JobEntry())
-        entry.completion_reported = True
-        return entry
-
-    def has_ended(self, job_id: identifiers.JobId) -> bool:
-        """Whether a final state of the job is stored."""
-        entry = self._entries.get(job_id)
-        return entry is not None and entry.progress.state in job.TERMINAL
+        entry.completion_stored = True
 
     def apply(self, record: StoredRecord) -> JobEntry | LeaderRecord | None:
         """Applies one record.
@@ -318,7 +312,7 @@
             case RecordKind.CANCEL:
                 entry.cancelled = True
             case RecordKind.COMPLETION:
-                entry.completion_reported = True
+                entry.completion_stored = True
             case RecordKind.PROGRESS:
                 self._apply_progress(entry, record)
         return entry if entry.accepted is not None else None
--- a/clementinewood/ports.py
+++ b/clementinewood/ports.py
@@ -237,33 +237,23 @@
     leader: identifiers.Incarnation
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Completions:
-    """Jobs that an entry has reported as completed before that was stored."""
-
-    job_ids: tuple[identifiers.JobId, ...]
-
-
-CollectResult = Completions | Failed
-
-
 class Peers(Protocol):
     """Sends requests to other entries."""
 
-    def collect(
+    def announce(
         self,
         address: tuple[str, int],
         takeover: Takeover,
         timeout: float,
-        on_result: Callable[[CollectResult], None],
+        on_result: Callable[[PeerResult], None],
     ) -> None:
-        """Announces a leadership and asks for reported completions.
+        """Announces a leadership.
 
         Args:
             address: Address of the other entry's listener.
             takeover: The leadership.
             timeout: Seconds until it times out.
-            on_result: Called once with the result, after `collect` has
+            on_result: Called once with the result, after `announce` has
                 returned.
         """
 
--- a/features/decoder_fuzz.feature
+++ b/features/decoder_fuzz.feature
@@ -28,7 +28,7 @@
       | stored progress      |
       | block of progress    |
       | takeover             |
-      | reported completions |
+      | state of a job       |
       | stored cursor        |
       | stored wave          |
       | stored wave machine  |
--- a/features/forwarding_harness.py
+++ b/features/forwarding_harness.py
@@ -38,6 +38,7 @@
         self.client = peerclient.PeerClient(site.loop.sockets, site.loop.timers)
         self.timers = site.loop.timers
         self.sent = []
+        self.announced = []
         self.lost = set()
         self.cut = set()
 
@@ -51,9 +52,10 @@
 
         return self.client.send(address, request, timeout, answer)
 
-    def collect(self, address, announced, timeout, on_result):
+    def announce(self, address, announced, timeout, on_result):
+        self.announced.append(address)
         if address not in self.cut:
-            self.client.collect(address, announced, timeout, on_result)
+            self.client.announce(address, announced, timeout, on_result)
             return
         lost = ports.Failed(verdict.Execution.MAY_HAVE_RUN, "cut")
         self.timers.subscribe_once(timeout, lambda: on_result(lost))
@@ -80,7 +82,7 @@
             random_fraction=harness.random.random,
         )
         self.peers = Peers(site)
-        self.service.collector = takeover.CompletionCollector(
+        self.service.announcer = takeover.LeaderAnnouncer(
             self.directory, self.peers, timers
         )
         self.forwarder = forwarder.Forwarder(
--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -1,18 +1,17 @@
 Feature: States of jobs while the store can't be read
   Guards against callers who are told for seconds that a job is running although
-  it has ended, since no entry can read its progress, and against a job that
-  runs again after a caller was told that it is completed: its outcome is known
-  to the leader and the minions only, and both may be lost before the store is
-  back.
+  its end is stored, since their entry can't read its progress, and against a
+  job that runs again after a caller was told that it is completed or cancelled:
+  without a record in the store, all who know of it may be lost at once.
 
-  Scenario Outline: A job that ends while the store is away is reported as completed
+  Scenario Outline: A job that ends while the store is away is reported as completed once that is stored
     Given a site of entries in zones "a b c" with 3 minions
     And a job of 3 tasks of 1 seconds that runs
     When every entry is <fault> by the store
     And 1.5 seconds pass on that site
-    Then every entry but the leader reports the job as "completed" within 0.5 seconds
+    Then every entry reports the job as "running" within 0.5 seconds
     When the store serves every entry again
-    And 3 seconds pass on that site
+    And 1 seconds pass on that site
     Then every entry reports the job as "completed" within 0.5 seconds
     And each task has started once
 
@@ -27,6 +26,8 @@
     When every entry is refused by the store
     And 1.2 seconds pass on that site
     And another job is refused at every entry
+    And the store serves the leader again
+    And 0.5 seconds pass on that site
     Then every entry but the leader reports the job as "completed" within 0.5 seconds
 
   Scenario: A job that still runs is not reported as completed
@@ -36,50 +37,54 @@
     And 1.5 seconds pass on that site
     Then every entry reports the job as "running" within 0.5 seconds
 
-  Scenario Outline: A job that was reported as completed does not run again
+  Scenario Outline: A job that was shown as completed does not run again after the leader and the minions are lost
     Given a site of entries in zones "a b c" with 3 minions
     And a job of 3 tasks of 1 seconds that runs
     When every entry is refused by the store
     And 1.5 seconds pass on that site
-    And one entry reports the job as "completed"
+    And every entry is asked for the job's state
     And the leader is killed and the minions crash
     And the store serves every entry again after <seconds> seconds
     And 12 seconds pass on that site
     Then the other entries report the job as "completed" within 0.5 seconds
-    And each task has started once
+    And no task has started after its job was shown as completed
 
     Examples:
       | seconds |
       | 0.2     |
       | 4       |
 
-  Scenario: Without the record of its completion the job would run again
-    Given a site of entries in zones "a b c" with 3 minions
-    And entries that do not record completions
+  Scenario Outline: Where unstored outcomes are shown, a job runs again after it was shown as completed
+    Given a site of entries in zones "<zones>" with 3 minions
+    And entries that report outcomes that are not stored
     And a job of 3 tasks of 1 seconds that runs
-    When every entry is refused by the store
-    And 1.5 seconds pass on that site
-    And one entry reports the job as "completed"
-    And the leader is killed and the minions crash
+    When <entries> refused by the store
+    And all tasks have ended and their minions crash
+    And every entry is asked for the job's state
+    And the leader is killed
     And the store serves every entry again after 0.2 seconds
     And 12 seconds pass on that site
-    Then some task has started again
+    Then some task has started after its job was shown as completed
+
+    Examples:
+      | zones     | entries                       |
+      | a b c     | every entry is                |
+      | a b c a b | the leader and a follower are |
 
-  Scenario Outline: A job that was reported as completed does not run again where the store serves some entries
+  Scenario Outline: A job that was shown as completed does not run again where the store serves some entries
     Given a site of entries in zones "a b c a b" with 3 minions
     And a job of 3 tasks of 1 seconds that runs
     When the leader and a follower are <fault> by the store
     And all tasks have ended and their minions crash
-    And that follower comes to report the job as "completed" within 1 seconds
+    And every entry is asked for the job's state
     And <loss>
     And 10 seconds pass on that site
     Then every entry reports the job as "completed" within 1 seconds
     When the store serves every entry again
     And 3 seconds pass on that site
     Then every entry reports the job as "completed" within 1 seconds
-    And each task has started once
+    And no task has started after its job was shown as completed
 
-    # Without the leader, only the follower knows of the completion.
     Examples:
       | fault        | loss                                                   |
       | refused      | nothing else fails                                     |
@@ -90,31 +95,31 @@
       | not answered | its successor is killed as soon as it dispatches       |
       | refused      | the leader does not respond to other entries           |
 
-  Scenario: Without asking other entries a successor would run the job again
+  Scenario: An entry that the store turns away asks the successor of the leader
     Given a site of entries in zones "a b c a b" with 3 minions
-    And entries that ask no others for completions
     And a job of 3 tasks of 1 seconds that runs
     When the leader and a follower are refused by the store
-    And all tasks have ended and their minions crash
-    And that follower comes to report the job as "completed" within 1 seconds
-    And 10 seconds pass on that site
-    Then some task has started again
-
-  Scenario: An entry that a successor has asked takes no completion from the former leader
-    Given a site of entries in zones "a b c a b" with 3 minions
-    And a job of 3 tasks of 1 seconds that runs
-    When the leader and a follower are refused by the store
-    And all tasks have ended and their minions crash
     And the successor can't ask the former leader
     And another entry dispatches
-    Then that follower does not pass on a completion of the former leader
+    And 0.1 seconds pass on that site
+    Then that follower asks the successor for the job's state
 
-  Scenario: A completion of a job that the entry has not read yet is kept
-    Given a site of entries in zones "a b c a b" with 3 minions
-    When the leader reports a job as completed that a follower has not read
-    Then that follower tells a new leader of the completion
-    When that follower reads the job
-    Then it reports that job as "completed"
+  Scenario: An entry reports no older state after another has shown it a completion
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 0.5 seconds that runs
+    When a follower is refused by the store
+    And 1.5 seconds pass on that site
+    Then that entry reports the job as "completed" within 0.5 seconds
+    When the leader does not respond to other entries
+    Then that entry reports the job as "completed" within 0.5 seconds
+
+  Scenario: A state that an entry of an earlier version has not stored is not passed on
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 4 seconds that runs
+    When a follower is refused by the store
+    And the leader answers "completed" and that it is not stored
+    And 1.2 seconds pass on that site
+    Then that entry reports the job as "running" within 0.5 seconds
 
   Scenario Outline: A silent entry delays only lost runs, for a second
     Given a site of entries in zones "a b c a b" with 3 minions
@@ -172,6 +177,16 @@
       | refused      |
       | not answered |
 
+  Scenario: A running job that was cancelled does not run again after all hosts and minions lost power
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 4 seconds that runs
+    When every entry is asked to cancel the job
+    And all hosts and minions lose power for 1 seconds
+    And 12 seconds pass on that site
+    Then its cancellation was acknowledged
+    And no task has started after its job's cancellation was acknowledged
+    And every entry reports the job as "cancelled" within 0.5 seconds
+
   Scenario: A leader that reaches few minions tells no outcomes that are not stored
     Given a site of entries in zones "a b c" with 3 minions
     And a job of 3 tasks of 1 seconds that runs
