Store the cancellation of a job whose submission is not stored yet

Callers saw (in a test; the users' record doesn't show it): a cancellation was answered with 410, and the job ran.

An entry that did not find the job answered 410 and stored nothing. The job's submission, whose append the store carries out seconds later, or which the caller's client repeats, was then stored and its tasks started.

Change: the cancellation of an unknown job is stored before 410 is answered; the table already kept a cancellation that comes before its job. Without an answer of the store the caller gets 503 or 504, not 410.

Cost: one record of some 20 bytes for each job that is cancelled before it is known.

--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -429,10 +429,10 @@
         *,
         known: bool,
     ) -> None:
-        if entry is None:
+        if entry is None and (not known or self.table.is_cancelled(job_id)):
             on_answer(_refuse_unknown(known=known))
             return
-        if entry.state in job.TERMINAL:
+        if entry is not None and entry.state in job.TERMINAL:
             event.emit(
                 event.Event.CANCEL_OF_ENDED_JOB,
                 job=job_id,
@@ -440,13 +440,19 @@
             )
             on_answer(Cancelled())
             return
+        # Its submission may be on its way to the store, so the cancellation of
+        # an unknown job is stored as well.
         key = jobtable.render_key(jobtable.RecordKind.CANCEL, job_id)
 
         def answer(outcome: ports.AppendResult) -> None:
             match outcome:
                 case ports.Appended():
                     event.emit(event.Event.JOB_CANCELLED, job=job_id)
-                    on_answer(Cancelled())
+                    on_answer(
+                        _refuse_unknown(known=True)
+                        if entry is None
+                        else Cancelled()
+                    )
                 case _:
                     on_answer(self._refuse_append(outcome))
 
@@ -652,14 +658,12 @@
 
     def _is_folded(self, key: str) -> bool:
         prefix, _, name = key.partition("/")
-        entry = self.table.find(identifiers.JobId(name))
-        if entry is None:
-            return False
+        job_id = identifiers.JobId(name)
         match prefix:
             case jobtable.RecordKind.JOB.value:
-                return True
+                return self.table.find(job_id) is not None
             case _:
-                return entry.cancelled
+                return self.table.is_cancelled(job_id)
 
     def _apply_job_entry(self, entry: jobtable.JobEntry) -> None:
         if self._driver is not None:
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -274,6 +274,11 @@
             entry if entry is not None and entry.accepted is not None else None
         )
 
+    def is_cancelled(self, job_id: identifiers.JobId) -> bool:
+        """Whether the cancellation of a job, known or not, is stored."""
+        entry = self._entries.get(job_id)
+        return entry is not None and entry.cancelled
+
     def mark_completed(self, job_id: identifiers.JobId) -> None:
         """Marks a job, known or not, whose completion is stored."""
         entry = self._entries.setdefault(job_id, JobEntry())
--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -205,6 +205,26 @@
     And no task has started after its job's cancellation was acknowledged
     And every entry reports the job as "cancelled" within 0.5 seconds
 
+  Scenario Outline: A job that was cancelled before its submission was stored does not run
+    Given a site of entries in zones "a b c" with 3 minions
+    When a job is submitted at an entry whose append is stored late without an answer
+    And <entry> is asked to cancel it
+    And 1 seconds pass on that site
+    Then its cancellation was acknowledged
+    When 4 seconds pass on that site
+    Then the job is stored and no task of it has started
+    And every entry reports it as "cancelled"
+
+    Examples:
+      | entry         |
+      | another entry |
+      | every entry   |
+
+  Scenario: A cancellation of an unknown job without an answer of the store is not acknowledged
+    Given a site of entries in zones "a b c" with 3 minions
+    When another entry is refused by the store and asked to cancel an unknown job
+    Then it answers 503
+
   Scenario: A leader that reaches few minions tells no outcomes that are not stored
     Given a site of entries in zones "a b c" with 3 minions
     And a job of 3 tasks of 1 seconds that runs
--- a/features/steps/job_states_steps.py
+++ b/features/steps/job_states_steps.py
@@ -399,3 +399,65 @@
 @behave.then("some task has started again")
 def check_again(context):
     assert max(count_starts(context).values()) > 1
+
+
+@behave.when(
+    "a job is submitted at an entry whose append is stored late without an"
+    " answer"
+)
+def submit_late(context):
+    site = context.site
+    entry = find_followers(site)[0]
+    link = entry.link
+    link.lost_answer_ratio, link.carried_out = 1.0, 1.0
+    link.earliest, link.late = 2.0, 2.5
+    step = job.Step(count=1, need=job.Resources(1000, 100), estimate=1.0)
+    site.harness.submit(entry.service, OTHER_NAME, [step], patience=1.0)
+    site.loop.run_for(0.1)
+    link.lost_answer_ratio = 0.0
+    context.others = [item for item in site.entries if item is not entry]
+
+
+@behave.when("another entry is asked to cancel it")
+def cancel_at_other(context):
+    cancel_at(context, context.others[:1])
+
+
+@behave.when("every entry is asked to cancel it")
+def cancel_at_all(context):
+    cancel_at(context, context.site.entries)
+
+
+def cancel_at(context, entries):
+    context.cancelled_at = None
+    for entry in entries:
+        status, _, _, _ = context.site.call(entry, "DELETE", OTHER_NAME)
+        if status in (200, 410):
+            context.cancelled_at = context.site.loop.clock.now
+
+
+@behave.then("the job is stored and no task of it has started")
+def check_cancelled_early(context):
+    assert context.site.count_stored(OTHER_NAME)
+    assert not context.site.harness.count("begin")
+
+
+@behave.then('every entry reports it as "{state}"')
+def check_other_states(context, state):
+    for entry in context.site.entries:
+        assert read_state(context, entry, OTHER_NAME) == state, entry.name
+
+
+@behave.when(
+    "another entry is refused by the store and asked to cancel an unknown job"
+)
+def cancel_without_store(context):
+    for entry in context.site.entries:
+        entry.link.refuses = True
+    entry = find_followers(context.site)[0]
+    context.status, _, _, _ = context.site.call(entry, "DELETE", OTHER_NAME)
+
+
+@behave.then("it answers {status:d}")
+def check_status(context, status):
+    assert context.status == status, context.status
