Ask the leader for states as soon as a read of the log has failed

Cause: what the store has is shown later than it could be. An entry asked the leader only once its log was 0.8 s old. An end that was stored just before an outage, and not read by an entry yet, was running there for that time.

Change: a failed read counts like an old log. The variant that shows unstored outcomes now loses its hosts by a power loss, since the entries that are left would remember the completion.

--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -172,6 +172,11 @@
             case _:
                 self._read()
 
+    @property
+    def failing(self) -> bool:
+        """Whether the last read has failed."""
+        return self._failures > 0
+
     def read_now(self) -> None:
         """Reads now if the feed pauses between two reads."""
         if self._next_read is not None:
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -517,7 +517,7 @@
 
     def _is_state_stale(self) -> bool:
         age = self._dispatch_feed.seconds_since_caught_up()
-        return age > STATE_STALE_SECONDS
+        return self._dispatch_feed.failing or age > STATE_STALE_SECONDS
 
     def count_pending(self, queue: catalog.Queue, on_answer: OnAnswer) -> None:
         """Reports how many jobs of a queue have not started."""
--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -79,15 +79,15 @@
     When <entries> refused by the store
     And all tasks have ended and their minions crash
     And every entry is asked for the job's state
-    And the leader is killed
+    And <loss>
     And the store serves every entry again after 0.2 seconds
     And 12 seconds pass on that site
     Then some task has started after its job was shown as completed
 
     Examples:
-      | zones     | entries                       |
-      | a b c     | every entry is                |
-      | a b c a b | the leader and a follower are |
+      | zones     | entries                       | loss                                           |
+      | a b c     | every entry is                | all hosts and minions lose power for 1 seconds |
+      | a b c a b | the leader and a follower are | the leader is killed                           |
 
   Scenario Outline: A job that was shown as completed does not run again where the store serves some entries
     Given a site of entries in zones "a b c a b" with 3 minions
@@ -240,6 +240,13 @@
     And 1.5 seconds pass on that site
     Then that entry reports the job as "completed" within 0.5 seconds
 
+  Scenario: An entry whose read of the log has failed asks the leader at once
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 1 seconds that runs
+    When the store refuses every entry once it has an end that a follower has not read
+    And 0.4 seconds pass on that site
+    Then every entry reports the job as "completed" within 0.5 seconds
+
   Scenario: An entry whose leader does not respond reports the state that it knows
     Given a site of entries in zones "a b c" with 3 minions
     And a job of 3 tasks of 1 seconds that runs
--- a/features/steps/job_states_steps.py
+++ b/features/steps/job_states_steps.py
@@ -75,6 +75,25 @@
         entry.link.down = True
 
 
+@behave.when(
+    "the store refuses every entry once it has an end that a follower has not"
+    " read"
+)
+def refuse_after_end(context):
+    site = context.site
+
+    def has_unread_end():
+        ended = [
+            entry.service.table.find(identifiers.JobId(NAME)).state
+            is job.JobState.COMPLETED
+            for entry in site.entries
+        ]
+        return any(ended) and not all(ended)
+
+    site.loop.run_until(has_unread_end)
+    refuse_all(context)
+
+
 @behave.when("a follower is refused by the store")
 def refuse_one(context):
     context.cut = find_followers(context.site)[0]
