Write the status of a wave in order, so that a late one does not undo a later one

Cause: a fact that the operator was shown could go back. The status of a wave was appended without a fence. One without a response may be carried out seconds later, after "completed", and leave "running" for good, since the leader believes that it has reported the end.

Change: the leader appends statuses under its term and in order, by the same means as its progress: an append is repeated until its outcome is certain, and the store rejects it after a later one. The simulated store fences each stream by itself.

Result: "A late status of a wave does not undo a later one" failed and passes.

--- a/clementinewood/fencedlog.py
+++ b/clementinewood/fencedlog.py
@@ -41,13 +41,14 @@
 
 
 class FencedLog:
-    """Appends records to the dispatch log under one term.
+    """Appends records to a stream under one term.
 
     Args:
         store: The platform's store.
         timers: Timer service.
         term: The term.
         sequence: Sequence number of its first append.
+        stream: The stream.
     """
 
     def __init__(
@@ -56,8 +57,11 @@
         timers: timer.TimerService,
         term: identifiers.Term,
         sequence: int,
+        *,
+        stream: ports.Stream = ports.Stream.DISPATCH,
     ) -> None:
         self._store = store
+        self._stream = stream
         self._timers = timers
         self._term = term
         self._sequence = sequence
@@ -116,7 +120,7 @@
         sent = self._timers.clock()
         self._attempts_in_flight += 1
         self._store.append(
-            ports.Stream.DISPATCH,
+            self._stream,
             self._items,
             lambda outcome: self._on_response(sequence, sent, outcome),
             fence=ports.Fence(self._term, sequence),
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -9,6 +9,7 @@
     catalog,
     dispatcher,
     event,
+    fencedlog,
     identifiers,
     jobtable,
     machineorders,
@@ -92,7 +93,14 @@
         self._table = table
         self._service = machines
         self._decoder = decoder
-        self._store = store
+        # In order, so that a late append does not undo a later status.
+        self._status_log = fencedlog.FencedLog(
+            store,
+            timers,
+            decisions.term,
+            sequence=0,
+            stream=ports.Stream.STATUS,
+        )
         self._timers = timers
         self._wall = wall
         self._queue_record = queue_record
@@ -139,6 +147,7 @@
     def stop(self) -> None:
         """Cancels the timers; sends no more orders."""
         self._active = False
+        self._status_log.stop()
         for subscription in self._subscriptions:
             subscription.cancel()
 
@@ -599,7 +608,10 @@
     def _report_wave(self, state: waveplanner.WaveState) -> None:
         completed = waveplanner.is_completed(state, self._machines)
         stage = "completed" if completed else "running"
-        if state.reported == stage or not self._machines:
+        if state.reported == stage or not self._machines or not self._active:
+            return
+        if self._status_log.busy:
+            # Written after it; the next round of planning comes here again.
             return
         state.reported = stage
         if completed:
@@ -608,21 +620,14 @@
                 wave=state.wave.number,
                 machines=len(state.done),
             )
-        self._write_status(state, completed=completed)
-
-    def _write_status(
-        self, state: waveplanner.WaveState, *, completed: bool
-    ) -> None:
-        number = state.wave.number
-
-        def check(outcome: ports.AppendResult) -> None:
-            if not isinstance(outcome, ports.Appended) and self._active:
-                state.reported = ""
-
-        self._store.append(
-            ports.Stream.STATUS,
-            [self._decoder.encode_wave_status(number, completed=completed)],
-            check,
+        self._status_log.append(
+            [
+                self._decoder.encode_wave_status(
+                    state.wave.number, completed=completed
+                )
+            ],
+            # A later leader writes the status from then on.
+            lambda outcome: None,
         )
 
     # Moves.
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -77,6 +77,15 @@
         self.slowest_response = 0.0
 
 
+@dataclasses.dataclass
+class Fenced:
+    """The newest fenced append of a stream."""
+
+    term: int = 0
+    sequence: int | None = None
+    offset: int = 0
+
+
 class Store:
     """The log of keyed records."""
 
@@ -85,10 +94,9 @@
         self.records = {stream: [] for stream in ports.Stream}
         self.newest = {stream: {} for stream in ports.Stream}
         self.first = dict.fromkeys(ports.Stream, 0)
-        self.term = 0
+        self.fenced = {stream: Fenced() for stream in ports.Stream}
         self.limits = limits
         self.refused = 0
-        self.sequence = None
         self.waiting = []
         self.append_seconds = dict.fromkeys(ports.Stream, 0.0)
         self.busy_until = dict.fromkeys(ports.Stream, 0.0)
@@ -111,18 +119,18 @@
             self.refused += 1
             return ports.Failed(verdict.Execution.NOT_RUN, "status 400")
         if fence is not None:
-            if fence.term < self.term:
+            fenced = self.fenced[stream]
+            if fence.term < fenced.term:
                 return ports.Fenced()
-            if fence.term == self.term:
-                if fence.sequence == self.sequence:
-                    return ports.Appended(self.last_offset)
-                if fence.sequence != self.sequence + 1:
-                    return ports.OutOfOrder(self.sequence + 1)
-            self.term = fence.term
-            self.sequence = fence.sequence
+            if fence.term == fenced.term:
+                if fence.sequence == fenced.sequence:
+                    return ports.Appended(fenced.offset)
+                if fence.sequence != fenced.sequence + 1:
+                    return ports.OutOfOrder(fenced.sequence + 1)
+            fenced.term, fenced.sequence = fence.term, fence.sequence
         offsets = [self.put(stream, item.key, item.value) for item in items]
         if fence is not None:
-            self.last_offset = offsets[0]
+            self.fenced[stream].offset = offsets[0]
         return ports.Appended(offsets[0])
 
     def takes(self, items):
--- a/features/machine_handover.feature
+++ b/features/machine_handover.feature
@@ -41,6 +41,12 @@
     And all tasks of the job are at work
     And no rule was broken
 
+  Scenario: A late status of a wave does not undo a later one
+    Given a site whose wave takes 2 machines down, 2 at once
+    When the first status of the wave is stored 9 seconds late without an answer
+    Then the wave is completed within 40 seconds
+    And it still is after 12 seconds
+
   Scenario Outline: Only a certain outcome frees the place of an order without a response
     Given a machine order without a response
     When the next attempt has the outcome "<outcome>"
--- a/features/steps/machine_handover_steps.py
+++ b/features/steps/machine_handover_steps.py
@@ -10,6 +10,7 @@
     machineorders,
     ports,
     run,
+    verdict,
 )
 from features import job_harness, wave_faults
 
@@ -25,6 +26,64 @@
     context.harness = context.site.harness
 
 
+@behave.when("the store takes {seconds:g} seconds for each append of progress")
+def slow_appends(context, seconds):
+    store = context.harness.store
+    put, context.begun_at_completion = store.put, []
+
+    def observe(stream, key, value):
+        if stream is ports.Stream.STATUS and b"completed" in value:
+            records = store.newest[ports.Stream.DISPATCH].items()
+            context.begun_at_completion.append(
+                [
+                    name
+                    for name, record in records
+                    if name.startswith(f"w/{wave_faults.WAVE}/")
+                    and b"begun" in record.value
+                ]
+            )
+        return put(stream, key, value)
+
+    store.put = observe
+    store.append_seconds[ports.Stream.DISPATCH] = seconds
+    context.site.begin_wave()
+
+
+@behave.then("the maintenance of each of its machines was stored before")
+def check_stored_before(context):
+    (begun,) = context.begun_at_completion
+    assert len(begun) == len(context.site.wave.machines), begun
+
+
+@behave.when(
+    "the first status of the wave is stored {seconds:g} seconds late without"
+    " an answer"
+)
+def delay_first_status(context, seconds):
+    harness = context.harness
+    store, access = harness.store, harness.dispatcher()._store
+    append = access.append
+
+    def lose_first(stream, items, on_result, *, fence=None):
+        if stream is not ports.Stream.STATUS:
+            append(stream, items, on_result, fence=fence)
+            return
+        access.append = append
+        later = harness.timers.subscribe_once
+        later(seconds, lambda: store.append(stream, items, fence))
+        lost = ports.Failed(verdict.Execution.MAY_HAVE_RUN, "lost")
+        later(job_harness.SILENCE_SECONDS, lambda: on_result(lost))
+
+    access.append = lose_first
+    context.site.begin_wave()
+
+
+@behave.then("it still is after {seconds:g} seconds")
+def check_still_completed(context, seconds):
+    context.harness.run_for(seconds)
+    assert context.site.is_completed()
+
+
 @behave.given("maintenance takes {seconds:g} seconds")
 def set_maintenance_seconds(context, seconds):
     context.harness.machine_service.upkeep_seconds = seconds
