Show a wave as completed only once the store has the end of its last machine

Cause: a fact that the operator was shown without a stored record. "completed" was written beside the append of the last machine's progress. If that append was lost with all hosts, the successor wrote "running" again and repeated the order.

Change: the status is written after that append.

--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -559,6 +559,12 @@
         """Records that a wave has nothing left to do for a machine."""
         state.done.add(order.machine_id)
         state.draining_machines.pop(order.machine_id, None)
+        state.unstored.add(order.machine_id)
+
+        def handle_stored() -> None:
+            state.unstored.discard(order.machine_id)
+            self._report_wave(state)
+
         self._queue_record(
             jobtable.render_wave_machine_key(
                 state.wave.number, order.machine_id
@@ -568,8 +574,8 @@
                     jobtable.MaintenanceStage.BEGUN, order.minion_id
                 )
             ),
+            handle_stored,
         )
-        self._report_wave(state)
 
     def _record_settled(self, order: machineorders.MachineOrder) -> None:
         """Records that no successor has to repeat a move."""
@@ -606,7 +612,10 @@
     # Waves.
 
     def _report_wave(self, state: waveplanner.WaveState) -> None:
-        completed = waveplanner.is_completed(state, self._machines)
+        completed = (
+            waveplanner.is_completed(state, self._machines)
+            and not state.unstored
+        )
         stage = "completed" if completed else "running"
         if state.reported == stage or not self._machines or not self._active:
             return
--- a/clementinewood/waveplanner.py
+++ b/clementinewood/waveplanner.py
@@ -53,6 +53,7 @@
         down: Machines that are down for the wave or have been ordered down,
             also by earlier leaders.
         reported: Status last written for operators.
+        unstored: Machines whose end of maintenance is not stored yet.
     """
 
     wave: catalog.Wave
@@ -63,6 +64,9 @@
     )
     down: set[identifiers.MachineId] = dataclasses.field(default_factory=set)
     reported: str = ""
+    unstored: set[identifiers.MachineId] = dataclasses.field(
+        default_factory=set
+    )
 
 
 class WaveAction(enum.Enum):
--- a/features/machine_handover.feature
+++ b/features/machine_handover.feature
@@ -41,6 +41,12 @@
     And all tasks of the job are at work
     And no rule was broken
 
+  Scenario: A wave is shown as completed only once that is stored
+    Given a site whose wave takes 12 machines down, 12 at once
+    When the store takes 0.3 seconds for each append of progress
+    Then the wave is completed within 40 seconds
+    And the maintenance of each of its machines was stored before
+
   Scenario: A late status of a wave does not undo a later one
     Given a site whose wave takes 2 machines down, 2 at once
     When the first status of the wave is stored 9 seconds late without an answer
