Acknowledge outcomes only to minions that have reported to this leader

The first poll of a term acknowledged the stored cursor if its incarnation was the listed one. A minion that has restarted while the store was away is still listed with its earlier incarnation; it numbers its outcomes from one again and forgot those that nobody had read, so that done tasks started again (TWICE). A poll now acknowledges nothing until the minion has accepted this leader's token, that is, reported its incarnation. Where the minion is the same, the acknowledgement comes with the second poll.

The simulated minions now report a rule broken when a leader acknowledges something before it has read their outcomes, on all sites of the features.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -339,10 +339,7 @@
         self._minions.poll(
             view.minion,
             self.term,
-            # An unresponsive minion may have restarted and number its outcomes
-            # from one again, so nothing is acknowledged until it has reported
-            # its incarnation.
-            acked_sequence=0 if view.failed_polls else view.stored_sequence,
+            acked_sequence=self._find_acknowledged(view),
             deadline=deadline,
             wait=wait,
             patience=self._response_times.compute_patience(now),
@@ -351,6 +348,16 @@
             ),
         )
 
+    def _find_acknowledged(self, view: run.MinionView) -> int:
+        """Returns the number of the last outcome to acknowledge to a minion.
+
+        One that has not just reported its incarnation to this leader may have
+        restarted and number its outcomes from one again.
+        """
+        if not view.token_accepted or view.failed_polls:
+            return 0
+        return view.stored_sequence
+
     def _compute_long_poll(self, now: float) -> float:
         """Returns how long a poll of a minion with runs waits."""
         match self._response_times.judge(now):
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -288,6 +288,7 @@
         self.lapsed_at = 0.0
         self.born = self.harness.clock()
         self.waiting = []
+        self.read_by = 0
 
     @property
     def now(self):
@@ -414,6 +415,11 @@
         if term < self.token:
             return ports.PollFenced()
         self.token = term
+        if acked_sequence and self.read_by != term:
+            self.harness.violations.append(
+                f"{self.minion_id} forgets ends that term {term} has not read"
+            )
+        self.read_by = term
         for row in self.ended:
             if row.sequence <= acked_sequence:
                 self.harness.record_acknowledgement(self, row)
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -166,6 +166,16 @@
     And 4 tasks run
     And no rule was broken
 
+  Scenario: A new leader reads what a minion has ended since it restarted unlisted
+    Given a site with 3 entries and 4 minions
+    And 40 jobs that have ended
+    When all minions restart and the platform still lists the earlier ones
+    And a job of 1 steps with 4 tasks is submitted
+    And all entries are killed once its tasks have ended unread, and start again
+    Then every entry says that the job is "completed" within 15 seconds
+    And no rule was broken
+    And 44 runs began
+
   Scenario: A failure that is stored and not acknowledged counts once
     Given a site with 3 entries and 4 minions
     When every minion fails what it runs once
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -502,6 +502,35 @@
     assert entry._dispatch_feed.state is feed.State.FOLLOWING
 
 
+@behave.when(
+    "all minions restart and the platform still lists the earlier ones"
+)
+def restart_unlisted(context):
+    harness = context.harness
+    for minion in harness.minions.values():
+        listed = minion.describe()
+        minion.describe = lambda listed=listed: listed
+        minion.crash()
+    harness.run_for(3.0)
+
+
+@behave.when(
+    "all entries are killed once its tasks have ended unread, and start again"
+)
+def kill_all_unread(context):
+    harness = context.harness
+    minions = harness.minions.values()
+    harness.run_until(lambda: any(minion.running for minion in minions))
+    harness.run_for(0.1)
+    names = [entry._minions.name for entry in harness.entries]
+    for entry in list(harness.entries):
+        harness.kill(entry)
+    harness.run_until(lambda: not any(minion.running for minion in minions))
+    assert any(minion.ended for minion in minions)
+    for name in names:
+        harness.add_entry(name)
+
+
 @behave.when("every minion fails what it runs once")
 def fail_once(context):
     for minion in context.harness.minions.values():
