Acknowledge outcomes only right after a response of their minion

Polls pause up to 0.5 s while outcomes are being stored. A minion that restarted within that time was sent the cursor of its earlier incarnation and could forget outcomes that nobody had read. A poll more than 0.1 s after the last response acknowledges nothing; the response to it confirms the incarnation. So that outcomes don't pile up while the store is slow, the poll after a report that still lists stored ones is sent at once. What remains is a restart within 0.1 s and the time of the poll on its way.

Before: the new scenario of job_service.feature failed with "m2 forgets ends that term 1 has not read" on three minions.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -57,6 +57,10 @@
 """Pause between polls while outcomes wait to be stored: such polls return at
 once and only renew the lease."""
 
+ACKNOWLEDGEMENT_VALID_SECONDS = 0.1
+"""Age of a minion's last response to a poll from which its outcomes are not
+acknowledged before it has responded again: it may have restarted meanwhile."""
+
 MINIONS_READ_INTERVAL_SECONDS = 0.1
 """Least time between two reads of minions' reports; each minion reports every
 1.5 s, and machines take as long to move."""
@@ -339,7 +343,7 @@
         self._minions.poll(
             view.minion,
             self.term,
-            acked_sequence=self._find_acknowledged(view),
+            acked_sequence=self._find_acknowledged(view, now),
             deadline=deadline,
             wait=wait,
             patience=self._response_times.compute_patience(now),
@@ -348,13 +352,18 @@
             ),
         )
 
-    def _find_acknowledged(self, view: run.MinionView) -> int:
+    def _find_acknowledged(self, view: run.MinionView, now: float) -> int:
         """Returns the number of the last outcome to acknowledge to a minion.
 
         One that has not just reported its incarnation to this leader may have
         restarted and number its outcomes from one again.
         """
-        if not view.token_accepted or view.failed_polls:
+        age = now - view.last_answer
+        if (
+            not view.token_accepted
+            or view.failed_polls
+            or age > ACKNOWLEDGEMENT_VALID_SECONDS
+        ):
             return 0
         return view.stored_sequence
 
@@ -420,9 +429,11 @@
                     self._flush()
                     # The next poll acknowledges these outcomes; it is sent
                     # once they are stored.
-                    pause = UNSTORED_OUTCOMES_POLL_DELAY_SECONDS
-                    if view.applied_sequence <= view.stored_sequence:
-                        pause = 0.0
+                    if not any(
+                        row.sequence <= view.stored_sequence
+                        for row in outcome.ended
+                    ):
+                        pause = UNSTORED_OUTCOMES_POLL_DELAY_SECONDS
             case ports.PollFenced():
                 self.step_down(
                     f"minion {minion_id} rejected token {self.term}: it has a"
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -176,6 +176,15 @@
     And no rule was broken
     And 44 runs began
 
+  Scenario: A minion that restarts between two polls forgets no end that is unread
+    Given a site with 3 entries and 4 minions
+    And 40 jobs that have ended
+    When minions restart within 0.2 seconds
+    And a job of 1 steps with 24 tasks of 1 seconds is submitted
+    And its minions restart once they have reported ends that the store takes slowly
+    Then every entry says that the job is "completed" within 15 seconds
+    And no rule was broken
+
   Scenario: A failure that is stored and not acknowledged counts once
     Given a site with 3 entries and 4 minions
     When every minion fails what it runs once
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -1,6 +1,7 @@
 """Steps for whole sites on simulated services of the platform."""
 
 import dataclasses
+from unittest import mock
 
 import behave
 
@@ -531,6 +532,31 @@
         harness.add_entry(name)
 
 
+@behave.when("minions restart within {seconds:g} seconds")
+def restart_soon(context, seconds):
+    patch = mock.patch.object(job_harness, "CRASH_SECONDS", seconds)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@behave.when(
+    "its minions restart once they have reported ends that the store takes"
+    " slowly"
+)
+def restart_between_polls(context):
+    harness = context.harness
+    harness.run_until(lambda: harness.count("begin") == 64)
+    harness.store.append_seconds[ports.Stream.DISPATCH] = 1.5
+    driver = harness.dispatcher().elector.driver
+    harness.run_until(lambda: driver._paused_polls)
+    for minion_id in driver._paused_polls:
+        view = driver.dispatcher.views[minion_id]
+        assert view.stored_sequence and view.has_unstored_outcomes
+        harness.minions[minion_id].crash()
+    harness.run_for(2.0)
+    harness.store.append_seconds[ports.Stream.DISPATCH] = 0.0
+
+
 @behave.when("every minion fails what it runs once")
 def fail_once(context):
     for minion in context.harness.minions.values():
