Store the blocks of divided progress before the record that tells of them

The append that divides a job's progress put the new p/ID first, which replaces the whole record, and its blocks after it. Cut off after a call (power loss, or another entry's candidacy), it left a successor with nothing done, assigned or failed, although ends had been acknowledged: done tasks started again (TWICE). p/ID now comes after its blocks, so it is in the job's last call. Blocks beside a whole p/ID are left over from a division that was cut off: they are not read, and are deleted with the next division, before the new p/ID, or with the end of the job. So they are never added to a later record, also when the next leader's blocks have another size.

--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -234,6 +234,9 @@
         whole = self.progress.copy()
         # A leader of an earlier version stores all rows in one record.
         whole.changed = whole.list_places()
+        if not whole.block_tasks:
+            # Blocks beside it are left over from a division that was cut off.
+            return whole
         for record in self.blocks.values():
             match job.decode_progress(record.value):
                 case result.Success(part):
--- a/clementinewood/progressrecord.py
+++ b/clementinewood/progressrecord.py
@@ -120,7 +120,8 @@
     """Encodes progress whole, or in blocks once it does not fit any more.
 
     A job whose progress is stored in blocks stays so until it ends: then its
-    blocks are deleted.
+    blocks are deleted. The record that tells of the blocks comes after them,
+    so that they count only once the division is stored as a whole.
 
     Args:
         limits: Limits of the store.
@@ -139,12 +140,14 @@
 
         Args:
             accepted: The job.
-            block_tasks: Tasks in a block; 0 if it has none.
-            blocks: Numbers of its blocks.
+            block_tasks: Tasks in a block; 0 if it is stored whole.
+            blocks: Numbers of its blocks, or of those that are left over from
+                a division that was cut off.
         """
+        if blocks:
+            self._blocks[accepted.job_id] = set(blocks)
         if block_tasks:
             self._divide(accepted, block_tasks)
-            self._blocks[accepted.job_id] = set(blocks)
 
     def encode(
         self, accepted: job.Job, progress: job.Progress
@@ -157,6 +160,7 @@
                 _create_record(job_id, job.encode_progress(progress)),
                 *self._delete_blocks(job_id),
             ]
+        leftover: set[int] = set()
         if job_id not in self._layouts:
             whole = _create_record(job_id, job.encode_progress(progress))
             if whole.size <= self._limits.record_bytes:
@@ -165,17 +169,21 @@
                 accepted,
                 max(1, self._limits.record_bytes // MAX_TASK_BYTES),
             )
-            self._blocks[job_id] = set()
+            leftover = self._blocks.pop(job_id, leftover)
             changed = progress.list_places()
         head = job.Progress(
             progress.state, block_tasks=self._block_tasks[job_id]
         )
         layout = self._layouts[job_id]
-        blocks = sorted({layout.find_block(place) for place in changed})
-        self._blocks[job_id].update(blocks)
+        blocks = {layout.find_block(place) for place in changed}
+        self._blocks.setdefault(job_id, set()).update(blocks)
         return [
+            *self.delete_blocks(job_id, leftover - blocks),
+            *(
+                self._encode_block(job_id, progress, block)
+                for block in sorted(blocks)
+            ),
             _create_record(job_id, job.encode_progress(head)),
-            *(self._encode_block(job_id, progress, block) for block in blocks),
         ]
 
     def delete_blocks(
--- a/features/large_jobs.feature
+++ b/features/large_jobs.feature
@@ -41,6 +41,15 @@
       | the store is away for 3 seconds             |
       | the history of the dispatch log is dropped  |
 
+  Scenario: A leader is lost within the append that divides the progress of a job
+    Given a site with 3 entries and 6 minions whose store takes records of 4096 bytes and calls of 5120
+    When a job of 240 tasks, 120 at a time, and then a gang of 250 is submitted
+    And all entries are killed after the first call that divides its progress, and start again
+    Then the large job is completed within 60 seconds
+    And its progress was stored in blocks, which are deleted
+    And the store has refused no append
+    And no rule was broken
+
   Scenario: A leader deletes the blocks that its predecessor left behind
     Given a site with 3 entries and 6 minions whose store takes records of 4096 bytes
     When a job of 1 steps with 400 small tasks each is submitted
@@ -53,6 +62,27 @@
     And another leader reads it
     Then both know the same progress
 
+  Scenario Outline: Progress is taken over from each place where an append was cut off
+    Given a job of 300 tasks whose progress is stored <stored> with records of 16384 bytes
+    When the end of an append that <change> is not stored, from any record on
+    Then a leader that takes the job over reads each task as it was before or after
+    And it reads <read>
+    When it stores some progress whole or in blocks of <size> tasks
+    Then another leader reads the same
+    When it stores much progress
+    Then another leader reads the same
+    When it stores the end of the job
+    Then no block is left
+
+    Examples:
+      | stored     | change                    | read                        | size |
+      | not at all | divides it                | none of its blocks          | 16   |
+      | not at all | divides it                | none of its blocks          | 7    |
+      | whole      | divides it                | none of its blocks          | 16   |
+      | whole      | divides it                | none of its blocks          | 7    |
+      | in blocks  | stores some of its blocks | each block that was stored  | 16   |
+      | in blocks  | stores some of its blocks | each block that was stored  | 7    |
+
   Scenario Outline: Failed and crashed runs of many tasks fit into records
     Given a job of <steps> steps of <tasks> tasks, <times> times, of which each has failed and crashed
     When a leader whose store takes records of <bytes> bytes stores it
--- a/features/steps/large_jobs_steps.py
+++ b/features/steps/large_jobs_steps.py
@@ -76,6 +76,59 @@
     return answers
 
 
+@behave.given(
+    "a site with 3 entries and 6 minions whose store takes records of"
+    " {size:d} bytes and calls of {call:d}"
+)
+def create_site_with_both(context, size, call):
+    create_harness(context, ports.StoreLimits(size, call))
+
+
+@behave.when(
+    "a job of {tasks:d} tasks, {count:d} at a time, and then a gang of"
+    " {members:d} is submitted"
+)
+def submit_gang(context, tasks, count, members):
+    cpu = len(context.harness.minions) * job_harness.CAPACITY.cpu // count
+    first = job.Step(count=tasks, need=job.Resources(cpu, 8), estimate=0.8)
+    gang = job.Step(
+        count=members,
+        need=job.Resources(4, 8),
+        estimate=0.8,
+        gang=True,
+        after=(0,),
+    )
+    submit(context, [first, gang], context.large)
+
+
+@behave.when(
+    "all entries are killed after the first call that divides its progress, and"
+    " start again"
+)
+def kill_while_dividing(context):
+    harness = context.harness
+    store = harness.store
+    names = [entry._minions.name for entry in harness.entries]
+    append = store.append
+
+    def kill_all():
+        for entry in list(harness.entries):
+            harness.kill(entry)
+
+    def cut(stream, items, fence):
+        outcome = append(stream, items, fence)
+        if harness.entries and any(has_block(item.key) for item in items):
+            kill_all()
+        return outcome
+
+    with mock.patch.object(store, "append", cut):
+        harness.run_until(lambda: not harness.entries)
+    (accepted,) = harness.accepted.values()
+    assert len(harness.done) > accepted.steps[0].count / 2, len(harness.done)
+    for name in names:
+        harness.add_entry(name)
+
+
 @behave.when("{count:d} ordinary jobs are submitted")
 def submit_ordinary(context, count):
     for _ in range(count):
@@ -238,7 +291,11 @@
 
 def list_blocks(context):
     newest = context.harness.store.newest[ports.Stream.DISPATCH]
-    return [key for key in newest if re.fullmatch(r"p/[0-9a-f]+/\d+", key)]
+    return [key for key in newest if has_block(key)]
+
+
+def has_block(key):
+    return re.fullmatch(r"p/[0-9a-f]+/\d+", key) is not None
 
 
 @behave.then("its progress was stored in blocks, which are deleted")
@@ -246,7 +303,7 @@
     context.harness.run_for(1.0)
     records = context.harness.store.records[ports.Stream.DISPATCH]
     keys = {record.key for record in records}
-    assert any(re.fullmatch(r"p/[0-9a-f]+/\d+", key) for key in keys)
+    assert any(has_block(key) for key in keys)
     assert not list_blocks(context), list_blocks(context)[:5]
 
 
@@ -480,3 +537,190 @@
 @behave.then("only its block and the state are stored again")
 def check_one_block(context):
     assert len(context.items) == 2, [item.key for item in context.items]
+
+
+# Appends that are cut off.
+
+
+def get_rows(progress, place):
+    return (
+        progress.is_done(job.TaskId(identifiers.JobId("a"), *place)),
+        progress.failed.get(place),
+        progress.failed_runs.get(place),
+        progress.assignments.get(place),
+        progress.crashed.get(place),
+    )
+
+
+def list_rows(accepted, progress):
+    return [
+        get_rows(progress, (0, 0, position))
+        for position in range(accepted.steps[0].count)
+    ]
+
+
+def change_tasks(accepted, progress, number, positions):
+    """Lets tasks go on: some are done, others have failed and run again."""
+    progress.state = job.JobState.RUNNING
+    for position in positions:
+        task = job.TaskId(accepted.job_id, 0, 0, position)
+        if progress.is_done(task):
+            continue
+        progress.assign((0, 0, position), number, LONG_NAME)
+        if position % 3 == 0:
+            progress.set_done(task)
+        else:
+            progress.add_failure(task, number)
+
+
+class Log:
+    """Records of one job, and the table of an entry that has read them."""
+
+    def __init__(self, accepted, records=()):
+        self.accepted = accepted
+        self.records = list(records)
+
+    def read(self):
+        """Returns the job's entry in the table."""
+        key = jobtable.render_key(jobtable.RecordKind.JOB, self.accepted.job_id)
+        table = jobtable.JobTable()
+        first = jobtable.StoredRecord(key, job.encode_job(self.accepted), 0)
+        table.apply(first)
+        for offset, item in enumerate(self.records, 1):
+            table.apply(jobtable.StoredRecord(item.key, item.value, offset))
+        return table.find(self.accepted.job_id)
+
+
+class Successor:
+    """A leader that has taken the job over from a log."""
+
+    def __init__(self, log, block_tasks):
+        limits = ports.StoreLimits(
+            block_tasks * progressrecord.MAX_TASK_BYTES, 131072
+        )
+        self.log = log
+        entry = log.read()
+        self.progress = entry.read_progress()
+        self.encoder = progressrecord.ProgressEncoder(limits)
+        self.encoder.restore(
+            log.accepted, self.progress.block_tasks, entry.blocks
+        )
+
+    def store(self):
+        self.log.records += self.encoder.encode(
+            self.log.accepted, self.progress
+        )
+
+
+@behave.given(
+    "a job of {tasks:d} tasks whose progress is stored {how} with records of"
+    " {size:d} bytes"
+)
+def store_before(context, tasks, how, size):
+    accepted = create_large(1, tasks, 1)
+    context.log = Log(accepted)
+    context.leader = Successor(
+        context.log, size // progressrecord.MAX_TASK_BYTES
+    )
+    counts = {"not at all": 0, "whole": 40, "in blocks": 150}
+    if counts[how]:
+        change_tasks(
+            accepted, context.leader.progress, 1001, range(counts[how])
+        )
+        context.leader.store()
+    assert (len(context.log.records) > 1) == (how == "in blocks")
+    context.before = context.leader.progress.copy()
+
+
+@behave.when(
+    "the end of an append that {change} is not stored, from any record on"
+)
+def cut_append(context, change):
+    accepted = context.log.accepted
+    stored = list(context.log.records)
+    positions = range(20, 300) if change == "divides it" else range(100, 200)
+    change_tasks(accepted, context.leader.progress, 1002, positions)
+    context.leader.store()
+    items = context.log.records[len(stored) :]
+    assert len(items) > 5
+    context.logs = [
+        Log(accepted, stored + items[:count]) for count in range(len(items))
+    ]
+
+
+@behave.then(
+    "a leader that takes the job over reads each task as it was before or after"
+)
+def check_before_or_after(context):
+    accepted = context.log.accepted
+    before = list_rows(accepted, context.before)
+    after = list_rows(accepted, context.leader.progress)
+    for log in context.logs:
+        read = list_rows(accepted, log.read().read_progress())
+        for rows in zip(read, before, after, strict=True):
+            assert rows[0] in rows[1:], rows
+
+
+@behave.then("it reads none of its blocks")
+def check_reads_whole(context):
+    before = list_rows(context.log.accepted, context.before)
+    for log in context.logs:
+        read = list_rows(context.log.accepted, log.read().read_progress())
+        assert read == before
+
+
+@behave.then("it reads each block that was stored")
+def check_reads_blocks(context):
+    for log in context.logs:
+        entry = log.read()
+        assert entry.progress.block_tasks == 16
+        read = entry.read_progress()
+        for record in entry.blocks.values():
+            part = job.decode_progress(record.value).unwrap()
+            for place in part.list_places():
+                assert get_rows(read, place) == get_rows(part, place)
+
+
+@behave.when("it stores some progress whole or in blocks of {size:d} tasks")
+def store_some(context, size):
+    context.successors = [Successor(log, size) for log in context.logs]
+    for successor in context.successors:
+        change_tasks(
+            context.log.accepted, successor.progress, 2001, range(0, 300, 29)
+        )
+        successor.store()
+
+
+@behave.when("it stores much progress")
+def store_much(context):
+    for successor in context.successors:
+        change_tasks(
+            context.log.accepted, successor.progress, 2002, range(0, 300, 2)
+        )
+        successor.store()
+        assert successor.log.read().progress.block_tasks
+
+
+@behave.then("another leader reads the same")
+def check_reads_same(context):
+    accepted = context.log.accepted
+    for successor in context.successors:
+        read = successor.log.read().read_progress()
+        assert list_rows(accepted, read) == list_rows(
+            accepted, successor.progress
+        )
+
+
+@behave.when("it stores the end of the job")
+def store_end(context):
+    for successor in context.successors:
+        successor.progress.state = job.JobState.COMPLETED
+        successor.store()
+
+
+@behave.then("no block is left")
+def check_no_block(context):
+    for successor in context.successors:
+        entry = successor.log.read()
+        assert entry.progress.state is job.JobState.COMPLETED
+        assert not entry.blocks
