Take a gang over as done if some of its members are stored as done

The end of one member ends the whole gang. Its members may be in several blocks of stored progress; if an append was cut off between them, only some are stored as done. Unless a minion still listed the end, such a gang was neither done nor pending as a whole, so that it never started again and its job never ended. A leader that takes the job over now marks the whole gang as done, and ends the job if that was the last step.

Before: the 3 rows of the new scenario of job_decisions.feature failed, since nothing was planned and nothing stored. After: job_decisions, job_service, large_jobs, job_writing, job_states, partition, machine_handover, deadly_tasks, decoder_fuzz: 244 passed; soak: 1 passed (x86_64).

--- a/clementinewood/activejob.py
+++ b/clementinewood/activejob.py
@@ -174,6 +174,21 @@
         if self._is_step_done(task):
             self._no_steps_due = False
 
+    def complete_gangs(self) -> None:
+        """Marks gangs as done of which some members are.
+
+        The members may be in several blocks of stored progress, of which only
+        some were stored.
+        """
+        for number, step in enumerate(self.job.steps):
+            if not step.gang:
+                continue
+            for occurrence in range(self.job.occurrences):
+                key = (occurrence, number)
+                whole = self.progress.is_step_done(*key, step.count)
+                if self.progress.done.get(key) and not whole:
+                    self.progress.set_step_done(*key, step.count)
+
     def is_complete(self) -> bool:
         """Whether every task of every occurrence is done."""
         return all(
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -242,6 +242,9 @@
             over_rate=self._is_over_rate(accepted, arrived),
         )
         self.jobs[accepted.job_id] = active
+        active.complete_gangs()
+        if active.is_complete():
+            self._finish(active, job.JobState.COMPLETED)
         for place, (number, minion_id) in progress.assignments.items():
             task = job.TaskId(accepted.job_id, *place)
             if active.has_task(task) and not progress.is_done(task):
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -215,6 +215,18 @@
     When 3 members of the gang fail in that run
     Then the task has 1 failed attempt
 
+  Scenario Outline: A gang of which some members are stored as done does not start again
+    Given a job of a gang of 4 tasks and <steps> later steps, of which members <done> are stored as done
+    When a dispatcher takes the job over and plans
+    Then it starts <steps> tasks, none of them of the gang
+    And it stores the job as "<state>"
+
+    Examples:
+      | steps | done    | state     |
+      | 1     | 0 and 1 | running   |
+      | 1     | 3 and 3 | running   |
+      | 0     | 1 and 2 | completed |
+
   Scenario: Starts on one minion wait until earlier ones are confirmed
     Given a dispatcher with one minion that confirms no start yet
     And a job of 100 small tasks and a gang of 40
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -691,6 +691,43 @@
     assert progress.failed == {(0, 0, 0): count}, progress.failed
 
 
+@behave.given(
+    "a job of a gang of {count:d} tasks and {later:d} later steps, of which"
+    " members {first:d} and {last:d} are stored as done"
+)
+def create_partly_done_gang(context, count, later, first, last):
+    small = create_job(1).steps[0]
+    gang = dataclasses.replace(small, count=count, gang=True)
+    after = dataclasses.replace(small, after=(0,))
+    context.accepted = dataclasses.replace(
+        create_job(count), steps=(gang, *[after] * later)
+    )
+    context.progress = job.Progress(job.JobState.RUNNING)
+    for position in (first, last):
+        context.progress.set_done(job.TaskId(JOB_ID, 0, 0, position))
+
+
+@behave.when("a dispatcher takes the job over and plans")
+def take_over_gang(context):
+    dispatch = create_dispatcher(4)
+    dispatch.add_job(context.accepted, context.progress, 0.0)
+    poll(dispatch, 0.0)
+    dispatch.plan(0.1, 0.1)
+    context.batch = dispatch.take_batch()
+
+
+@behave.then("it starts {count:d} tasks, none of them of the gang")
+def check_no_gang(context, count):
+    steps = [item.task.step for item in context.batch.planned]
+    assert len(steps) == count and 0 not in steps, steps
+
+
+@behave.then('it stores the job as "{state}"')
+def check_stored_state(context, state):
+    (progress,) = context.batch.progress.values()
+    assert progress.state is job.JobState(state), progress
+
+
 @behave.given("a dispatcher with one minion that confirms no start yet")
 def create_unconfirmed(context):
     context.dispatch = create_dispatcher(1)
