--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -1,6 +1,7 @@
 """Steps for whole sites on simulated services of the platform."""
 
 import dataclasses
+from unittest import mock
 
 import behave
 
@@ -502,6 +503,60 @@
     assert entry._dispatch_feed.state is feed.State.FOLLOWING
 
 
+@behave.when(
+    "all minions restart and the platform still lists the earlier ones"
+)
+def restart_unlisted(context):
+    harness = context.harness
+    for minion in harness.minions.values():
+        listed = minion.describe()
+        minion.describe = lambda listed=listed: listed
+        minion.crash()
+    harness.run_for(3.0)
+
+
+@behave.when(
+    "all entries are killed once its tasks have ended unread, and start again"
+)
+def kill_all_unread(context):
+    harness = context.harness
+    minions = harness.minions.values()
+    harness.run_until(lambda: any(minion.running for minion in minions))
+    harness.run_for(0.1)
+    names = [entry._minions.name for entry in harness.entries]
+    for entry in list(harness.entries):
+        harness.kill(entry)
+    harness.run_until(lambda: not any(minion.running for minion in minions))
+    assert any(minion.ended for minion in minions)
+    for name in names:
+        harness.add_entry(name)
+
+
+@behave.when("minions restart within {seconds:g} seconds")
+def restart_soon(context, seconds):
+    patch = mock.patch.object(job_harness, "CRASH_SECONDS", seconds)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@behave.when(
+    "its minions restart once they have reported ends that the store takes"
+    " slowly"
+)
+def restart_between_polls(context):
+    harness = context.harness
+    harness.run_until(lambda: harness.count("begin") == 64)
+    harness.store.append_seconds[ports.Stream.DISPATCH] = 1.5
+    driver = harness.dispatcher().elector.driver
+    harness.run_until(lambda: driver._paused_polls)
+    for minion_id in driver._paused_polls:
+        view = driver.dispatcher.views[minion_id]
+        assert view.stored_sequence and view.has_unstored_outcomes
+        harness.minions[minion_id].crash()
+    harness.run_for(2.0)
+    harness.store.append_seconds[ports.Stream.DISPATCH] = 0.0
+
+
 @behave.when("every minion fails what it runs once")
 def fail_once(context):
     for minion in context.harness.minions.values():
