End a job whose failures were counted before its queue was known

Cause: a task that has failed max_attempts times ends its job only at the moment of the failure, and only if the job's queue is known then.

Change: each planning pass looks at the stored counts before it starts anything of a job. A max_attempts that is lowered below what a task has failed already now ends the job before the next start; it was ended after it.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -663,6 +663,10 @@
             active.open_steps(wall, self.early)
             if queue is None:
                 continue
+            if active.progress.has_failed(queue.max_attempts):
+                # Counted while no configuration had this queue.
+                self._finish(active, job.JobState.FAILED)
+                continue
             if any(work.pending for work in active.work.values()):
                 ranked.append((self._rank(active, queue, now), active))
         orders: list[StartRun] = []
--- a/clementinewood/job.py
+++ b/clementinewood/job.py
@@ -442,6 +442,10 @@
             self.failed[place] = self.failed.get(place, 0) + 1
         return self.failed[place]
 
+    def has_failed(self, max_attempts: int) -> bool:
+        """Whether a task, or a gang, has failed `max_attempts` times."""
+        return any(count >= max_attempts for count in self.failed.values())
+
 
 def encode_progress(progress: Progress) -> bytes:
     """Returns the stored form of `progress`, without empty fields."""
--- a/features/job_decisions.feature
+++ b/features/job_decisions.feature
@@ -227,3 +227,15 @@
     Given jobs of 100 and of 2000 tasks of which none has started
     When one task of each ends
     Then both ends looked at the same number of tasks
+
+  Scenario Outline: A job whose last allowed run fails while its queue is unknown does not start again
+    Given a dispatcher with 2 attempts whose run has failed once
+    When <event>
+    And its last allowed run fails and that is stored
+    And its queue is known again
+    Then the job has failed and no start is ordered
+
+    Examples:
+      | event                                         |
+      | its queue is removed                          |
+      | a successor without configuration takes over  |
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -1207,3 +1207,63 @@
     )
     ordered = {order.task for order in orders}
     assert len(ordered) == 2 and not ordered & context.ordered, orders
+
+
+def configure_attempts(dispatch, count):
+    queue = dataclasses.replace(QUEUE, max_attempts=count)
+    dispatch.config = dataclasses.replace(
+        create_dispatcher(1).config, queues={queue.name: queue}
+    )
+
+
+@behave.given("a dispatcher with {count:d} attempts whose run has failed once")
+def create_failed_once(context, count):
+    create_failed(context)
+    context.attempts = count
+    dispatch, now = context.dispatch, context.now
+    configure_attempts(dispatch, count)
+    dispatch.plan(now + 0.1, now + 0.1)
+    batch = dispatch.take_batch()
+    (context.order,) = dispatch.handle_batch_stored(batch, now + 0.2)
+    (context.stored,) = (item.copy() for item in batch.progress.values())
+
+
+@behave.when("its queue is removed")
+def remove_queue(context):
+    config = context.dispatch.config
+    context.dispatch.config = dataclasses.replace(config, queues={})
+    context.dispatch.plan(1.5, 1.5)
+
+
+@behave.when("a successor without configuration takes over")
+def take_over_without_configuration(context):
+    context.dispatch = create_dispatcher(2)
+    context.dispatch.config = None
+    context.dispatch.add_job(create_job(1), context.stored, 1.5)
+
+
+@behave.when("its last allowed run fails and that is stored")
+def fail_unknown(context):
+    dispatch = context.dispatch
+    poll(dispatch, 2.0, create_failure(context.order, 2))
+    assert not dispatch.plan(2.1, 2.1)
+    batch = dispatch.take_batch()
+    (progress,) = batch.progress.values()
+    assert progress.failed == {(0, 0, 0): context.attempts}, progress
+    dispatch.handle_batch_stored(batch, 2.2)
+
+
+@behave.when("its queue is known again")
+def restore_queue(context):
+    configure_attempts(context.dispatch, context.attempts)
+
+
+@behave.then("the job has failed and no start is ordered")
+def check_failed_unstarted(context):
+    dispatch = context.dispatch
+    orders = dispatch.plan(2.5, 2.5)
+    batch = dispatch.take_batch()
+    assert not orders and not batch.planned, (orders, batch)
+    assert batch.progress[JOB_ID].state is job.JobState.FAILED, batch
+    dispatch.handle_batch_stored(batch, 2.6)
+    assert not dispatch.jobs
