Take no machine down before its minion's work is read

Cause: a successor restores the drains and orders of a wave from the log at once, but learns what a minion runs from the list of minions and the minion's report. A machine whose minion is not listed yet, or has not reported, passed for an idle one: its upkeep was ordered, which ended long-running tasks beyond their budget (AVAIL) and ends that nobody had read.

Change: a machine may hold work that is not read as long as no report of this term has come from its minion and leases of earlier leaders may be valid (at the most 6.4 s after half of the minions have accepted the new token). Until then its upkeep isn't chosen, and no order, restored ones included, is sent. Machines that run no minion, or are in a spare pool, don't wait.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -458,6 +458,22 @@
         excluded_at = self._former_leaders_excluded_at
         return now >= excluded_at + MAX_PRIOR_LEASE_SECONDS
 
+    def may_have_unread_runs(
+        self, minion_id: identifiers.MinionId, now: float
+    ) -> bool:
+        """Whether a minion may have runs that no report here has shown.
+
+        Those of earlier leaders end with their leases at the latest.
+        """
+        view = self.views.get(minion_id)
+        if view is None:
+            excluded_at = self._former_leaders_excluded_at
+            return now < excluded_at + MAX_PRIOR_LEASE_SECONDS
+        return (
+            view.token_confirmed_at == -math.inf
+            and not self._have_leases_expired(view, now)
+        )
+
     def may_extend_leases(self, now: float) -> bool:
         """Whether no successor treats the leases as expired meanwhile.
 
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -305,7 +305,7 @@
             return
         if now >= self._compute_leadership_end():
             return
-        loads = self._read_loads()
+        loads = self._read_loads(now)
         for state in self._waves.values():
             actions = waveplanner.plan_wave(
                 state, self._machines, loads, now, self._surplus
@@ -345,11 +345,15 @@
             if view is not None:
                 view.maintenance_pending = machine.machine_id in due
 
-    def _read_loads(self) -> dict[identifiers.MachineId, waveplanner.Load]:
+    def _read_loads(
+        self, now: float
+    ) -> dict[identifiers.MachineId, waveplanner.Load]:
         loads = {}
         for machine in self._machines.values():
             view = self._find_view(machine)
+            unread = self._is_unread(machine, now)
             if view is None:
+                loads[machine.machine_id] = waveplanner.Load(unread=unread)
                 continue
             cpu = view.minion.capacity.cpu
             loads[machine.machine_id] = waveplanner.Load(
@@ -357,9 +361,21 @@
                 long_running_count=view.long_running_count,
                 used=view.used.cpu / cpu if cpu else 0.0,
                 has_unstored_outcomes=view.has_unstored_outcomes,
+                unread=unread,
             )
         return loads
 
+    def _is_unread(self, machine: catalog.Machine, now: float) -> bool:
+        """Whether a machine may hold work that this leader has not read."""
+        config = self._decisions.config
+        pool = config.pools.get(machine.pool) if config is not None else None
+        is_off = pool is not None and pool.spare
+        return (
+            not is_off
+            and bool(machine.minion_id)
+            and self._decisions.may_have_unread_runs(machine.minion_id, now)
+        )
+
     def _find_view(self, machine: catalog.Machine) -> run.MinionView | None:
         view = self._decisions.views.get(machine.minion_id)
         if view is None or view.minion.pool != machine.pool:
@@ -454,6 +470,8 @@
             machine = self._machines.get(order.machine_id)
             if machine is None or not order.is_due(machine, now):
                 continue
+            if self._is_unread(machine, now):
+                continue
             view = self._find_view(machine)
             if view is None or not view.has_unstored_outcomes:
                 self._send(order, now)
--- a/clementinewood/waveplanner.py
+++ b/clementinewood/waveplanner.py
@@ -32,12 +32,14 @@
         has_unstored_outcomes: Whether it has reported outcomes that are not
             stored yet; they would be lost with the minion, and the tasks would
             run again.
+        unread: Whether it may hold work that this leader has not read.
     """
 
     runs: int = 0
     long_running_count: int = 0
     used: float = 0.0
     has_unstored_outcomes: bool = False
+    unread: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,7 +120,7 @@
     for machine_id in sorted(state.draining_machines):
         load = loads.get(machine_id, Load())
         ready = not load.long_running_count and (not load.runs or forced)
-        if load.has_unstored_outcomes:
+        if load.has_unstored_outcomes or load.unread:
             continue
         if machine_id in left and ready and free > 0:
             free -= 1
--- a/features/job_machines.py
+++ b/features/job_machines.py
@@ -45,6 +45,7 @@
         self.orders = []
         self.upkeep_seconds = UPKEEP_SECONDS
         self.serviced = {}
+        self.interrupted = []
 
     def add(self, minion):
         machine = Machine(f"machine-{minion.minion_id}", minion.pool, minion)
@@ -106,6 +107,7 @@
 
     def _take_down(self, machine, state, seconds):
         machine.state = state
+        self.interrupted += machine.minion.running
         self.harness.remove_minion(machine.minion)
         self.harness.timers.subscribe_once(
             seconds, lambda: self._come_back(machine)
--- a/features/machine_handover.feature
+++ b/features/machine_handover.feature
@@ -41,6 +41,15 @@
     And all tasks of the job are at work
     And no rule was broken
 
+  Scenario: A successor takes no machine down whose work it has not read
+    Given a site whose wave takes 12 machines down, 3 at once
+    And a long-running job whose tasks may be away one at a time
+    When the dispatcher is killed and starts again while tasks are to be moved
+    And no minion is listed for 2 seconds
+    Then the wave is completed within 60 seconds
+    And no machine was taken down under a task of the job
+    And no rule was broken
+
   Scenario Outline: Only a certain outcome frees the place of an order without a response
     Given a machine order without a response
     When the next attempt has the outcome "<outcome>"
--- a/features/steps/machine_handover_steps.py
+++ b/features/steps/machine_handover_steps.py
@@ -1,12 +1,14 @@
 """Steps for maintenance waves while the dispatcher changes."""
 
 import random
+from unittest import mock
 
 import behave
 
 from clementinewood import (
     catalog,
     identifiers,
+    jobtable,
     machineorders,
     ports,
     run,
@@ -75,6 +77,47 @@
     harness.kill(harness.dispatcher())
 
 
+def list_tasks_to_move(site):
+    """Returns long-running tasks on machines that are to be drained."""
+    waves = site.harness.dispatcher().table.waves
+    if wave_faults.WAVE not in waves:
+        return []
+    return [
+        task
+        for machine_id, progress in waves[wave_faults.WAVE].machines.items()
+        if progress.stage is jobtable.MaintenanceStage.DRAINING
+        for task in site.harness.machine_service.machines[
+            machine_id
+        ].minion.running
+        if task.job == wave_faults.LASTING
+    ]
+
+
+@behave.when(
+    "the dispatcher is killed and starts again while tasks are to be moved"
+)
+def restart_while_moving_tasks(context):
+    context.site.begin_wave()
+    harness = context.harness
+    harness.run_until(lambda: list_tasks_to_move(context.site))
+    context.site.restart(harness.dispatcher())
+
+
+@behave.when("no minion is listed for {seconds:g} seconds")
+def empty_minion_list(context, seconds):
+    harness = context.harness
+    for minion_id in harness.minions:
+        harness.store.put(ports.Stream.MINIONS, minion_id, b"")
+    with mock.patch.object(harness, "publish"):
+        harness.run_for(seconds)
+
+
+@behave.then("no machine was taken down under a task of the job")
+def check_uninterrupted(context):
+    tasks = context.harness.machine_service.interrupted
+    assert not [task for task in tasks if task.job == wave_faults.LASTING]
+
+
 def list_stops(harness):
     """Returns minion and task of each stop of a long-running task."""
     return [
