Count a leader's time from its candidacy, not from when it takes over

Cause: a leader may grant leases and starts for 2.8 s and send machine orders for 0.8 s after its last stored append; the append that other entries count from is its candidacy. It counted from the moment at which it took over, which is up to 3 s later if its reads are slow, as after a power loss. A leader that is cut off then goes on extending leases, and tells minions to work, while its successor starts their tasks elsewhere (TWICE); its machine orders could overlap with those of the successor (ONE).

Change: the time of the first attempt of the candidacy counts. The next renewal (every 0.25 s) restores the whole span.

No test shows the overlap of machine orders.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -133,7 +133,7 @@
         self._active = True
         self._plan_pending = False
         self._taken_over = False
-        self._leadership_confirmed_at = timers.clock()
+        self._leadership_confirmed_at = log.first_sent
         self._queued_records: dict[str, bytes] = {}
         self._on_records_stored: list[Callable[[], None]] = []
         self._resigning = False
--- a/clementinewood/fencedlog.py
+++ b/clementinewood/fencedlog.py
@@ -74,6 +74,14 @@
         """Whether an append is in flight."""
         return self._on_outcome is not None
 
+    @property
+    def first_sent(self) -> float:
+        """Monotonic time in seconds at which the last append was first sent.
+
+        A retried append may be stored from any of its attempts.
+        """
+        return self._first_sent
+
     def append(
         self,
         items: Sequence[ports.KeyedRecord],
--- a/features/partition.feature
+++ b/features/partition.feature
@@ -44,6 +44,15 @@
       | 4       |
       | 5       |
 
+  Scenario: A leader that takes over late counts its leadership from its candidacy
+    Given a site with 4 entries and 6 minions
+    When a job of 1 steps with 36 tasks of 20 seconds is submitted
+    And 0.5 seconds pass
+    And the leader starts again and is cut off with 2 minions 2 seconds after its candidacy
+    And the partition ends after 12 seconds
+    Then every entry says that the job is "completed" within 60 seconds
+    And no rule was broken
+
   Scenario: Random partitions neither lose nor duplicate work
     Given 12 sites with partitions drawn from seed 31000
     When each site runs for 25 seconds and then in peace
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -2,6 +2,7 @@
 
 import behave
 
+from clementinewood import election, ports
 from features import job_faults
 from features.steps import job_service_steps
 
@@ -18,6 +19,32 @@
     harness.isolate([harness.dispatcher()], minions)
 
 
+@behave.when(
+    "the leader starts again and is cut off with {count:d} minions {seconds:g}"
+    " seconds after its candidacy"
+)
+def isolate_late_leader(context, count, seconds):
+    harness = context.harness
+    minions = list(harness.minions.values())[:count]
+    former = harness.dispatcher()
+    harness.kill(former)
+    entry = harness.add_entry(former._minions.name)
+    # The candidacy is seen while it is being stored.
+    harness.store.append_seconds[ports.Stream.DISPATCH] = 0.03
+    while entry.elector.role is not election.ElectionRole.CANDIDATE:
+        harness.run_for(0.005)
+    harness.store.append_seconds[ports.Stream.DISPATCH] = 0.0
+    candidacy = harness.clock()
+    access = entry._store
+    access.slow_reads = seconds
+    harness.isolate([entry], minions)
+    access.link.down = False
+    harness.run_until(lambda: entry.dispatching)
+    assert harness.clock() >= candidacy + seconds
+    access.link.down = True
+    assert all(minion.running for minion in minions)
+
+
 @behave.when("the partition ends after {seconds:g} seconds")
 def end_partition(context, seconds):
     context.harness.run_for(seconds)
