Count reported runs that are being stopped against room and cap

Cause: a successor takes over no job that is cancelled or has ended, so a run of such a job that a minion still reports was stopped but counted with no room and no need, as were second runs of a task. While the stop was carried out, its place on the minion and under the team's cap was given away (LIMIT on minions that don't guard their capacity, QUOTA).

Change: a reported run that no task needs counts with the room, the need and the team of its job until it has ended; the dispatcher looks up jobs that it doesn't work on. The simulated minions can take time to stop a run.

Still not counted: such runs on minions that the successor can't reach.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -116,7 +116,9 @@
         on_store_recovered: Callable[[], None] = lambda: None,
     ) -> None:
         self.term = term
-        self.dispatcher = dispatcher.Dispatcher(term, timers.clock())
+        self.dispatcher = dispatcher.Dispatcher(
+            term, timers.clock(), self._find_job
+        )
         self._log = log
         self._own_incarnation = own_incarnation
         self._table = table
@@ -230,6 +232,10 @@
             return
         self._schedule_plan()
 
+    def _find_job(self, job_id: identifiers.JobId) -> job.Job | None:
+        entry = self._table.find(job_id)
+        return entry.accepted if entry is not None else None
+
     def _take_over_job(
         self, accepted: job.Job, entry: jobtable.JobEntry
     ) -> None:
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -7,7 +7,7 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Iterable, Mapping, Sequence, Set
+from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 
 from clementinewood import (
     activejob,
@@ -172,6 +172,7 @@
     Args:
         term: Term of the leadership; also its fencing token.
         now: Monotonic time in seconds.
+        find_job: Returns an accepted job, also one that has ended, or None.
 
     Attributes:
         jobs: Unfinished jobs, and finished ones with runs left to stop.
@@ -185,8 +186,16 @@
             None if that is not known.
     """
 
-    def __init__(self, term: identifiers.Term, now: float) -> None:
+    def __init__(
+        self,
+        term: identifiers.Term,
+        now: float,
+        find_job: Callable[
+            [identifiers.JobId], job.Job | None
+        ] = lambda job_id: None,
+    ) -> None:
         self.term = term
+        self._find_job = find_job
         self.jobs: dict[identifiers.JobId, activejob.ActiveJob] = {}
         self.views: dict[identifiers.MinionId, run.MinionView] = {}
         self.evacuated: frozenset[identifiers.ZoneId] = frozenset()
@@ -1319,18 +1328,7 @@
             or active.progress.is_done(row.task)
         )
         if unwanted or active is None:
-            item = run.Run(
-                task=row.task,
-                number=row.number,
-                minion_id=view.minion_id,
-                team=identifiers.TeamId(""),
-                queue=identifiers.QueueId(""),
-                room=job.Resources(),
-                need=job.Resources(),
-                state=run.RunState.RUNNING,
-            )
-            view.add_run(item)
-            self._stop(item)
+            self._add_stray(view, self._create_unwanted(view, row))
             return None
         item = self._create_run(active, row.task, row.number, view.minion_id)
         item.state = run.RunState.RUNNING
@@ -1338,8 +1336,7 @@
         other = active.live.get(row.task)
         if other is not None:
             # Keep the run that this leader knows already.
-            view.add_run(item)
-            self._stop(item)
+            self._add_stray(view, item)
             return None
         view.add_run(item)
         active.add_run(item)
@@ -1349,6 +1346,34 @@
             self._dirty.add(active.job.job_id)
         return item
 
+    def _create_unwanted(
+        self, view: run.MinionView, row: run.ReportedRun
+    ) -> run.Run:
+        team, queue = identifiers.TeamId(""), identifiers.QueueId("")
+        room = need = job.Resources()
+        accepted = self._find_job(row.task.job)
+        if accepted is not None and 0 <= row.task.step < len(accepted.steps):
+            team, queue = accepted.team, accepted.queue
+            step = accepted.steps[row.task.step]
+            room, need = step.room, step.need
+        return run.Run(
+            task=row.task,
+            number=row.number,
+            minion_id=view.minion_id,
+            team=team,
+            queue=queue,
+            room=room,
+            need=need,
+            state=run.RunState.RUNNING,
+        )
+
+    def _add_stray(self, view: run.MinionView, item: run.Run) -> None:
+        """Stops a run that no task needs; it counts until it has ended."""
+        item.stray = True
+        view.add_run(item)
+        self._count_usage(item.team, item.need, 1)
+        self._stop(item)
+
     def _find_run(
         self,
         minion_id: identifiers.MinionId,
@@ -1376,6 +1401,9 @@
             del self._unanswered_starts[item.key]
         if self._stops.get(item.key) is item:
             del self._stops[item.key]
+        if item.stray:
+            self._count_usage(item.team, item.need, -1)
+            return
         active = self.jobs.get(item.task.job)
         if active is None or active.live.get(item.task) is not item:
             return
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -276,6 +276,7 @@
         self.rate = harness.random.uniform(0.98, 1.0)
         self.unreachable = False
         self.failing = False
+        self.stop_seconds = 0.0
         self.reset()
 
     def reset(self):
@@ -407,9 +408,19 @@
             order.number, self.closed.get(order.task, 0)
         )
         if known is not None and known.number == order.number:
-            self.end(order.task, run.RunOutcome.STOPPED)
+            self._stop(order.task, known)
         return True
 
+    def _stop(self, task, running):
+        def finish():
+            if self.running.get(task) is running:
+                self.end(task, run.RunOutcome.STOPPED)
+
+        if self.stop_seconds:
+            self.harness.timers.subscribe_once(self.stop_seconds, finish)
+        else:
+            finish()
+
     def poll(self, term, acked_sequence, deadline):
         if term < self.token:
             return ports.PollFenced()
--- a/features/job_service.feature
+++ b/features/job_service.feature
@@ -157,6 +157,17 @@
     Then never more than 4 tasks run at a time
     And every entry says that the job is "completed" within 10 seconds
 
+  Scenario: A successor counts runs of a cancelled job until they have stopped
+    Given a site with 3 entries, 4 minions and an upper limit of 4000
+    And minions take 1 seconds to stop a run
+    When a long-running job of 4 tasks is submitted
+    And the dispatcher is killed after 1 seconds
+    And the job is cancelled after 0 seconds
+    And another job of 12 tasks is submitted
+    Then never more than 4 tasks run at a time
+    And every entry says that the other job is "completed" within 10 seconds
+    And no rule was broken
+
   Scenario: Long-running tasks are found again by a new leader
     Given a site with 3 entries and 4 minions
     When a long-running job of 4 tasks is submitted
--- a/features/steps/job_service_steps.py
+++ b/features/steps/job_service_steps.py
@@ -17,6 +17,7 @@
 from features import job_faults, job_harness, job_mutants
 
 NAME = "00000000000000aa"
+OTHER_NAME = "00000000000000ab"
 
 
 @behave.given("a site with {entries:d} entries and {minions:d} minions")
@@ -105,6 +106,35 @@
     context.answers = harness.submit(find_follower(harness), NAME, [step])
 
 
+@behave.given("minions take {seconds:g} seconds to stop a run")
+def delay_stops(context, seconds):
+    for minion in context.harness.minions.values():
+        minion.stop_seconds = seconds
+
+
+@behave.when("another job of {count:d} tasks is submitted")
+def submit_other(context, count):
+    harness = context.harness
+    harness.submit(
+        find_follower(harness), OTHER_NAME, job_faults.create_steps(1, count)
+    )
+
+
+@behave.then(
+    'every entry says that the other job is "{state}" within {seconds:g}'
+    " seconds"
+)
+def check_other_state(context, state, seconds):
+    harness = context.harness
+    harness.run_until(
+        lambda: all(
+            harness.state_of(entry, OTHER_NAME) is job.JobState(state)
+            for entry in harness.entries
+        ),
+        seconds,
+    )
+
+
 @behave.when(
     "a machine joins, gets tasks of {seconds:g} seconds and crashes between two"
     " lists"
