--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -120,7 +120,9 @@
         on_store_recovered: Callable[[], None] = lambda: None,
     ) -> None:
         self.term = term
-        self.dispatcher = dispatcher.Dispatcher(term, timers.clock())
+        self.dispatcher = dispatcher.Dispatcher(
+            term, timers.clock(), self._find_job
+        )
         self._log = log
         self._own_incarnation = own_incarnation
         self._table = table
@@ -137,7 +139,7 @@
         self._active = True
         self._plan_pending = False
         self._taken_over = False
-        self._leadership_confirmed_at = timers.clock()
+        self._leadership_confirmed_at = log.first_sent
         self._queued_records: dict[str, bytes] = {}
         self._on_records_stored: list[Callable[[], None]] = []
         self._resigning = False
@@ -234,6 +236,10 @@
             return
         self._schedule_plan()
 
+    def _find_job(self, job_id: identifiers.JobId) -> job.Job | None:
+        entry = self._table.find(job_id)
+        return entry.accepted if entry is not None else None
+
     def _take_over_job(
         self, accepted: job.Job, entry: jobtable.JobEntry
     ) -> None:
--- a/features/machine_handover.feature
+++ b/features/machine_handover.feature
@@ -52,6 +52,22 @@
     When the first status of the wave is stored 9 seconds late without an answer
     Then the wave is completed within 40 seconds
     And it still is after 12 seconds
+  Scenario: A successor takes no machine down whose work it has not read
+    Given a site whose wave takes 12 machines down, 3 at once
+    And a long-running job whose tasks may be away one at a time
+    When the dispatcher is killed and starts again while tasks are to be moved
+    And no minion is listed for 2 seconds
+    Then the wave is completed within 60 seconds
+    And no machine was taken down under a task of the job
+    And no rule was broken
+
+  Scenario: A successor repeats no machine order before it has read the minion
+    Given a site whose wave takes 12 machines down, 3 at once
+    When a machine order is lost and the dispatcher is killed and starts again
+    And no minion is listed for 2 seconds
+    Then no machine was taken down meanwhile
+    And the wave is completed within 60 seconds
+    And no rule was broken
 
   Scenario Outline: Only a certain outcome frees the place of an order without a response
     Given a machine order without a response
--- a/features/steps/machine_handover_steps.py
+++ b/features/steps/machine_handover_steps.py
@@ -1,12 +1,14 @@
 """Steps for maintenance waves while the dispatcher changes."""
 
 import random
+from unittest import mock
 
 import behave
 
 from clementinewood import (
     catalog,
     identifiers,
+    jobtable,
     machineorders,
     ports,
     run,
@@ -134,6 +136,75 @@
     harness.kill(harness.dispatcher())
 
 
+def list_machines(site, stage):
+    """Returns the machines of the wave in a stage, as stored."""
+    waves = site.harness.dispatcher().table.waves
+    progress = waves.get(wave_faults.WAVE, jobtable.WaveProgress())
+    return [
+        site.harness.machine_service.machines[machine_id]
+        for machine_id, found in progress.machines.items()
+        if found.stage is stage
+    ]
+
+
+def list_tasks_to_move(site):
+    """Returns long-running tasks on machines that are to be drained."""
+    return [
+        task
+        for machine in list_machines(site, jobtable.MaintenanceStage.DRAINING)
+        for task in machine.minion.running
+        if task.job == wave_faults.LASTING
+    ]
+
+
+@behave.when(
+    "the dispatcher is killed and starts again while tasks are to be moved"
+)
+def restart_while_moving_tasks(context):
+    context.site.begin_wave()
+    harness = context.harness
+    harness.run_until(lambda: list_tasks_to_move(context.site))
+    context.site.restart(harness.dispatcher())
+
+
+@behave.when(
+    "a machine order is lost and the dispatcher is killed and starts again"
+)
+def restart_after_order(context):
+    context.site.begin_wave()
+    harness = context.harness
+    links = list(harness.machine_order_links.values())
+    for link in links:
+        link.lost_answer_ratio, link.carried_out = 1.0, 0.0
+    ordered = jobtable.MaintenanceStage.ORDERED
+    harness.run_until(lambda: list_machines(context.site, ordered))
+    context.site.restart(harness.dispatcher())
+    for link in links:
+        link.lost_answer_ratio = 0.0
+
+
+@behave.when("no minion is listed for {seconds:g} seconds")
+def empty_minion_list(context, seconds):
+    harness = context.harness
+    for minion_id in harness.minions:
+        harness.store.put(ports.Stream.MINIONS, minion_id, b"")
+    before = len(harness.machine_service.orders)
+    with mock.patch.object(harness, "publish"):
+        harness.run_for(seconds)
+    context.orders = harness.machine_service.orders[before:]
+
+
+@behave.then("no machine was taken down meanwhile")
+def check_no_orders(context):
+    assert not context.orders, context.orders
+
+
+@behave.then("no machine was taken down under a task of the job")
+def check_uninterrupted(context):
+    tasks = context.harness.machine_service.interrupted
+    assert not [task for task in tasks if task.job == wave_faults.LASTING]
+
+
 def list_stops(harness):
     """Returns minion and task of each stop of a long-running task."""
     return [
