--- a/features/machine_handover.feature
+++ b/features/machine_handover.feature
@@ -52,6 +52,7 @@
     When the first status of the wave is stored 9 seconds late without an answer
     Then the wave is completed within 40 seconds
     And it still is after 12 seconds
+
   Scenario: A successor takes no machine down whose work it has not read
     Given a site whose wave takes 12 machines down, 3 at once
     And a long-running job whose tasks may be away one at a time
