Repeat reads and the append only after an outage, once

Any read that succeeded after a failed one repeated all that was failing, also at a store that only refuses some reads. The append in flight then got up to 13 attempts at a time, where the limit is 4, and a page in transfer was requested again and again.

--- a/clementinewood/feed.py
+++ b/clementinewood/feed.py
@@ -67,7 +67,8 @@
         long_poll_seconds: Seconds that one read waits for a record.
         record_load: Called with the seconds that a load took.
         max_retry_seconds: Longest pause in seconds after a failed read.
-        on_recovered: Called when a read succeeds after others have failed.
+        on_recovered: Called when a read succeeds after others have failed,
+            before `last_response_at` changes.
 
     Attributes:
         caught_up_at: Monotonic time in seconds up to which all records
@@ -442,7 +443,6 @@
 
     def _record_success(self) -> None:
         failures, self._failures = self._failures, 0
-        self.last_response_at = self._timers.clock()
         if failures:
             event.emit(
                 event.Event.LOG_REACHABLE,
@@ -450,6 +450,7 @@
                 failures=failures,
             )
             self._on_recovered()
+        self.last_response_at = self._timers.clock()
 
     def _record_failure(self, outcome: object) -> None:
         self._failures += 1
--- a/clementinewood/fencedlog.py
+++ b/clementinewood/fencedlog.py
@@ -105,9 +105,9 @@
         self._send()
 
     def retry_now(self) -> None:
-        """Sends the append in flight again, since the store is back.
+        """Sends the append in flight again.
 
-        Attempts of before may be without a response until they time out.
+        Earlier attempts may have no response until they time out.
         """
         if self.busy:
             self._send()
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -207,6 +207,7 @@
         self.incarnation = identifiers.create_incarnation(entry_id)
         self.announcer = announcer
         self._announced: ports.Takeover | None = None
+        self._recovered_at = float("-inf")
         self._store = store
         self._minions = minions
         self._machines = machines
@@ -622,7 +623,19 @@
     # Records from the store.
 
     def _handle_store_recovered(self) -> None:
-        """Repeats all that has failed once the store answers one read."""
+        """Repeats all that has failed after an outage, once it is over.
+
+        Where the store answers some reads and refuses others, each feed
+        retries by itself.
+        """
+        now = self._timers.clock()
+        recently = now - self._recovered_at
+        if (
+            recently < leaderelector.STORE_UNRESPONSIVE_SECONDS
+            or not self._is_store_unresponsive()
+        ):
+            return
+        self._recovered_at = now
         for item in (
             self._dispatch_feed,
             self._jobs_feed,
