Start nothing while the leader can't read callers' cancellations

It checked the age of that log once, when it was elected.

Change: while the store takes the leader's appends, it orders no start once its view of the log of jobs is 2 s old; cancellations hold for starts after 3 s. While the store takes nothing from it, nobody's cancellation is stored either.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -96,6 +96,7 @@
         count_given_up: Counts a task that is given up.
         on_store_recovered: Called when a read succeeds after others have
             failed.
+        knows_cancellations: Returns whether the log of jobs was read recently.
     """
 
     def __init__(
@@ -118,6 +119,7 @@
         count_start: Callable[[str], None],
         count_given_up: Callable[[], None],
         on_store_recovered: Callable[[], None] = lambda: None,
+        knows_cancellations: Callable[[], bool] = lambda: True,
     ) -> None:
         self.term = term
         self.dispatcher = dispatcher.Dispatcher(
@@ -136,6 +138,7 @@
         self._count_start = count_start
         self._count_given_up = count_given_up
         self._on_leadership_lost = on_leadership_lost
+        self._knows_cancellations = knows_cancellations
         self._active = True
         self._plan_pending = False
         self._taken_over = False
@@ -508,7 +511,7 @@
         orders = self.dispatcher.plan(
             self._timers.clock(),
             self._wall(),
-            may_start=self._may_grant_leases(),
+            may_start=self._may_start(),
         )
         for order in orders:
             self._send(order)
@@ -637,6 +640,17 @@
             or self.dispatcher.may_extend_leases(now)
         )
 
+    def _may_start(self) -> bool:
+        """Whether starts may be ordered now.
+
+        While the store takes appends, others may store cancellations that this
+        leader does not read.
+        """
+        is_store_back = self._timers.clock() < self._compute_leadership_end()
+        if is_store_back and not self._knows_cancellations():
+            return False
+        return self._may_grant_leases()
+
     def _flush(self) -> None:
         """Appends what has changed; at most one append is in flight."""
         if self._log.busy or not self._active:
@@ -738,7 +752,7 @@
     def _handle_stored(self, batch: dispatcher.Batch) -> None:
         now = self._timers.clock()
         orders = self.dispatcher.handle_batch_stored(
-            batch, now, may_start=self._may_grant_leases()
+            batch, now, may_start=self._may_start()
         )
         for order in orders:
             self._send(order)
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -62,6 +62,10 @@
 """Age of the dispatch log from which the leader is asked for a job's state. An
 idle feed gets as old as one long poll and one read interval."""
 
+CANCELLATIONS_STALE_SECONDS = 2.0
+"""Age of the log of jobs from which the leader starts nothing. Nothing of a job
+may start three seconds after its cancellation was acknowledged."""
+
 DEADLINE_MARGIN_SECONDS = 0.15
 """Time before a caller's deadline by which the response is sent."""
 
@@ -749,6 +753,10 @@
             ),
             count_given_up=lambda: self._metrics.count(metric.TASKS_GIVEN_UP),
             on_store_recovered=self._handle_store_recovered,
+            knows_cancellations=lambda: (
+                self._jobs_feed.seconds_since_current()
+                <= CANCELLATIONS_STALE_SECONDS
+            ),
         )
         driver.dispatcher.early = self._early_seconds
         return driver
--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -225,6 +225,23 @@
     When another entry is refused by the store and asked to cancel an unknown job
     Then it answers 503
 
+  Scenario Outline: A leader that can't read cancellations starts nothing of a cancelled job
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 200 tasks of 1 seconds of which 24 run at a time
+    When the leader <fault>
+    And another entry is asked to cancel the job
+    And 8 seconds pass on that site
+    Then its cancellation was acknowledged
+    And no task has started later than 3 seconds after that
+    When the leader reads the log of jobs again
+    And 3 seconds pass on that site
+    Then no task of the job runs
+
+    Examples:
+      | fault                                      |
+      | can't read the log of jobs                 |
+      | loads the log of jobs again, page by page  |
+
   Scenario: A leader that reaches few minions tells no outcomes that are not stored
     Given a site of entries in zones "a b c" with 3 minions
     And a job of 3 tasks of 1 seconds that runs
--- a/features/steps/job_states_steps.py
+++ b/features/steps/job_states_steps.py
@@ -5,8 +5,8 @@
 
 import behave
 
-from clementinewood import identifiers, job, jobservice
-from features import forwarding_harness
+from clementinewood import identifiers, job, jobservice, ports, verdict
+from features import forwarding_harness, job_harness
 from features.steps import job_service_steps
 
 NAME = job_service_steps.NAME
@@ -480,3 +480,75 @@
 @behave.then("it answers {status:d}")
 def check_status(context, status):
     assert context.status == status, context.status
+
+
+@behave.given(
+    "a job of {count:d} tasks of {seconds:g} seconds of which {most:d} run at a"
+    " time"
+)
+def run_wide_job(context, count, seconds, most):
+    site = context.site
+    step = job.Step(
+        count=count, need=job.Resources(1000, 100), estimate=seconds
+    )
+    site.harness.submit(find_followers(site)[0].service, NAME, [step])
+    site.loop.run_until(lambda: site.harness.count("begin") == most)
+
+
+@behave.when("the leader can't read the log of jobs")
+def refuse_jobs(context):
+    context.access = find_leader(context.site).service._store
+    context.read = context.access.read
+
+    def read(stream, offset, wait, on_result):
+        if stream is not ports.Stream.JOBS:
+            context.read(stream, offset, wait, on_result)
+            return
+        refused = ports.Failed(verdict.Execution.NOT_RUN, "status 503")
+        context.site.loop.timers.subscribe_once(
+            job_harness.STORE_SECONDS, lambda: on_result(refused)
+        )
+
+    context.access.read = read
+    # Outlasts the read that is waiting for a record.
+    context.site.loop.run_for(1.3)
+
+
+@behave.when("the leader loads the log of jobs again, page by page")
+def load_slowly(context):
+    harness = context.site.harness
+    service = find_leader(context.site).service
+    context.access, context.read = service._store, service._store.read
+    for number in range(30):
+        harness.store.put(ports.Stream.JOBS, f"c/{number:016x}", b"1")
+    context.access.page_records, context.access.page_seconds = 1, 1.0
+    service._jobs_feed._generation += 1
+    service._jobs_feed._load()
+
+
+@behave.when("the leader reads the log of jobs again")
+def restore_jobs(context):
+    context.access.read = context.read
+    context.access.page_records = None
+    context.site.loop.run_for(2.0)
+
+
+@behave.when("another entry is asked to cancel the job")
+def cancel_job(context):
+    context.cancelled_at = None
+    entry = find_followers(context.site)[0]
+    status, _, _, _ = context.site.call(entry, "DELETE", NAME)
+    if status == 200:
+        context.cancelled_at = context.site.loop.clock.now
+
+
+@behave.then("no task has started later than {seconds:g} seconds after that")
+def check_cancel_bound(context, seconds):
+    late = list_starts_after(context, context.cancelled_at + seconds)
+    assert not late, late
+
+
+@behave.then("no task of the job runs")
+def check_stopped(context):
+    for minion in context.site.harness.minions.values():
+        assert not minion.running, minion.running
