Report no status of a wave that was withdrawn meanwhile

The status of a wave is written after an append; if the wave was withdrawn and declared anew with more machines by then, the state of the earlier one wrote completed. Change: only the wave in force reports. Result: machine_handover passes; no test brings the race about.

--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -635,7 +635,10 @@
             and not state.unstored
         )
         stage = "completed" if completed else "running"
-        if state.reported == stage or not self._machines or not self._active:
+        withdrawn = self._waves.get(state.wave.number) is not state
+        if withdrawn or not self._machines or not self._active:
+            return
+        if state.reported == stage:
             return
         if self._status_log.busy:
             # Written after it; the next round of planning comes here again.
