--- a/features/large_jobs.feature
+++ b/features/large_jobs.feature
@@ -41,15 +41,21 @@
       | the store is away for 3 seconds             |
       | the history of the dispatch log is dropped  |
 
-  Scenario: A leader is lost within the append that divides the progress of a job
+  Scenario Outline: A leader is lost within the append that divides the progress of a job
     Given a site with 3 entries and 6 minions whose store takes records of 4096 bytes and calls of 5120
     When a job of 240 tasks, 120 at a time, and then a gang of 250 is submitted
-    And all entries are killed after the first call that divides its progress, and start again
+    And all entries are killed after <calls> of the calls that divide its progress, and start again
     Then the large job is completed within 60 seconds
     And its progress was stored in blocks, which are deleted
     And the store has refused no append
     And no rule was broken
 
+    Examples:
+      | calls |
+      | 1     |
+      | 2     |
+      | 3     |
+
   Scenario: A leader deletes the blocks that its predecessor left behind
     Given a site with 3 entries and 6 minions whose store takes records of 4096 bytes
     When a job of 1 steps with 400 small tasks each is submitted
--- a/features/steps/large_jobs_steps.py
+++ b/features/steps/large_jobs_steps.py
@@ -102,14 +102,15 @@
 
 
 @behave.when(
-    "all entries are killed after the first call that divides its progress, and"
-    " start again"
+    "all entries are killed after {count:d} of the calls that divide its"
+    " progress, and start again"
 )
-def kill_while_dividing(context):
+def kill_while_dividing(context, count):
     harness = context.harness
     store = harness.store
     names = [entry._minions.name for entry in harness.entries]
     append = store.append
+    calls = []
 
     def kill_all():
         for entry in list(harness.entries):
@@ -117,8 +118,10 @@
 
     def cut(stream, items, fence):
         outcome = append(stream, items, fence)
-        if harness.entries and any(has_block(item.key) for item in items):
-            kill_all()
+        if any(has_block(item.key) for item in items):
+            calls.append(items)
+            if len(calls) == count:
+                kill_all()
         return outcome
 
     with mock.patch.object(store, "append", cut):
