Search for forgotten answers after losses of power

Callers submit, ask and cancel at random entries; all hosts and some minions lose power beside outages of the store. Each answer is kept as a fact and checked against the starts that minions have seen.

--- a/features/forwarding_harness.py
+++ b/features/forwarding_harness.py
@@ -34,9 +34,9 @@
 class Peers:
     """Passes requests on to other entries, and loses answers when told to."""
 
-    def __init__(self, site):
+    def __init__(self, site, timers):
         self.client = peerclient.PeerClient(site.loop.sockets, site.loop.timers)
-        self.timers = site.loop.timers
+        self.timers = timers
         self.sent = []
         self.lost = set()
         self.cut = set()
@@ -49,9 +49,11 @@
                 outcome = ports.Failed(verdict.Execution.MAY_HAVE_RUN, "reset")
             on_result(outcome)
 
-        return self.client.send(address, request, timeout, answer)
+        receive = self.timers.receive
+        return self.client.send(address, request, timeout, receive(answer))
 
     def collect(self, address, announced, timeout, on_result):
+        on_result = self.timers.receive(on_result)
         if address not in self.cut:
             self.client.collect(address, announced, timeout, on_result)
             return
@@ -59,16 +61,35 @@
         self.timers.subscribe_once(timeout, lambda: on_result(lost))
 
 
+class ProcessHandler:
+    """Serves requests while the entry's process runs."""
+
+    def __init__(self, handler, timers):
+        self._handler = handler
+        self._receive = timers.receive
+        self.render_refusal = handler.render_refusal
+
+    def handle_exchange(self, exchange):
+        self._receive(self._handler.handle_exchange)(exchange)
+
+
 class Entry:
-    """One entry with its listeners."""
+    """One entry with its listeners.
+
+    Args:
+        site: Site with its loop.
+        service: The job service of the entry.
+        zone: Availability zone.
+        former: Earlier process of the host, whose listeners are kept.
+    """
 
-    def __init__(self, site, number, zone):
-        harness, timers = site.harness, site.loop.timers
-        self.name = f"entry-{number}"
-        self.service = harness.entries[number]
+    def __init__(self, site, service, zone, former=None):
+        harness, timers = site.harness, service._timers
+        self.name = identifiers.get_entry(service.incarnation)
+        self.zone = zone
+        self.service = service
         self.link = self.service._store.link
-        self.inner = self._create_edge(site, serves_peers=True)
-        self.address = self.inner.listen(LOCAL)
+        self._listen(site, former)
         self.directory = entrydirectory.EntryDirectory(
             entrydirectory.EntryAddress(
                 identifiers.EntryId(self.name),
@@ -79,7 +100,7 @@
             timers=timers,
             random_fraction=harness.random.random,
         )
-        self.peers = Peers(site)
+        self.peers = Peers(site, timers)
         self.service.collector = takeover.CompletionCollector(
             self.directory, self.peers, timers
         )
@@ -90,28 +111,41 @@
             job_harness.METRICS,
             random_fraction=harness.random.random,
         )
-        self.front = self._create_edge(site, forwarder=self.forwarder)
+        self.front._handler = self._create_handler(
+            site, forwarder=self.forwarder
+        )
         # Given a forwarder, it must not use it.
-        self.inner._handler = self._create_ingress(
+        self.inner._handler = self._create_handler(
             site, serves_peers=True, forwarder=self.forwarder
         )
-        self.front_address = self.front.listen(LOCAL)
         self.directory.start()
 
-    def _create_ingress(self, site, **arguments):
-        return ingress.Ingress(
+    def _listen(self, site, former):
+        if former is None:
+            self.inner = self._create_edge(site)
+            self.address = self.inner.listen(LOCAL)
+            self.front = self._create_edge(site)
+            self.front_address = self.front.listen(LOCAL)
+            return
+        self.inner, self.address = former.inner, former.address
+        self.front, self.front_address = former.front, former.front_address
+        self.cut_connections()
+
+    def _create_handler(self, site, **arguments):
+        handler = ingress.Ingress(
             self.service,
             job_harness.METRICS,
             wall=site.harness.wall,
             clock=site.loop.clock,
             **arguments,
         )
+        return ProcessHandler(handler, self.service._timers)
 
-    def _create_edge(self, site, **arguments):
+    def _create_edge(self, site):
         return edge.Edge(
             site.loop.sockets,
             site.loop.timers,
-            self._create_ingress(site, **arguments),
+            self._create_handler(site),
             clock=site.loop.clock,
         )
 
@@ -119,6 +153,12 @@
         """Accepts forwarded requests and answers none."""
         self.inner._handler = network.RecordingHandler(answer_at_once=False)
 
+    def cut_connections(self):
+        """Ends all connections; what is on them gets lost."""
+        for server in (self.front, self.inner):
+            for item in list(server._connections):
+                item.connection.abort("the process has ended")
+
 
 class ForwardingSite:
     """Entries on one loop.
@@ -127,15 +167,23 @@
         zones: Availability zone of each entry.
         seed: Seed of every random choice.
         minions: Number of minions.
+        create_harness: Creates the harness of store and minions.
     """
 
-    def __init__(self, zones, seed=1, minions=0):
+    def __init__(
+        self,
+        zones,
+        seed=1,
+        minions=0,
+        create_harness=job_harness.JobHarness,
+    ):
         self.loop = loop.Loop()
-        self.harness = job_harness.JobHarness(
+        self.harness = create_harness(
             seed, entries=len(zones), minions=minions, timers=self.loop.timers
         )
         self.entries = [
-            Entry(self, number, zone) for number, zone in enumerate(zones)
+            Entry(self, service, zone)
+            for service, zone in zip(self.harness.entries, zones, strict=True)
         ]
         self.loop.run_until(self.is_complete)
         self.loop.run_for(1.0)
--- /dev/null
+++ b/features/power_loss_mutants.py
@@ -0,0 +1,106 @@
+"""Variants of the job service that forget what callers were told.
+
+The random schedules of `power_loss` must fail a check on each of them.
+"""
+
+import contextlib
+from unittest import mock
+
+from clementinewood import (
+    completions,
+    dispatchdriver,
+    job,
+    jobservice,
+    jobwriter,
+    ports,
+    verdict,
+)
+from features import job_mutants
+
+
+def accept_early():
+    """Accepts a job before it is stored."""
+    submit = jobservice.JobService.submit
+
+    def accept(self, accepted, timeout_seconds, on_answer):
+        submit(self, accepted, timeout_seconds, lambda outcome: None)
+        on_answer(jobservice.Accepted())
+
+    return mock.patch.object(jobservice.JobService, "submit", accept)
+
+
+def refuse_unknown_outcomes():
+    """Refuses a job as not stored although an append may arrive."""
+
+    def fail_write(self, write):
+        self._finish(write, ports.Failed(verdict.Execution.NOT_RUN, "late"))
+
+    return mock.patch.object(jobwriter.JobWriter, "_fail_write", fail_write)
+
+
+def forget_jobs():
+    """Starts nothing of jobs that were accepted before the term."""
+    take_over = dispatchdriver.DispatchDriver._take_over_job
+
+    def take_over_job(self, accepted, entry):
+        if self._taken_over:
+            take_over(self, accepted, entry)
+
+    return mock.patch.object(
+        dispatchdriver.DispatchDriver, "_take_over_job", take_over_job
+    )
+
+
+def show_completed_early():
+    """Shows jobs that run as completed while the store is away."""
+    return mock.patch.object(
+        dispatchdriver.DispatchDriver,
+        "find_unstored_state",
+        lambda self, job_id: job.JobState.COMPLETED,
+    )
+
+
+def drop_completions():
+    """Keeps no completion that is not stored yet."""
+    return mock.patch.object(
+        completions.CompletionRecorder, "add", lambda self, job_id: None
+    )
+
+
+def acknowledge_cancellations_early():
+    """Answers a cancellation before it is stored."""
+    cancel_found = jobservice.JobService._cancel_found
+
+    def cancel(self, job_id, entry, seconds, on_answer, *, known):
+        if entry is None:
+            cancel_found(self, job_id, entry, seconds, on_answer, known=known)
+            return
+        on_answer(jobservice.Cancelled())
+        cancel_found(
+            self, job_id, entry, seconds, lambda outcome: None, known=known
+        )
+
+    return mock.patch.object(jobservice.JobService, "_cancel_found", cancel)
+
+
+MUTANTS = {
+    "a job is stored before it is accepted": accept_early,
+    "a refusal tells whether the job may be stored": refuse_unknown_outcomes,
+    "a new leader continues the jobs that it finds": forget_jobs,
+    "only jobs that have ended are shown as completed": show_completed_early,
+    "reported completions are stored": drop_completions,
+    "cancellations are stored before they are answered": (
+        acknowledge_cancellations_early
+    ),
+    "outcomes are stored before they are acknowledged": (
+        job_mutants.acknowledge_early
+    ),
+}
+"""Variants by the mechanism that they lack."""
+
+
+@contextlib.contextmanager
+def remove(mechanism: str):
+    """Runs the body on the variant without `mechanism`."""
+    with MUTANTS[mechanism]():
+        yield
