--- a/features/runner.py
+++ b/features/runner.py
@@ -63,7 +63,8 @@
     passed = failed = 0
     broken = suite.aborted or bool(suite.undefined_steps)
     for scenario in collect_scenarios(suite.features):
-        name = f"{scenario.filename}: {scenario.name}"
+        # The name of a row ends with a space where its table has no name.
+        name = f"{scenario.filename}: {scenario.name.strip()}"
         match scenario.status:
             case model.Status.passed:
                 passed += 1
