--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -252,7 +252,7 @@
     Given a site of entries in zones "a b c" with 3 minions
     And a job of 200 tasks of 1 seconds of which 24 run at a time
     When the leader <fault>
-    And another entry is asked to cancel the job
+    And a follower is asked to cancel the job
     And 8 seconds pass on that site
     Then its cancellation was acknowledged
     And no task has started later than 3 seconds after that
--- a/features/steps/job_states_steps.py
+++ b/features/steps/job_states_steps.py
@@ -226,7 +226,7 @@
 
 @behave.when("all hosts and minions lose power for {seconds:g} seconds")
 def lose_power(context, seconds):
-    context.site.lose_power(seconds)
+    context.site.restart_all(seconds)
 
 
 @behave.then("no task has started after its job was shown as completed")
@@ -553,7 +553,7 @@
     context.site.loop.run_for(2.0)
 
 
-@behave.when("another entry is asked to cancel the job")
+@behave.when("a follower is asked to cancel the job")
 def cancel_job(context):
     context.cancelled_at = None
     entry = find_followers(context.site)[0]
