--- a/features/package.feature
+++ b/features/package.feature
@@ -11,3 +11,9 @@
     Given the package is installed into an empty folder
     When the platform's entry is imported from there
     Then the standard module "platform" is still the library's own
+
+  Scenario: A signal that settings have changed does not end a process that starts
+    Given the settings file of an entry is malformed
+    When its process gets SIGHUP as soon as it does not end by it
+    Then the signal came before its first line
+    And it exits with status 2
--- a/features/steps/package_steps.py
+++ b/features/steps/package_steps.py
@@ -2,9 +2,12 @@
 
 import os
 import pathlib
+import select
+import signal
 import subprocess
 import sys
 import tempfile
+import time
 
 import behave
 
@@ -73,7 +76,8 @@
 @behave.when("the platform's entry is imported from there")
 def import_entry(context):
     code = (
-        "import platform, clementinewood_platform.main as entry;"
+        "import platform, clementinewood_platform.main,"
+        " clementinewood_platform.daemon as entry;"
         "print(platform.system(), entry.__file__)"
     )
     context.done = run_python(context, "-c", code)
@@ -85,3 +89,52 @@
     system, path = context.done.stdout.split()
     assert system == "Linux", system
     assert str(context.installed) in path, path
+
+
+@behave.given("the settings file of an entry is malformed")
+def write_settings(context):
+    context.folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(context.folder.cleanup)
+    context.settings = pathlib.Path(context.folder.name) / "settings.toml"
+    context.settings.write_text("node = 7")
+
+
+@behave.when("its process gets SIGHUP as soon as it does not end by it")
+def signal_starting(context):
+    child = subprocess.Popen(
+        [sys.executable, "-m", "clementinewood_platform.main"],
+        cwd=runner.ROOT,
+        env=dict(os.environ, CLEMENTINEWOOD_CONFIG=str(context.settings)),
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    )
+    context.first_line_came = False
+    while not survives(child.pid, signal.SIGHUP):
+        assert child.poll() is None, "it never came to survive the signal"
+        time.sleep(0.001)
+    readable, _, _ = select.select([child.stdout], [], [], 0)
+    context.first_line_came = bool(readable)
+    child.send_signal(signal.SIGHUP)
+    child.communicate()
+    context.status = child.returncode
+
+
+def survives(pid, number):
+    """Whether a process ignores or handles a signal."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    masks = [
+        int(line.split()[1], 16)
+        for line in status.splitlines()
+        if line.startswith(("SigIgn:", "SigCgt:"))
+    ]
+    return any(mask >> (number - 1) & 1 for mask in masks)
+
+
+@behave.then("the signal came before its first line")
+def check_early(context):
+    assert not context.first_line_came
+
+
+@behave.then("it exits with status {status:d}")
+def check_exit(context, status):
+    assert context.status == status, context.status
