Let the entries of the soak forward requests

Cause: the soak gave each entry the same port for metrics and for other entries, so that no entry published an address: callers were never told what only the leader knew, and a new leader asked nobody for completions. Change: a port of its own for other entries.

--- a/features/soak/site.py
+++ b/features/soak/site.py
@@ -18,7 +18,7 @@
 RESTART_SECONDS = 0.5
 FAULT_FREE_SECONDS = 3.0
 DRAIN_SECONDS = 4.0
-PORTS = 3
+PORTS = 4
 TEAMS = ("canvas", "shade", "tarp")
 CAP_CPU = 24000
 
@@ -26,7 +26,7 @@
 role = "entry"
 ip = "127.0.0.1"
 zone = "{zone}"
-internal_ports = [{metrics},{metrics}]
+internal_ports = [{metrics},{forwarding}]
 [listen]
 front = "127.0.0.1:{front}"
 ready = "127.0.0.1:{ready}"
@@ -62,7 +62,9 @@
         self.child = None
         self.path = folder / f"{name}.toml"
         self.output = (folder / f"{name}.log").open("ab")
-        front, ready, metrics = range(first_port, first_port + PORTS)
+        front, ready, metrics, forwarding = range(
+            first_port, first_port + PORTS
+        )
         self.store = simulated_services.SimulatedStore(site.harness)
         store_edge = edge.Edge(site.sockets, site.timers, self.store)
         store_address = store_edge.listen(("127.0.0.1", 0))
@@ -78,6 +80,7 @@
                 front=front,
                 ready=ready,
                 metrics=metrics,
+                forwarding=forwarding,
                 grace=GRACE_SECONDS,
                 store="{}:{}".format(*self.store_proxy.address),
                 machines="{}:{}".format(*self.machine_proxy.address),
