Let the soak's power losses take minions with them, and orders be late

Change: losses of power of all entries with no, half or all minions, with the store away around them in most draws; minions that crash right after a task has ended, carry out orders seconds late without an answer, or lose the answers. The harness keeps which entry led which term from when on, and whether the sender of each start was in touch.

--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -1,11 +1,19 @@
 """Injects random faults that may overlap."""
 
+import enum
 import json
 
 from clementinewood import jobtable, ports
 from features.soak import proxy, simulated_services
 
 
+class Mix(enum.Enum):
+    """Says which faults and which cancellations are frequent."""
+
+    ALL = "all"
+    POWER = "power"
+
+
 class FaultInjector:
     """Injects the random faults of one seed.
 
@@ -13,14 +21,24 @@
         site: Site that gets the faults.
         rng: Source of random choices.
         record_line: Called with one line of text per fault.
+        mix: Which faults are injected.
     """
 
-    def __init__(self, site, rng, record_line):
+    def __init__(self, site, rng, record_line, mix=Mix.ALL):
         self.site = site
         self.rng = rng
         self.record_line = record_line
         self.stopped = False
-        self.kinds = (
+        power_kinds = (
+            self.lose_power,
+            self.lose_power,
+            self.crash_after_ends,
+            self.delay_orders,
+            self.lose_order_answers,
+            self.degrade_all_stores,
+        )
+        all_kinds = (
+            *power_kinds,
             self.kill,
             self.kill_dispatcher,
             self.stop,
@@ -41,6 +59,15 @@
             self.hang_machine_service,
             self.kill_all,
         )
+        self.kinds = {
+            Mix.ALL: all_kinds,
+            Mix.POWER: (
+                *power_kinds,
+                self.kill_dispatcher,
+                self.pause,
+                self.crash_minion,
+            ),
+        }[mix]
 
     def start(self):
         self._next()
@@ -88,6 +115,52 @@
         for entry in self.site.entries:
             entry.kill()
 
+    def lose_power(self):
+        """Ends all entries and all or some minions at once, maybe twice.
+
+        The store may turn away all entries, or all but one, in the seconds
+        around it.
+        """
+        rng = self.rng
+        before = rng.choice((0.0, rng.uniform(0.0, 5.0), rng.uniform(1.0, 3.0)))
+        after = rng.choice((0.0, rng.uniform(0.0, 2.0)))
+        share = rng.choice((0.0, 0.5, 1.0, 1.0))
+        if before:
+            mode = rng.choice(
+                (
+                    simulated_services.StoreMode.REFUSING,
+                    simulated_services.StoreMode.SILENT,
+                )
+            )
+            entries = list(self.site.entries)
+            if rng.random() < 0.25:
+                entries.remove(self._entry())
+            self._degrade_stores(entries, mode, before + after)
+        times = [before]
+        if rng.random() < 0.25:
+            times.append(before + rng.uniform(0.5, 4.0))
+        for seconds in times:
+            self.site.timers.subscribe_once(
+                seconds, lambda: self._cut_power(share)
+            )
+
+    def _cut_power(self, share):
+        if self.stopped:
+            return
+        minions = [
+            minion
+            for minion in self.site.harness.minions.values()
+            if self.rng.random() < share
+        ]
+        self._log_fault(
+            "power", "minions", *(minion.minion_id for minion in minions)
+        )
+        self.site.extend_minion_fault()
+        for entry in self.site.entries:
+            entry.kill()
+        for minion in minions:
+            minion.crash()
+
     def stop(self):
         entry = self._entry()
         self._log_fault("stop", entry.name)
@@ -121,7 +194,7 @@
     def _degrade_stores(self, entries, mode, seconds):
         names = ",".join(entry.name for entry in entries)
         self._log_fault("store", mode.value, names, round(seconds, 1))
-        self.site.extend_store_fault(seconds)
+        self.site.extend_store_fault(entries, seconds)
         for entry in entries:
             entry.store.mode = mode
 
@@ -138,7 +211,7 @@
         seconds = self._draw_duration()
         self._log_fault("link", entry.name, link, mode.value, round(seconds, 1))
         if link == "store_proxy":
-            self.site.extend_store_fault(seconds)
+            self.site.extend_store_fault([entry], seconds)
         getattr(entry, link).set_fault(
             mode, seconds, self.rng.uniform(0.02, 0.3)
         )
@@ -146,14 +219,14 @@
     def reset_links(self):
         entry = self._entry()
         self._log_fault("reset", entry.name)
-        self.site.extend_store_fault(0.0)
+        self.site.extend_store_fault([entry])
         for item in (entry.front_proxy, entry.store_proxy):
             item.reset()
 
     def stall_links(self):
         """Stops relaying on open connections for good; new ones work."""
         self._log_fault("silence open connections")
-        self.site.extend_store_fault(0.0)
+        self.site.extend_store_fault(self.site.entries)
         for entry in self.site.entries:
             entry.store_proxy.stall_open()
         for item in self.site.minion_proxies.values():
@@ -175,6 +248,59 @@
         else:
             self.site.harness.machine_service.crash(minion)
 
+    def _simulated_minions(self):
+        """Returns some minions, or all of them."""
+        minions = list(self.site.harness.minions.values())
+        count = self.rng.choice((1, 3, len(minions)))
+        return [
+            self.site.simulated_minions[minion.minion_id]
+            for minion in self.rng.sample(minions, min(count, len(minions)))
+        ]
+
+    def crash_after_ends(self):
+        seconds = self.rng.uniform(0.3, 3.0)
+        chosen = self._simulated_minions()
+        self._log_fault("crash after ends", len(chosen), round(seconds, 1))
+        self.site.extend_minion_fault(seconds)
+        for item in chosen:
+            item.crashes_after_end = True
+
+        def end_fault():
+            for item in chosen:
+                item.crashes_after_end = False
+
+        self.site.timers.subscribe_once(seconds, end_fault)
+
+    def delay_orders(self):
+        self._degrade_orders(simulated_services.OrderFault.LATE)
+
+    def lose_order_answers(self):
+        self._degrade_orders(simulated_services.OrderFault.UNANSWERED)
+
+    def _degrade_orders(self, fault):
+        seconds = self._draw_duration()
+        share = self.rng.uniform(0.1, 0.6)
+        chosen = self._simulated_minions()
+        self._log_fault(
+            "orders",
+            fault.value,
+            len(chosen),
+            round(seconds, 1),
+            round(share, 1),
+        )
+        self.site.extend_minion_fault(
+            seconds + simulated_services.LATE_ORDER_SECONDS
+        )
+        for item in chosen:
+            item.order_fault, item.order_fault_share = fault, share
+
+        def end_fault():
+            for item in chosen:
+                if item.order_fault is fault:
+                    item.order_fault, item.order_fault_share = None, 0.0
+
+        self.site.timers.subscribe_once(seconds, end_fault)
+
     def degrade_minion_link(self):
         minion = self._minion()
         mode = self.rng.choice(list(proxy.Mode)[1:])
@@ -227,3 +353,6 @@
                 item.mode = proxy.Mode.PASS
         for item in self.site.minion_proxies.values():
             item.mode = proxy.Mode.PASS
+        for item in self.site.simulated_minions.values():
+            item.order_fault, item.order_fault_share = None, 0.0
+            item.crashes_after_end = False
--- a/features/soak/simulated_services.py
+++ b/features/soak/simulated_services.py
@@ -1,19 +1,23 @@
 """Serves the platform's HTTP interfaces from the state of `job_harness`."""
 
 import base64
+import dataclasses
 import enum
 import json
 from urllib import parse
 
-from clementinewood import dispatcher, identifiers, job, ports
+from clementinewood import dispatcher, identifiers, job, ports, run
 from clementinewood_platform import storeclient, wire
 
 APPEND_SECONDS = 0.004
 SLOW_SECONDS = 0.24
 LATE_SECONDS = 3.0
+LATE_ORDER_SECONDS = 4.0
+CRASH_DELAY_SECONDS = 0.2
 MOST_WAITING_SECONDS = 2.0
 PAGE_ITEMS = 500
 JSON = [(b"content-type", b"application/json")]
+ORDERS = ("/-/run-start", "/-/run-stop")
 
 STREAMS = {topic: stream for stream, topic in storeclient.TOPICS.items()}
 START_REASONS = {
@@ -107,6 +111,8 @@
 
         def carry_out():
             outcome = self.harness.store.append(stream, items, fence)
+            if isinstance(outcome, ports.Appended):
+                self.harness.record_leaders(items)
             if not lost:
                 self.answer_append(exchange, outcome)
 
@@ -194,12 +200,44 @@
     return items
 
 
+class OrderFault(enum.Enum):
+    """Says what becomes of calls to a minion."""
+
+    LATE = "late"
+    """Orders are carried out seconds later, without an answer."""
+
+    UNANSWERED = "unanswered"
+    """Calls are carried out, but their answers are lost."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Starter:
+    """Says who sent the order that started a run.
+
+    Attributes:
+        term: Fencing token of the order.
+        late: Whether the minion carried it out late.
+    """
+
+    term: int
+    late: bool
+
+
 class SimulatedMinion(SimulatedService):
-    """Simulates the minion at one address."""
+    """Simulates the minion at one address.
+
+    Attributes:
+        order_fault: What becomes of a share of the calls; None if nothing.
+        order_fault_share: That share.
+        crashes_after_end: Whether it crashes right after a task has ended.
+    """
 
     def __init__(self, harness, minion):
         super().__init__(harness)
         self.minion = minion
+        self.order_fault = None
+        self.order_fault_share = 0.0
+        self.crashes_after_end = False
         self.calls = {
             "/-/run-start": self.start,
             "/-/run-stop": self.stop,
@@ -214,10 +252,41 @@
         if wanted != self.minion.minion_id:
             answer(exchange, 421, {})
             return
-        super().handle_exchange(exchange)
+        if self.harness.random.random() < self.order_fault_share:
+            exchange.context = self.order_fault
+        is_order = exchange.request.target in ORDERS
+        if exchange.context is OrderFault.LATE and is_order:
+            self._carry_out_late(exchange)
+        else:
+            super().handle_exchange(exchange)
+
+    def _carry_out_late(self, exchange):
+        incarnation = self.minion.incarnation
+
+        def carry_out():
+            if self.minion.incarnation == incarnation:
+                SimulatedService.handle_exchange(self, exchange)
+
+        seconds = self.harness.random.uniform(0.2, LATE_ORDER_SECONDS)
+        self.later(seconds, carry_out)
+
+    def handle_run_end(self, how):
+        """Crashes after a task has ended, while that fault is set."""
+        if not self.crashes_after_end or how is not run.RunOutcome.DONE:
+            return
+        incarnation = self.minion.incarnation
+
+        def crash():
+            if self.minion.incarnation == incarnation:
+                self.minion.crash()
+
+        rng = self.harness.random
+        self.later(
+            rng.choice((0.0, rng.uniform(0, CRASH_DELAY_SECONDS))), crash
+        )
 
     def reply(self, exchange, status, **fields):
-        if self.minion.unreachable:
+        if self.minion.unreachable or exchange.context is not None:
             return
         fields["clock_ms"] = int(self.minion.now * 1000)
         answer(exchange, status, fields)
@@ -239,7 +308,9 @@
             )
             self.reply(exchange, 400)
             return
-        outcome = self.minion.start(fields["fencing_token"], order, "")
+        term = fields["fencing_token"]
+        late = exchange.context is OrderFault.LATE
+        outcome = self.minion.start(term, order, Starter(term, late))
         if outcome is dispatcher.StartOutcome.STARTED:
             self.reply(exchange, 200)
         else:
--- a/features/soak/site.py
+++ b/features/soak/site.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 
-from clementinewood import catalog, edge, identifiers, job, ports
+from clementinewood import catalog, edge, identifiers, job, jobtable, ports
 from features import dev_process, job_harness, runner
 from features.soak import proxy, simulated_services
 
@@ -17,6 +17,7 @@
 GRACE_SECONDS = 6.0
 RESTART_SECONDS = 0.5
 FAULT_FREE_SECONDS = 3.0
+CANCEL_SECONDS = 3.0
 DRAIN_SECONDS = 4.0
 PORTS = 4
 TEAMS = ("canvas", "shade", "tarp")
@@ -59,6 +60,7 @@
         self.name = name
         self.state = ProcessState.DEAD
         self.disturbed_until = float("-inf")
+        self.store_fault_until = float("-inf")
         self.child = None
         self.path = folder / f"{name}.toml"
         self.output = (folder / f"{name}.log").open("ab")
@@ -94,6 +96,15 @@
     def pid(self):
         return self.child.pid if self.child is not None else None
 
+    def is_in_touch(self):
+        """Returns whether process and store link were sound recently."""
+        since = self.site.timers.clock() - FAULT_FREE_SECONDS
+        return (
+            self.state is ProcessState.RUNNING
+            and self.disturbed_until < since
+            and self.store_fault_until < since
+        )
+
     def start(self):
         if self.state is not ProcessState.DEAD or self.site.closing:
             return
@@ -175,6 +186,40 @@
         self.output.close()
 
 
+@dataclasses.dataclass(frozen=True)
+class Leadership:
+    """Holds one term of leadership.
+
+    Attributes:
+        entry: Entry that leads.
+        began: When its candidacy was stored.
+    """
+
+    entry: EntryProcess
+    began: float
+
+
+@dataclasses.dataclass(frozen=True)
+class RunStart:
+    """Holds the start of one run.
+
+    Attributes:
+        time: When the minion began it.
+        minion_id: The minion.
+        task: The task.
+        number: Number of the run.
+        starter: Who sent the order.
+        in_touch: Whether the entry that sent it was in touch.
+    """
+
+    time: float
+    minion_id: identifiers.MinionId
+    task: job.TaskId
+    number: int
+    starter: simulated_services.Starter
+    in_touch: bool
+
+
 class SoakHarness(job_harness.JobHarness):
     """Simulates the platform with the records that real processes read."""
 
@@ -184,14 +229,17 @@
         self.turns = {}
         self.evacuated_at = {}
         self.shown_completed = set()
+        self.unknown_at = {}
         self.refused = {}
+        self.leaderships = {}
+        self.starts = []
         super().__init__(
             seed, entries=0, minions=minions, spare=spare, timers=site.timers
         )
 
     def find_cancel_bound(self):
         # The bound holds only while entries reach the platform.
-        return 3.0 if self.site.is_fault_free() else float("inf")
+        return CANCEL_SECONDS if self.site.is_fault_free() else float("inf")
 
     def read_waiting(self, stream):
         """Returns the seconds of work of appends that wait in a partition."""
@@ -223,10 +271,29 @@
             }
         ).encode()
 
-    def record_run_start(self, minion, task, number, entry):
-        super().record_run_start(minion, task, number, entry)
+    def record_leaders(self, items):
+        """Notes terms whose first record is among those just stored."""
+        for item in items:
+            if item.key == jobtable.LEADER_KEY:
+                term, incarnation, _ = json.loads(item.value)
+                name = incarnation.partition("/")[0]
+                entry = self.site.find_entry(name)
+                self.leaderships.setdefault(
+                    term, Leadership(entry, self.clock())
+                )
+
+    def record_run_end(self, minion, task, running, how):
+        super().record_run_end(minion, task, running, how)
+        self.site.simulated_minions[minion.minion_id].handle_run_end(how)
+
+    def record_run_start(self, minion, task, number, starter):
+        super().record_run_start(minion, task, number, starter)
         name = task.render()
         now = self.clock()
+        in_touch = self.leaderships[starter.term].entry.is_in_touch()
+        self.starts.append(
+            RunStart(now, minion.minion_id, task, number, starter, in_touch)
+        )
         if task.job in self.shown_completed:
             self.violations.append(
                 f"{name} starts after its job was shown as completed"
@@ -236,6 +303,28 @@
             self.violations.append(f"{name} starts in evacuated {minion.zone}")
         self.check_cap(self.accepted[task.job].team)
 
+    def find_cancelled_starts(self):
+        """Yields violations by runs of jobs whose cancellation was answered.
+
+        A leader reads the log of jobs after its candidacy was stored, so it
+        knows every cancellation that was acknowledged before, whatever the
+        faults. Orders that a minion carries out late are not the leader's.
+        """
+        answered = self.unknown_at | self.cancelled_at
+        for start in self.starts:
+            cancelled = answered.get(start.task.job)
+            if cancelled is None or start.starter.late:
+                continue
+            term = start.starter.term
+            text = (
+                f"{start.task.render()} starts {start.time - cancelled:.3f} s"
+                f" after its cancellation was acknowledged, in term {term}"
+            )
+            if self.leaderships[term].began > cancelled:
+                yield f"{text}, which began later"
+            elif start.in_touch and start.time > cancelled + CANCEL_SECONDS:
+                yield f"{text}, whose leader is in touch"
+
     def check_cap(self, team):
         used = most = 0
         for minion in self.minions.values():
@@ -273,6 +362,8 @@
         self.violations = []
         self.addresses = {}
         self.minion_proxies = {}
+        self.simulated_minions = {}
+        self.answers = []
         SoakHarness(self, seed, minions, spare)
         self.harness.violations = self.violations
         self.machines = simulated_services.SimulatedMachineService(self.harness)
@@ -306,9 +397,14 @@
         for entry in self.entries:
             entry.watch()
 
-    def extend_store_fault(self, seconds):
+    def find_entry(self, name):
+        return next(entry for entry in self.entries if entry.name == name)
+
+    def extend_store_fault(self, entries, seconds=0.0):
         end = self.timers.clock() + seconds
         self.store_fault_until = max(self.store_fault_until, end)
+        for entry in entries:
+            entry.store_fault_until = max(entry.store_fault_until, end)
 
     def extend_minion_fault(self, seconds=0.0):
         end = self.timers.clock() + seconds
@@ -328,6 +424,7 @@
         simulated_minion = simulated_services.SimulatedMinion(
             self.harness, minion
         )
+        self.simulated_minions[minion.minion_id] = simulated_minion
         server = edge.Edge(self.sockets, self.timers, simulated_minion)
         address = server.listen(("127.0.0.1", 0))
         found = proxy.Proxy(self.sockets, self.timers, address)
