Let the soak's callers ask and cancel after completion, and check it

Cause: callers stopped asking once a job was shown as completed, never cancelled one afterwards, and the bound for starts after a cancellation held only without any fault at the whole site. Change: callers go on asking, cancel at any point, also before the answer to their POST. Checked: a start after an acknowledged cancellation is wrong in a term that began after it, whatever the faults, and 3 s after it from an entry in touch; a job shown as completed is not shown otherwise 3 s later by an entry in touch, and never as unknown. A mix 'power' concentrates on this; unfinished jobs are counted apart, since a job may now count as completed and cancelled.

--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -36,9 +36,10 @@
         seconds: How long faults are injected.
         folder: Folder for settings and logs.
         entries: Number of entry processes.
+        mix: Which faults and cancellations are frequent.
     """
 
-    def __init__(self, seed, seconds, folder, *, entries=4):
+    def __init__(self, seed, seconds, folder, *, entries=4, mix=faults.Mix.ALL):
         self.seed = seed
         self.folder = pathlib.Path(folder)
         self.timers = timer.GracefulTimers()
@@ -49,10 +50,12 @@
         self.began = time.monotonic()
         self.lines = []
         rng = random.Random(seed)
-        self.faults = faults.FaultInjector(self.site, rng, self._record_line)
+        self.faults = faults.FaultInjector(
+            self.site, rng, self._record_line, mix
+        )
         self.callers = [
             callers.Caller(
-                self.site, random.Random(seed * 1000 + number), number
+                self.site, random.Random(seed * 1000 + number), number, mix
             )
             for number in range(CALLERS)
         ]
@@ -86,7 +89,7 @@
         self._record_line("calm")
         self.faults.end_faults()
         for caller in self.callers:
-            caller.stopped = True
+            caller.stop()
         self.settled_at = self.timers.clock() + SETTLE_SECONDS
         self.busy_at = self.timers.clock()
 
@@ -120,6 +123,7 @@
         for item in self._unfinished():
             broken.append(f"{item.job_id} was accepted but not completed")
         harness = self.site.harness
+        broken += harness.find_cancelled_starts()
         begun = {
             entry[3].job for entry in harness.history if entry[0] == "begin"
         }
@@ -149,6 +153,7 @@
             "accepted": sum(item.accepted_at is not None for item in works),
             "completed": sum(item.completed for item in works),
             "cancelled": sum(item.cancelled_at is not None for item in works),
+            "unfinished": len(self._unfinished()),
             "runs": harness.count("begin"),
             "moves": len(harness.machine_service.orders),
             "lag": round(self.lag, 3),
@@ -164,16 +169,31 @@
             for entry in self.site.harness.history
             if isinstance(entry[3], job.TaskId)
         ]
-        (self.folder / "history.json").write_text(
-            "\n".join(json.dumps(row) for row in history) + "\n"
-        )
+        answers = [
+            [round(time - self.began, 3) for time in row[:2]] + list(row[2:])
+            for row in self.site.answers
+        ]
+        terms = [
+            [term, round(item.began - self.began, 3), item.entry.name]
+            for term, item in self.site.harness.leaderships.items()
+        ]
+        for name, rows in (
+            ("history", history),
+            ("answers", answers),
+            ("terms", terms),
+        ):
+            (self.folder / f"{name}.json").write_text(
+                "\n".join(json.dumps(row) for row in rows) + "\n"
+            )
         shutil.copytree(self.folder, target, dirs_exist_ok=True)
 
 
-def run_seed(seed, seconds, entries, out=None, *, keep=False):
+def run_seed(
+    seed, seconds, entries, out=None, *, keep=False, mix=faults.Mix.ALL
+):
     """Runs one seed; keeps its logs in `out` if a guarantee was violated."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, seconds, folder, entries=entries)
+        soak = Soak(seed, seconds, folder, entries=entries, mix=mix)
         report = soak.run()
         if out is not None and (keep or report["broken"]):
             soak.keep(pathlib.Path(out) / f"seed-{seed}")
@@ -195,6 +215,12 @@
         "--seconds", type=float, default=25.0, help="time of faults, each seed"
     )
     parser.add_argument("--entries", type=int, default=4)
+    parser.add_argument(
+        "--mix",
+        choices=[mix.value for mix in faults.Mix],
+        default=faults.Mix.ALL.value,
+        help="which faults and cancellations are frequent",
+    )
     parser.add_argument("--out", default=None, help="folder for broken seeds")
     parser.add_argument(
         "--keep", action="store_true", help="keep the logs of sound seeds too"
@@ -208,6 +234,7 @@
             options.entries,
             options.out,
             keep=options.keep,
+            mix=faults.Mix(options.mix),
         )
         print(json.dumps(report), flush=True)
         broken = broken or bool(report["broken"])
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -1,20 +1,42 @@
 """Simulates callers that submit jobs, poll their state and cancel some."""
 
+import enum
 import json
 
 from clementinewood import httpclient, identifiers, job
+from features.soak import faults
 from features.soak import site as site_module
 
 PATIENCE_MS = 3000
 TIMEOUT_SECONDS = 4.0
 MAX_TRIES = 8
 ASK_SECONDS = 0.4
-CANCELLED_SHARE = 0.1
+ENDED_ASK_SECONDS = 2.0
+FINAL_ASK_SECONDS = (3.2, 3.8)
+SHOWN_SECONDS = 3.0
 KEY_SECONDS = 5.0
 VISIBLE_SECONDS = 3.0
 QUIET_SECONDS = 3.0
 
 
+class Cancelling(enum.Enum):
+    """Says when a caller cancels a job."""
+
+    NEVER = "never"
+    SUBMITTED = "submitted"
+    """Soon after its first attempt, whether it is answered or not."""
+
+    ACCEPTED = "accepted"
+    COMPLETED = "completed"
+    """Soon after it was shown as completed."""
+
+
+CANCELLING_WEIGHTS = {
+    faults.Mix.ALL: (0.6, 0.08, 0.16, 0.16),
+    faults.Mix.POWER: (0.35, 0.1, 0.15, 0.4),
+}
+
+
 class Caller:
     """Simulates one caller with persistent connections to each entry.
 
@@ -23,9 +45,10 @@
     listens.
     """
 
-    def __init__(self, site, rng, number):
+    def __init__(self, site, rng, number, mix=faults.Mix.ALL):
         self.site = site
         self.rng = rng
+        self.mix = mix
         self.number = number
         self.count = 0
         self.stopped = False
@@ -50,6 +73,15 @@
     def start(self):
         self._next()
 
+    def stop(self):
+        """Submits nothing more; asks once more for each completed job."""
+        self.stopped = True
+        for item in self.jobs:
+            if item.completed:
+                self.site.timers.subscribe_once(
+                    self.rng.uniform(*FINAL_ASK_SECONDS), item.ask
+                )
+
     def _next(self):
         if not self.stopped:
             Work(self).submit()
@@ -59,7 +91,15 @@
 
 
 class Work:
-    """Follows one job from its first attempt until its end was shown."""
+    """Follows one job from its first attempt, also after its end was shown.
+
+    Attributes:
+        accepted_at: When it was accepted; None if it was not.
+        cancelled_at: When a cancellation was acknowledged; None if none was.
+        cancel_sent: Whether a cancellation was sent.
+        maybe_accepted: Whether an attempt got no certain answer.
+        completed_at: When it was first shown as completed; None if it was not.
+    """
 
     def __init__(self, caller):
         self.caller = caller
@@ -96,14 +136,23 @@
                 ],
             }
         ).encode()
-        self.cancels = rng.random() < CANCELLED_SHARE
+        self.cancelling = rng.choices(
+            list(Cancelling), CANCELLING_WEIGHTS[caller.mix]
+        )[0]
         self.accepted_at = None
         self.cancelled_at = None
+        self.cancel_sent = False
         self.maybe_accepted = False
-        self.completed = False
+        self.completed_at = None
         self.tries = 0
+        if self.cancelling is Cancelling.SUBMITTED:
+            self._later(rng.uniform(0.0, 1.0), self.cancel)
         caller.jobs.append(self)
 
+    @property
+    def completed(self):
+        return self.completed_at is not None
+
     def _find_key(self):
         return next(
             key for key, owner in self.site.keys.items() if owner == self.team
@@ -129,6 +178,7 @@
                 case httpclient.Lost(detail=detail):
                     attempt.lost = detail
                     self._check_cut(method, attempt)
+            self._record_answer(method, attempt, outcome)
             on_result(attempt, outcome)
 
         self.caller.clients[entry.name].send(
@@ -140,6 +190,22 @@
             on_result=finish,
         )
 
+    def _record_answer(self, method, attempt, outcome):
+        text = attempt.lost
+        if isinstance(outcome, httpclient.Response):
+            text = outcome.body.decode(errors="replace")
+        self.site.answers.append(
+            (
+                attempt.sent,
+                attempt.ended,
+                attempt.entry.name,
+                method,
+                self.job_id,
+                attempt.status,
+                text,
+            )
+        )
+
     def _check_cut(self, method, attempt):
         """Checks that a graceful stop cut no request sent before it."""
         entry = attempt.entry
@@ -160,6 +226,8 @@
         self.tries += 1
         if self.tries > MAX_TRIES or self.caller.stopped:
             return
+        if self.cancelled_at is not None and self.caller.rng.random() < 0.5:
+            return
         if self.key in self.site.revoked_at and not self.maybe_accepted:
             self.key = self._find_key()
         self._send("POST", self.body, self._on_submitted)
@@ -169,8 +237,10 @@
             self._check_key(attempt)
             if self.accepted_at is None:
                 self.accepted_at = attempt.ended
+                # It was not known when its cancellation was answered.
+                self.harness.unknown_at.pop(self.job_id, None)
                 self._poll_later()
-                if self.cancels:
+                if self.cancelling is Cancelling.ACCEPTED:
                     self._later(self.caller.rng.uniform(0.0, 2.0), self.cancel)
                 if self.caller.rng.random() < 0.05:
                     # Repeats the request, which must be idempotent.
@@ -193,24 +263,33 @@
         self.site.timers.subscribe_once(seconds, callback)
 
     def _poll_later(self):
-        self._later(self.caller.rng.uniform(0.5, 1.5) * ASK_SECONDS, self.ask)
+        ended = self.completed or self.cancelled_at is not None
+        if ended and self.caller.stopped:
+            return
+        seconds = ENDED_ASK_SECONDS if ended else ASK_SECONDS
+        self._later(self.caller.rng.uniform(0.5, 1.5) * seconds, self.ask)
 
     def ask(self):
-        if not self.completed and self.cancelled_at is None:
-            if self.key in self.site.revoked_at:
-                self.key = self._find_key()
-            self._send("GET", b"", self._on_state)
+        if self.key in self.site.revoked_at:
+            self.key = self._find_key()
+        self._send("GET", b"", self._on_state)
 
     def _on_state(self, attempt, outcome):
         if attempt.status == 200:
             state = json.loads(outcome.body)["state"]
             if state == "completed":
-                self.completed = True
-                self.harness.shown_completed.add(self.job_id)
-                self._check_completed()
+                self._handle_completed(attempt)
             elif state == "failed":
                 self.site.violations.append(f"{self.job_id} is shown as failed")
-        elif attempt.status == 410 and self.cancelled_at is None:
+            elif state == "cancelled" and not self.cancel_sent:
+                self.site.violations.append(
+                    f"{self.job_id} is shown as cancelled, but nobody asked"
+                )
+            elif state != "cancelled":
+                self._check_still_completed(attempt, state)
+        elif attempt.status == 410 and (
+            self.cancelled_at is None or self.completed
+        ):
             visible = attempt.sent > self.accepted_at + VISIBLE_SECONDS
             if visible:
                 self.site.violations.append(
@@ -219,6 +298,28 @@
                 )
         self._poll_later()
 
+    def _handle_completed(self, attempt):
+        if self.completed:
+            return
+        self.completed_at = attempt.ended
+        self.harness.shown_completed.add(self.job_id)
+        self._check_completed()
+        if self.cancelling is Cancelling.COMPLETED:
+            self._later(self.caller.rng.expovariate(3.0), self.cancel)
+
+    def _check_still_completed(self, attempt, state):
+        """Checks that an entry in touch shows no older state."""
+        if (
+            self.completed
+            and attempt.sent > self.completed_at + SHOWN_SECONDS
+            and attempt.entry.is_in_touch()
+        ):
+            self.site.violations.append(
+                f"{self.job_id} is shown as {state} by {attempt.entry.name}"
+                f" {attempt.ended - self.completed_at:.3f} s after it was shown"
+                " as completed"
+            )
+
     def _check_completed(self):
         ended = self.harness.ended_done()
         for number, step in enumerate(self.harness.accepted[self.job_id].steps):
@@ -230,17 +331,25 @@
                     )
 
     def cancel(self):
-        if self.completed:
-            return
-
         def finish(attempt, outcome):
-            if attempt.status in (200, 410):
-                if self.cancelled_at is None:
-                    self.cancelled_at = attempt.ended
-                    self.harness.cancelled_at[self.job_id] = attempt.ended
+            if 200 <= attempt.status < 300 or attempt.status == 410:
+                self._handle_cancelled(attempt)
             else:
                 self._later(0.3, self.cancel)
 
         if self.key in self.site.revoked_at:
             self.key = self._find_key()
+        self.cancel_sent = True
         self._send("DELETE", b"", finish)
+
+    def _handle_cancelled(self, attempt):
+        if self.cancelled_at is not None:
+            return
+        self.cancelled_at = attempt.ended
+        accepted = (
+            self.accepted_at is not None and self.accepted_at < attempt.sent
+        )
+        if attempt.status != 410 or accepted:
+            self.harness.cancelled_at[self.job_id] = attempt.ended
+        elif self.accepted_at is None:
+            self.harness.unknown_at[self.job_id] = attempt.ended
