Let the soak's callers give up a POST and cancel it at once

Cause: hardly a cancellation reached an entry before the job did, so a job that is stored after its cancellation was answered as unknown never ran in the soak. Change: half of the callers that cancel early give up their first attempt within 20 ms. Both kinds of cancellations have the rule's bound of 3 s.

--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -177,7 +177,13 @@
             [term, round(item.began - self.began, 3), item.entry.name]
             for term, item in self.site.harness.leaderships.items()
         ]
+        appends = [
+            [round(time - self.began, 3), stream.value, offset, item.key]
+            + [item.value[:100].decode(errors="replace")]
+            for time, stream, offset, item in self.site.harness.appends
+        ]
         for name, rows in (
+            ("appends", appends),
             ("history", history),
             ("answers", answers),
             ("terms", terms),
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -10,6 +10,7 @@
 PATIENCE_MS = 3000
 TIMEOUT_SECONDS = 4.0
 MAX_TRIES = 8
+HURRY_SECONDS = 0.02
 ASK_SECONDS = 0.4
 ENDED_ASK_SECONDS = 2.0
 FINAL_ASK_SECONDS = (3.2, 3.8)
@@ -98,6 +99,7 @@
         cancelled_at: When a cancellation was acknowledged; None if none was.
         cancel_sent: Whether a cancellation was sent.
         maybe_accepted: Whether an attempt got no certain answer.
+        timeout: Seconds after which the caller gives up the next attempt.
         completed_at: When it was first shown as completed; None if it was not.
     """
 
@@ -145,8 +147,12 @@
         self.maybe_accepted = False
         self.completed_at = None
         self.tries = 0
+        self.timeout = TIMEOUT_SECONDS
         if self.cancelling is Cancelling.SUBMITTED:
-            self._later(rng.uniform(0.0, 1.0), self.cancel)
+            hurry = rng.choice((HURRY_SECONDS, 1.0))
+            if rng.random() < 0.5:
+                self.timeout = rng.uniform(0.0, HURRY_SECONDS)
+            self._later(rng.uniform(0.0, hurry), self.cancel)
         caller.jobs.append(self)
 
     @property
@@ -158,7 +164,7 @@
             key for key, owner in self.site.keys.items() if owner == self.team
         )
 
-    def _send(self, method, body, on_result):
+    def _send(self, method, body, on_result, timeout=TIMEOUT_SECONDS):
         site = self.site
         entry = self.caller.rng.choice(site.entries)
         attempt = site_module.Attempt(entry, site.timers.clock())
@@ -177,7 +183,8 @@
                     attempt.status = status
                 case httpclient.Lost(detail=detail):
                     attempt.lost = detail
-                    self._check_cut(method, attempt)
+                    if timeout == TIMEOUT_SECONDS:
+                        self._check_cut(method, attempt)
             self._record_answer(method, attempt, outcome)
             on_result(attempt, outcome)
 
@@ -186,7 +193,7 @@
             f"/quotes/{self.job_id}",
             headers,
             body,
-            timeout=TIMEOUT_SECONDS,
+            timeout=timeout,
             on_result=finish,
         )
 
@@ -230,7 +237,8 @@
             return
         if self.key in self.site.revoked_at and not self.maybe_accepted:
             self.key = self._find_key()
-        self._send("POST", self.body, self._on_submitted)
+        timeout, self.timeout = self.timeout, TIMEOUT_SECONDS
+        self._send("POST", self.body, self._on_submitted, timeout)
 
     def _on_submitted(self, attempt, outcome):
         if 200 <= attempt.status < 300:
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -2,6 +2,7 @@
 
 import enum
 import json
+import random
 
 from clementinewood import jobtable, ports
 from features.soak import proxy, simulated_services
@@ -26,6 +27,7 @@
 
     def __init__(self, site, rng, record_line, mix=Mix.ALL):
         self.site = site
+        self.schedule = rng
         self.rng = rng
         self.record_line = record_line
         self.stopped = False
@@ -75,9 +77,12 @@
     def _next(self):
         if self.stopped:
             return
-        self.rng.choice(self.kinds)()
+        # Each fault has draws of its own: how many it takes depends on the
+        # state of the site, and the faults after it must not.
+        self.rng = random.Random(self.schedule.random())
+        self.schedule.choice(self.kinds)()
         self.site.timers.subscribe_once(
-            self.rng.choice((0.1, 0.4, 0.8, 1.5, 3.0)), self._next
+            self.schedule.choice((0.1, 0.4, 0.8, 1.5, 3.0)), self._next
         )
 
     def _log_fault(self, kind, *details):
@@ -141,16 +146,16 @@
             times.append(before + rng.uniform(0.5, 4.0))
         for seconds in times:
             self.site.timers.subscribe_once(
-                seconds, lambda: self._cut_power(share)
+                seconds, lambda: self._cut_power(share, rng)
             )
 
-    def _cut_power(self, share):
+    def _cut_power(self, share, rng):
         if self.stopped:
             return
         minions = [
             minion
             for minion in self.site.harness.minions.values()
-            if self.rng.random() < share
+            if rng.random() < share
         ]
         self._log_fault(
             "power", "minions", *(minion.minion_id for minion in minions)
--- a/features/soak/simulated_services.py
+++ b/features/soak/simulated_services.py
@@ -112,7 +112,7 @@
         def carry_out():
             outcome = self.harness.store.append(stream, items, fence)
             if isinstance(outcome, ports.Appended):
-                self.harness.record_leaders(items)
+                self.harness.record_append(stream, items, outcome.offset)
             if not lost:
                 self.answer_append(exchange, outcome)
 
--- a/features/soak/site.py
+++ b/features/soak/site.py
@@ -232,6 +232,7 @@
         self.unknown_at = {}
         self.refused = {}
         self.leaderships = {}
+        self.appends = []
         self.starts = []
         super().__init__(
             seed, entries=0, minions=minions, spare=spare, timers=site.timers
@@ -271,9 +272,10 @@
             }
         ).encode()
 
-    def record_leaders(self, items):
-        """Notes terms whose first record is among those just stored."""
+    def record_append(self, stream, items, offset):
+        """Notes records that were just stored, and terms that begin."""
         for item in items:
+            self.appends.append((self.clock(), stream, offset, item))
             if item.key == jobtable.LEADER_KEY:
                 term, incarnation, _ = json.loads(item.value)
                 name = incarnation.partition("/")[0]
@@ -308,21 +310,27 @@
 
         A leader reads the log of jobs after its candidacy was stored, so it
         knows every cancellation that was acknowledged before, whatever the
-        faults. Orders that a minion carries out late are not the leader's.
+        faults. Orders that a minion carries out late are no fault of it.
         """
         answered = self.unknown_at | self.cancelled_at
         for start in self.starts:
-            cancelled = answered.get(start.task.job)
-            if cancelled is None or start.starter.late:
+            job_id = start.task.job
+            cancelled = answered.get(job_id)
+            if (
+                cancelled is None
+                or start.time <= cancelled + CANCEL_SECONDS
+                or start.starter.late
+            ):
                 continue
             term = start.starter.term
+            how = "unknown" if job_id in self.unknown_at else "acknowledged"
             text = (
                 f"{start.task.render()} starts {start.time - cancelled:.3f} s"
-                f" after its cancellation was acknowledged, in term {term}"
+                f" after its cancellation was answered as {how}, in term {term}"
             )
             if self.leaderships[term].began > cancelled:
                 yield f"{text}, which began later"
-            elif start.in_touch and start.time > cancelled + CANCEL_SECONDS:
+            elif start.in_touch:
                 yield f"{text}, whose leader is in touch"
 
     def check_cap(self, team):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -16,12 +16,21 @@
     " seconds of faults"
 )
 def run_soak(context, seed, entries, seconds):
+    run_mix(context, "all", seed, entries, seconds)
+
+
+@behave.when(
+    "the soak runs seed {seed:d} of the mix {mix:w} with {entries:d} entries"
+    " and {seconds:g} seconds of faults"
+)
+def run_mix(context, mix, seed, entries, seconds):
     done = subprocess.run(
         [
             sys.executable,
             "-m",
             "features.soak",
             f"--seed={seed}",
+            f"--mix={mix}",
             f"--entries={entries}",
             f"--seconds={seconds}",
         ],
@@ -43,5 +52,4 @@
 @behave.then("every accepted job was completed or cancelled")
 def check_jobs(context):
     report = context.report
-    ended = report["completed"] + report["cancelled"]
-    assert report["accepted"] and ended >= report["accepted"], report
+    assert report["accepted"] and not report["unfinished"], report
