Send SIGHUP in the soak only to processes that can handle it

Change: the signal waits until the process has written its first line, and the promise names the exit status. An exit still counts as broken.

--- a/features/soak/site.py
+++ b/features/soak/site.py
@@ -64,6 +64,7 @@
         self.child = None
         self.path = folder / f"{name}.toml"
         self.output = (folder / f"{name}.log").open("ab")
+        self.output_before = 0
         front, ready, metrics, forwarding = range(
             first_port, first_port + PORTS
         )
@@ -109,6 +110,7 @@
         if self.state is not ProcessState.DEAD or self.site.closing:
             return
         environment = dict(os.environ, CLEMENTINEWOOD_CONFIG=str(self.path))
+        self.output_before = self._measure_output()
         self.child = subprocess.Popen(
             [sys.executable, "-m", "clementinewood_platform.main"],
             stdout=self.output,
@@ -121,11 +123,13 @@
 
     def watch(self):
         """Schedules a restart if the process has ended."""
-        if self.child is None or self.child.poll() is None:
+        status = self.child.poll() if self.child is not None else None
+        if status is None:
             return
         if self.state is ProcessState.RUNNING:
             self.site.violations.append(
-                f"{self.name} exited although no fault stopped it"
+                f"{self.name} exited with status {status} although no fault"
+                " stopped it"
             )
         self.child = None
         self.state = ProcessState.DEAD
@@ -175,8 +179,16 @@
 
         self.site.timers.subscribe_once(seconds, resume)
 
+    def _measure_output(self):
+        return os.fstat(self.output.fileno()).st_size
+
     def send_sighup(self):
-        self.send(signal.SIGHUP)
+        """Sends SIGHUP, which ends a process that is still being started."""
+        starting = self._measure_output() == self.output_before
+        if self.state is ProcessState.RUNNING and starting:
+            self.site.timers.subscribe_once(0.1, self.send_sighup)
+        else:
+            self.send(signal.SIGHUP)
 
     def close(self):
         if self.child is not None and self.child.poll() is None:
