Take no entry of the soak for in touch after a stall of its services

Change: a stall of over 0.5 s counts as a disruption of the store for the checks that ask whether an entry is in touch; the site-wide bounds are as before.

--- a/features/soak/site.py
+++ b/features/soak/site.py
@@ -18,6 +18,8 @@
 RESTART_SECONDS = 0.5
 FAULT_FREE_SECONDS = 3.0
 CANCEL_SECONDS = 3.0
+WATCH_SECONDS = 0.1
+STALL_SECONDS = 0.5
 DRAIN_SECONDS = 4.0
 PORTS = 4
 TEAMS = ("canvas", "shade", "tarp")
@@ -98,10 +100,11 @@
         return self.child.pid if self.child is not None else None
 
     def is_in_touch(self):
-        """Returns whether process and store link were sound recently."""
+        """Returns whether process, store and its link were sound recently."""
         since = self.site.timers.clock() - FAULT_FREE_SECONDS
         return (
             self.state is ProcessState.RUNNING
+            and self.site.find_last_stall() < since
             and self.disturbed_until < since
             and self.store_fault_until < since
         )
@@ -407,13 +410,24 @@
             )
             for number in range(entries)
         ]
-        timers.subscribe_every(0.1, self._watch)
+        self.watched_at = timers.clock()
+        self.stalled_at = float("-inf")
+        timers.subscribe_every(WATCH_SECONDS, self._watch)
 
     def start(self):
         for entry in self.entries:
             entry.start()
 
+    def find_last_stall(self):
+        """Returns when the simulated services last got no processor time."""
+        now = self.timers.clock()
+        if now - self.watched_at > WATCH_SECONDS + STALL_SECONDS:
+            return now
+        return self.stalled_at
+
     def _watch(self):
+        self.stalled_at = self.find_last_stall()
+        self.watched_at = self.timers.clock()
         for entry in self.entries:
             entry.watch()
 
