--- a/features/soak/site.py
+++ b/features/soak/site.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 
-from clementinewood import catalog, edge, identifiers, job, ports
+from clementinewood import catalog, edge, identifiers, job, jobtable, ports
 from features import dev_process, job_harness, runner
 from features.soak import proxy, simulated_services
 
@@ -17,8 +17,11 @@
 GRACE_SECONDS = 6.0
 RESTART_SECONDS = 0.5
 FAULT_FREE_SECONDS = 3.0
+CANCEL_SECONDS = 3.0
+WATCH_SECONDS = 0.1
+STALL_SECONDS = 0.5
 DRAIN_SECONDS = 4.0
-PORTS = 3
+PORTS = 4
 TEAMS = ("canvas", "shade", "tarp")
 CAP_CPU = 24000
 
@@ -26,7 +29,7 @@
 role = "entry"
 ip = "127.0.0.1"
 zone = "{zone}"
-internal_ports = [{metrics},{metrics}]
+internal_ports = [{metrics},{forwarding}]
 [listen]
 front = "127.0.0.1:{front}"
 ready = "127.0.0.1:{ready}"
@@ -59,10 +62,14 @@
         self.name = name
         self.state = ProcessState.DEAD
         self.disturbed_until = float("-inf")
+        self.store_fault_until = float("-inf")
         self.child = None
         self.path = folder / f"{name}.toml"
         self.output = (folder / f"{name}.log").open("ab")
-        front, ready, metrics = range(first_port, first_port + PORTS)
+        self.output_before = 0
+        front, ready, metrics, forwarding = range(
+            first_port, first_port + PORTS
+        )
         self.store = simulated_services.SimulatedStore(site.harness)
         store_edge = edge.Edge(site.sockets, site.timers, self.store)
         store_address = store_edge.listen(("127.0.0.1", 0))
@@ -78,6 +85,7 @@
                 front=front,
                 ready=ready,
                 metrics=metrics,
+                forwarding=forwarding,
                 grace=GRACE_SECONDS,
                 store="{}:{}".format(*self.store_proxy.address),
                 machines="{}:{}".format(*self.machine_proxy.address),
@@ -91,10 +99,21 @@
     def pid(self):
         return self.child.pid if self.child is not None else None
 
+    def is_in_touch(self):
+        """Returns whether process, store and its link were sound recently."""
+        since = self.site.timers.clock() - FAULT_FREE_SECONDS
+        return (
+            self.state is ProcessState.RUNNING
+            and self.site.find_last_stall() < since
+            and self.disturbed_until < since
+            and self.store_fault_until < since
+        )
+
     def start(self):
         if self.state is not ProcessState.DEAD or self.site.closing:
             return
         environment = dict(os.environ, CLEMENTINEWOOD_CONFIG=str(self.path))
+        self.output_before = self._measure_output()
         self.child = subprocess.Popen(
             [sys.executable, "-m", "clementinewood_platform.main"],
             stdout=self.output,
@@ -107,11 +126,13 @@
 
     def watch(self):
         """Schedules a restart if the process has ended."""
-        if self.child is None or self.child.poll() is None:
+        status = self.child.poll() if self.child is not None else None
+        if status is None:
             return
         if self.state is ProcessState.RUNNING:
             self.site.violations.append(
-                f"{self.name} exited although no fault stopped it"
+                f"{self.name} exited with status {status} although no fault"
+                " stopped it"
             )
         self.child = None
         self.state = ProcessState.DEAD
@@ -161,8 +182,16 @@
 
         self.site.timers.subscribe_once(seconds, resume)
 
+    def _measure_output(self):
+        return os.fstat(self.output.fileno()).st_size
+
     def send_sighup(self):
-        self.send(signal.SIGHUP)
+        """Sends SIGHUP, which ends a process that is still being started."""
+        starting = self._measure_output() == self.output_before
+        if self.state is ProcessState.RUNNING and starting:
+            self.site.timers.subscribe_once(0.1, self.send_sighup)
+        else:
+            self.send(signal.SIGHUP)
 
     def close(self):
         if self.child is not None and self.child.poll() is None:
@@ -172,6 +201,40 @@
         self.output.close()
 
 
+@dataclasses.dataclass(frozen=True)
+class Leadership:
+    """Holds one term of leadership.
+
+    Attributes:
+        entry: Entry that leads.
+        began: When its candidacy was stored.
+    """
+
+    entry: EntryProcess
+    began: float
+
+
+@dataclasses.dataclass(frozen=True)
+class RunStart:
+    """Holds the start of one run.
+
+    Attributes:
+        time: When the minion began it.
+        minion_id: The minion.
+        task: The task.
+        number: Number of the run.
+        starter: Who sent the order.
+        in_touch: Whether the entry that sent it was in touch.
+    """
+
+    time: float
+    minion_id: identifiers.MinionId
+    task: job.TaskId
+    number: int
+    starter: simulated_services.Starter
+    in_touch: bool
+
+
 class SoakHarness(job_harness.JobHarness):
     """Simulates the platform with the records that real processes read."""
 
@@ -181,14 +244,18 @@
         self.turns = {}
         self.evacuated_at = {}
         self.shown_completed = set()
+        self.unknown_at = {}
         self.refused = {}
+        self.leaderships = {}
+        self.appends = []
+        self.starts = []
         super().__init__(
             seed, entries=0, minions=minions, spare=spare, timers=site.timers
         )
 
     def find_cancel_bound(self):
         # The bound holds only while entries reach the platform.
-        return 3.0 if self.site.is_fault_free() else float("inf")
+        return CANCEL_SECONDS if self.site.is_fault_free() else float("inf")
 
     def read_waiting(self, stream):
         """Returns the seconds of work of appends that wait in a partition."""
@@ -220,10 +287,30 @@
             }
         ).encode()
 
-    def record_run_start(self, minion, task, number, entry):
-        super().record_run_start(minion, task, number, entry)
+    def record_append(self, stream, items, offset):
+        """Notes records that were just stored, and terms that begin."""
+        for item in items:
+            self.appends.append((self.clock(), stream, offset, item))
+            if item.key == jobtable.LEADER_KEY:
+                term, incarnation, _ = json.loads(item.value)
+                name = incarnation.partition("/")[0]
+                entry = self.site.find_entry(name)
+                self.leaderships.setdefault(
+                    term, Leadership(entry, self.clock())
+                )
+
+    def record_run_end(self, minion, task, running, how):
+        super().record_run_end(minion, task, running, how)
+        self.site.simulated_minions[minion.minion_id].handle_run_end(how)
+
+    def record_run_start(self, minion, task, number, starter):
+        super().record_run_start(minion, task, number, starter)
         name = task.render()
         now = self.clock()
+        in_touch = self.leaderships[starter.term].entry.is_in_touch()
+        self.starts.append(
+            RunStart(now, minion.minion_id, task, number, starter, in_touch)
+        )
         if task.job in self.shown_completed:
             self.violations.append(
                 f"{name} starts after its job was shown as completed"
@@ -233,6 +320,34 @@
             self.violations.append(f"{name} starts in evacuated {minion.zone}")
         self.check_cap(self.accepted[task.job].team)
 
+    def find_cancelled_starts(self):
+        """Yields violations by runs of jobs whose cancellation was answered.
+
+        A leader reads the log of jobs after its candidacy was stored, so it
+        knows every cancellation that was acknowledged before, whatever the
+        faults. Orders that a minion carries out late are no fault of it.
+        """
+        answered = self.unknown_at | self.cancelled_at
+        for start in self.starts:
+            job_id = start.task.job
+            cancelled = answered.get(job_id)
+            if (
+                cancelled is None
+                or start.time <= cancelled + CANCEL_SECONDS
+                or start.starter.late
+            ):
+                continue
+            term = start.starter.term
+            how = "unknown" if job_id in self.unknown_at else "acknowledged"
+            text = (
+                f"{start.task.render()} starts {start.time - cancelled:.3f} s"
+                f" after its cancellation was answered as {how}, in term {term}"
+            )
+            if self.leaderships[term].began > cancelled:
+                yield f"{text}, which began later"
+            elif start.in_touch:
+                yield f"{text}, whose leader is in touch"
+
     def check_cap(self, team):
         used = most = 0
         for minion in self.minions.values():
@@ -270,6 +385,8 @@
         self.violations = []
         self.addresses = {}
         self.minion_proxies = {}
+        self.simulated_minions = {}
+        self.answers = []
         SoakHarness(self, seed, minions, spare)
         self.harness.violations = self.violations
         self.machines = simulated_services.SimulatedMachineService(self.harness)
@@ -293,19 +410,35 @@
             )
             for number in range(entries)
         ]
-        timers.subscribe_every(0.1, self._watch)
+        self.watched_at = timers.clock()
+        self.stalled_at = float("-inf")
+        timers.subscribe_every(WATCH_SECONDS, self._watch)
 
     def start(self):
         for entry in self.entries:
             entry.start()
 
+    def find_last_stall(self):
+        """Returns when the simulated services last got no processor time."""
+        now = self.timers.clock()
+        if now - self.watched_at > WATCH_SECONDS + STALL_SECONDS:
+            return now
+        return self.stalled_at
+
     def _watch(self):
+        self.stalled_at = self.find_last_stall()
+        self.watched_at = self.timers.clock()
         for entry in self.entries:
             entry.watch()
 
-    def extend_store_fault(self, seconds):
+    def find_entry(self, name):
+        return next(entry for entry in self.entries if entry.name == name)
+
+    def extend_store_fault(self, entries, seconds=0.0):
         end = self.timers.clock() + seconds
         self.store_fault_until = max(self.store_fault_until, end)
+        for entry in entries:
+            entry.store_fault_until = max(entry.store_fault_until, end)
 
     def extend_minion_fault(self, seconds=0.0):
         end = self.timers.clock() + seconds
@@ -325,6 +458,7 @@
         simulated_minion = simulated_services.SimulatedMinion(
             self.harness, minion
         )
+        self.simulated_minions[minion.minion_id] = simulated_minion
         server = edge.Edge(self.sockets, self.timers, simulated_minion)
         address = server.listen(("127.0.0.1", 0))
         found = proxy.Proxy(self.sockets, self.timers, address)
