--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -509,6 +509,15 @@
         if entry is None or entry.state not in job.TERMINAL:
             self._observed_completions.add(job_id)
 
+    def find_known_end(self, job_id: identifiers.JobId) -> job.JobState | None:
+        """Returns the final state of a job, as far as this entry knows it."""
+        entry = self.table.find(job_id)
+        if entry is not None and entry.state in job.TERMINAL:
+            return entry.state
+        if job_id in self._observed_completions:
+            return job.JobState.COMPLETED
+        return None
+
     def handle_takeover(self, announced: ports.Takeover) -> None:
         """Follows a new leader, which the store may not show to this entry."""
         leader = self._find_leader()
--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -133,6 +133,15 @@
     When the leader does not respond to other entries
     Then that entry reports the job as "completed" within 0.5 seconds
 
+  Scenario: An entry that knows the end of a job passes on no older state
+    Given a site of entries in zones "a b c" with 3 minions
+    And a job of 3 tasks of 0.5 seconds that runs
+    When a follower is refused by the store
+    And 1 seconds pass on that site
+    And the leader does not respond to other entries
+    And the configuration of the third entry is out of date
+    Then the third entry reports the job as "completed"
+
   Scenario: A completion that an entry of an earlier version may not have stored is not passed on
     Given a site of entries in zones "a b c" with 3 minions
     And a job of 3 tasks of 4 seconds that runs
--- a/features/steps/job_states_steps.py
+++ b/features/steps/job_states_steps.py
@@ -572,3 +572,20 @@
 def check_stopped(context):
     for minion in context.site.harness.minions.values():
         assert not minion.running, minion.running
+
+
+@behave.when("the configuration of the third entry is out of date")
+def outdate_configuration(context):
+    (context.third,) = (
+        entry
+        for entry in find_followers(context.site)
+        if entry is not context.cut
+    )
+    declarations = context.third.service._declarations_feed
+    declarations.seconds_since_current = lambda: 10.0
+
+
+@behave.then('the third entry reports the job as "{state}"')
+def check_third(context, state):
+    assert read_state(context, context.third) == state
+    assert context.third.peers.sent[-1] == context.cut.address
