Send SIGHUP in the soak as soon as a process survives it

Cause: the soak held the signal back until the process had written its first line, which spared the time that the entry point protects now.

Change: it is sent once the process ignores or handles it, as the process's own status says; only the start of the interpreter is spared.

--- a/features/dev_process.py
+++ b/features/dev_process.py
@@ -1,6 +1,7 @@
 """A `dev` site in a process of its own, and commands run against it."""
 
 import os
+import pathlib
 import random
 import re
 import signal
@@ -120,3 +121,14 @@
 
 def find_request_id(text):
     return re.search(r"(?im)^x-request-id: (\w+)", text).group(1)
+
+
+def survives(pid, number):
+    """Whether a process ignores or handles a signal."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    masks = [
+        int(line.split()[1], 16)
+        for line in status.splitlines()
+        if line.startswith(("SigIgn:", "SigCgt:"))
+    ]
+    return any(mask >> (number - 1) & 1 for mask in masks)
--- a/features/soak/site.py
+++ b/features/soak/site.py
@@ -66,7 +66,6 @@
         self.child = None
         self.path = folder / f"{name}.toml"
         self.output = (folder / f"{name}.log").open("ab")
-        self.output_before = 0
         front, ready, metrics, forwarding = range(
             first_port, first_port + PORTS
         )
@@ -113,7 +112,6 @@
         if self.state is not ProcessState.DEAD or self.site.closing:
             return
         environment = dict(os.environ, CLEMENTINEWOOD_CONFIG=str(self.path))
-        self.output_before = self._measure_output()
         self.child = subprocess.Popen(
             [sys.executable, "-m", "clementinewood_platform.main"],
             stdout=self.output,
@@ -182,16 +180,17 @@
 
         self.site.timers.subscribe_once(seconds, resume)
 
-    def _measure_output(self):
-        return os.fstat(self.output.fileno()).st_size
-
     def send_sighup(self):
-        """Sends SIGHUP, which ends a process that is still being started."""
-        starting = self._measure_output() == self.output_before
-        if self.state is ProcessState.RUNNING and starting:
-            self.site.timers.subscribe_once(0.1, self.send_sighup)
-        else:
+        """Sends SIGHUP once the process survives it.
+
+        The start of the interpreter can't be protected from it.
+        """
+        if self.child is None or self.child.poll() is not None:
+            return
+        if dev_process.survives(self.child.pid, signal.SIGHUP):
             self.send(signal.SIGHUP)
+        else:
+            self.site.timers.subscribe_once(0.01, self.send_sighup)
 
     def close(self):
         if self.child is not None and self.child.poll() is None:
--- a/features/steps/package_steps.py
+++ b/features/steps/package_steps.py
@@ -109,7 +109,7 @@
         stderr=subprocess.STDOUT,
     )
     context.first_line_came = False
-    while not survives(child.pid, signal.SIGHUP):
+    while not dev_process.survives(child.pid, signal.SIGHUP):
         assert child.poll() is None, "it never came to survive the signal"
         time.sleep(0.001)
     readable, _, _ = select.select([child.stdout], [], [], 0)
@@ -119,17 +119,6 @@
     context.status = child.returncode
 
 
-def survives(pid, number):
-    """Whether a process ignores or handles a signal."""
-    status = pathlib.Path(f"/proc/{pid}/status").read_text()
-    masks = [
-        int(line.split()[1], 16)
-        for line in status.splitlines()
-        if line.startswith(("SigIgn:", "SigCgt:"))
-    ]
-    return any(mask >> (number - 1) & 1 for mask in masks)
-
-
 @behave.then("the signal came before its first line")
 def check_early(context):
     assert not context.first_line_came
