Count crashes of minions that are being emptied for deadly tasks

Cause: a crash was taken for planned if the minion was cordoned. A minion is cordoned as soon as its machine is to be emptied, long before an order ends it, and a deadly task there crashes it as anywhere.

Change: only minions whose machines have an order that ends them, and those that drain by themselves, end as planned.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -210,6 +210,7 @@
         self._domains_known = False
         self._verdicts: dict[job.TaskId, _Verdict] = {}
         self._cordoned: frozenset[identifiers.MinionId] = frozenset()
+        self._departing: frozenset[identifiers.MinionId] = frozenset()
         self._started_at = now
         self._former_leaders_excluded_at = math.inf
         self._dirty: set[identifiers.JobId] = set()
@@ -1093,8 +1094,18 @@
 
     # Stops ordered by other parts.
 
-    def set_cordoned(self, minion_ids: frozenset[identifiers.MinionId]) -> None:
-        """Replaces the minions that get no new work, known already or not."""
+    def set_cordoned(
+        self,
+        minion_ids: frozenset[identifiers.MinionId],
+        departing: frozenset[identifiers.MinionId] = frozenset(),
+    ) -> None:
+        """Replaces the minions that get no new work, known already or not.
+
+        Args:
+            minion_ids: These minions.
+            departing: Minions whose machines have an order that ends them.
+        """
+        self._departing = departing
         for minion_id in minion_ids ^ self._cordoned:
             view = self.views.get(minion_id)
             if view is not None:
@@ -1477,7 +1488,7 @@
             confirmed: Whether it has crashed; otherwise it may be cut off, and
                 nothing is given up unless that recurs.
         """
-        if view.draining or view.cordoned:
+        if view.draining or view.minion_id in self._departing:
             # It ended as planned.
             return
         if not self._domains_known:
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -340,7 +340,10 @@
             machine = self._machines.get(machine_id)
             if machine is not None:
                 cordoned[machine_id] = machine.minion_id
-        self._decisions.set_cordoned(frozenset(cordoned.values()))
+        self._decisions.set_cordoned(
+            frozenset(cordoned.values()),
+            frozenset(order.minion_id for order in self._orders),
+        )
 
     def _mark_maintenance_pending(self) -> None:
         due = {
--- a/features/deadly_tasks.feature
+++ b/features/deadly_tasks.feature
@@ -11,6 +11,15 @@
     And all other jobs are completed
     And no rule was broken
 
+  Scenario: Crashes of minions that are being emptied are counted
+    Given a site with 3 entries and 8 minions
+    And minions that are being emptied when they crash
+    When jobs run beside one with a deadly task
+    Then the deadly job fails within 12 seconds
+    And at most 3 minions crashed under a deadly task
+    And all other jobs are completed
+    And no rule was broken
+
   Scenario: The crashes of a task are counted across hand-overs
     Given a site with 3 entries and 8 minions
     When jobs run beside one with a deadly task
--- a/features/steps/deadly_tasks_steps.py
+++ b/features/steps/deadly_tasks_steps.py
@@ -2,16 +2,32 @@
 
 import collections
 import dataclasses
+from unittest import mock
 
 import behave
 
-from clementinewood import identifiers, job, run, suspicion
+from clementinewood import dispatcher, identifiers, job, run, suspicion
 from features import job_faults, job_harness
 
 OTHERS = 12
 MINION = identifiers.MinionId("m0")
 
 
+@behave.given("minions that are being emptied when they crash")
+def empty_minions(context):
+    assess = dispatcher.Dispatcher._assess_crash
+
+    def assess_cordoned(self, view, *arguments, **options):
+        view.cordoned = True
+        assess(self, view, *arguments, **options)
+
+    patch = mock.patch.object(
+        dispatcher.Dispatcher, "_assess_crash", assess_cordoned
+    )
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 def name_job(number):
     return identifiers.JobId(f"{number:016x}")
 
