--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -646,8 +646,8 @@
         While the store takes appends, others may store cancellations that this
         leader does not read.
         """
-        is_store_back = self._timers.clock() < self._compute_leadership_end()
-        if is_store_back and not self._knows_cancellations():
+        takes_appends = self._timers.clock() < self._compute_leadership_end()
+        if takes_appends and not self._knows_cancellations():
             return False
         return self._may_grant_leases()
 
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -1342,7 +1342,7 @@
             or active.progress.is_done(row.task)
         )
         if unwanted or active is None:
-            self._add_stray(view, self._create_unwanted(view, row))
+            self._add_unneeded(view, self._create_unwanted(view, row))
             return None
         item = self._create_run(active, row.task, row.number, view.minion_id)
         item.state = run.RunState.RUNNING
@@ -1350,7 +1350,7 @@
         other = active.live.get(row.task)
         if other is not None:
             # Keep the run that this leader knows already.
-            self._add_stray(view, item)
+            self._add_unneeded(view, item)
             return None
         view.add_run(item)
         active.add_run(item)
@@ -1381,9 +1381,9 @@
             state=run.RunState.RUNNING,
         )
 
-    def _add_stray(self, view: run.MinionView, item: run.Run) -> None:
+    def _add_unneeded(self, view: run.MinionView, item: run.Run) -> None:
         """Stops a run that no task needs; it counts until it has ended."""
-        item.stray = True
+        item.unneeded = True
         view.add_run(item)
         self._count_usage(item.team, item.need, 1)
         self._stop(item)
@@ -1415,7 +1415,7 @@
             del self._unanswered_starts[item.key]
         if self._stops.get(item.key) is item:
             del self._stops[item.key]
-        if item.stray:
+        if item.unneeded:
             self._count_usage(item.team, item.need, -1)
             return
         active = self.jobs.get(item.task.job)
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -19,7 +19,7 @@
     CANCEL = "c"
     PROGRESS = "p"
     COMPLETION = "e"
-    """Completion, stored by an entry of an earlier version for the leader."""
+    """Completion that an entry of an earlier version has stored."""
 
     CURSOR = "m"
     WAVE = "w"
--- a/clementinewood/progressrecord.py
+++ b/clementinewood/progressrecord.py
@@ -120,7 +120,7 @@
     """Encodes progress whole, or in blocks once it does not fit any more.
 
     A job whose progress is stored in blocks stays so until it ends: then its
-    blocks are deleted. The record that tells of the blocks comes after them,
+    blocks are deleted. The record that refers to the blocks comes after them,
     so that they count only once the division is stored as a whole.
 
     Args:
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -73,7 +73,7 @@
         seen_in_report: Whether a report of the minion's current incarnation
             has listed it.
         long_running: Whether it never ends by itself.
-        stray: Whether no task needs it; it is being stopped.
+        unneeded: Whether no task needs it; it is being stopped.
         fills: Whether it uses capacity that others leave unused.
         gang: Whether it is a member of a gang.
         isolated: Whether it started apart from other starts, since its task is
@@ -108,7 +108,7 @@
     start_rejected: bool = False
     seen_in_report: bool = False
     long_running: bool = False
-    stray: bool = False
+    unneeded: bool = False
     fills: bool = False
     gang: bool = False
     isolated: bool = False
--- a/features/steps/decoder_fuzz_steps.py
+++ b/features/steps/decoder_fuzz_steps.py
@@ -332,7 +332,7 @@
     table = jobtable.JobTable()
     key = jobtable.render_block_key(identifiers.JobId(JOB_ID), 0)
     table.apply(jobtable.StoredRecord(key, body, 0))
-    # Blocks are read only beside a record that tells of them.
+    # Blocks are read only beside a record that refers to them.
     head = job.encode_progress(job.Progress(block_tasks=256))
     table.apply(jobtable.StoredRecord(f"p/{JOB_ID}", head, 1))
     for entry in table:
--- a/features/steps/power_loss_steps.py
+++ b/features/steps/power_loss_steps.py
@@ -26,7 +26,7 @@
     site = context.site
     context.leader = job_states_steps.find_leader(site)
     context.told = job_states_steps.find_followers(site)[0]
-    # Too large for two on one minion, so that the leader hears from all.
+    # Too large for two on one minion, so that the leader gets reports of all.
     need = job.Resources(5000, 100)
     step = job.Step(count=count, need=need, estimate=seconds)
     site.submit(context.told, NAME, [step])
