Pass on no answer by an older configuration than this entry knows

Cause: an entry that the store turns away lets others answer. One with a newer configuration answered a request on a new route with 200, a second later one with an older configuration, still under 3 s old, answered 404, and both were passed on.

Change: a forwarded request names the newest version that its entry knows, also from answers of others; an entry whose configuration is older refuses it as not run, and the next one is asked.

--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -211,6 +211,7 @@
         self.incarnation = identifiers.create_incarnation(entry_id)
         self.announcer = announcer
         self._announced: ports.Takeover | None = None
+        self._observed_version = -1
         self._observed_completions: set[identifiers.JobId] = set()
         self._recovered_at = float("-inf")
         self._store = store
@@ -324,20 +325,33 @@
 
     # Callers.
 
+    def observe_version(self, version: int) -> None:
+        """Notes the configuration by which another entry has answered."""
+        self._observed_version = max(self._observed_version, version)
+
+    def read_newest_version(self) -> int:
+        """Returns the newest version that this entry knows to be in force."""
+        return max(self._version(), self._observed_version)
+
     def admit(
-        self, request: CallerRequest
+        self, request: CallerRequest, min_version: int = -1
     ) -> AdmittedRequest | verdict.Refusal:
-        """Returns the queue and team of a request, or why it is refused."""
+        """Returns the queue and team of a request, or why it is refused.
+
+        Args:
+            request: The request.
+            min_version: Version of the configuration that is known to be in
+                force; one that is older is out of date.
+        """
         config = self.declared.configuration
         if config is None:
             return _refuse(
                 verdict.Reason.STALE_CONFIGURATION,
                 "This entry has no configuration yet.",
             )
-        stale = (
-            self._declarations_feed.seconds_since_current()
-            > CONFIGURATION_STALE_SECONDS
-        )
+        age = self._declarations_feed.seconds_since_current()
+        newest = max(min_version, self.read_newest_version())
+        stale = age > CONFIGURATION_STALE_SECONDS or self._version() < newest
         queue = config.find_queue(request.host, request.path)
         if queue is None:
             if stale:
--- a/features/forwarding_harness.py
+++ b/features/forwarding_harness.py
@@ -34,8 +34,13 @@
 class Peers:
     """Passes requests on to other entries, and loses answers when told to."""
 
-    def __init__(self, site, timers):
-        self.client = peerclient.PeerClient(site.loop.sockets, site.loop.timers)
+    def __init__(self, site, service, timers):
+        self.client = peerclient.PeerClient(
+            site.loop.sockets,
+            site.loop.timers,
+            read_version=service.read_newest_version,
+            observe_version=service.observe_version,
+        )
         self.timers = timers
         self.sent = []
         self.lost = set()
@@ -100,7 +105,7 @@
             timers=timers,
             random_fraction=harness.random.random,
         )
-        self.peers = Peers(site, timers)
+        self.peers = Peers(site, service, timers)
         self.service.announcer = takeover.LeaderAnnouncer(
             self.directory, self.peers, timers
         )
--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -142,6 +142,15 @@
     And the configuration of the third entry is out of date
     Then the third entry reports the job as "completed"
 
+  Scenario: An entry passes on no rejection by an older configuration than it knows
+    Given a site of entries in zones "a b c" with 3 minions
+    When a follower is refused by the store
+    And a key is added to the configuration
+    And 0.5 seconds pass on that site
+    And the third entry accepts a job with that key
+    And every entry is refused by the store
+    Then the third entry does not reject a submission with that key
+
   Scenario: A completion that an entry of an earlier version may not have stored is not passed on
     Given a site of entries in zones "a b c" with 3 minions
     And a job of 3 tasks of 4 seconds that runs
--- a/features/steps/job_states_steps.py
+++ b/features/steps/job_states_steps.py
@@ -1,5 +1,6 @@
 """Steps for states of jobs while the store can't be read."""
 
+import dataclasses
 import json
 from unittest import mock
 
@@ -11,6 +12,7 @@
 
 NAME = job_service_steps.NAME
 OTHER_NAME = "00000000000000bb"
+THIRD_NAME = "00000000000000cc"
 
 
 @behave.given('a site of entries in zones "{zones}" with {count:d} minions')
@@ -574,13 +576,66 @@
         assert not minion.running, minion.running
 
 
-@behave.when("the configuration of the third entry is out of date")
-def outdate_configuration(context):
-    (context.third,) = (
+@behave.when("a key is added to the configuration")
+def add_key(context):
+    harness = context.site.harness
+    known = harness.declared.configuration
+    harness.declare(
+        configuration=dataclasses.replace(
+            known,
+            version=known.version + 1,
+            keys={**known.keys, "new-key": identifiers.TeamId("canvas")},
+        )
+    )
+
+
+def find_third(context):
+    """Returns the entry that neither leads nor was cut off first."""
+    (third,) = (
         entry
         for entry in find_followers(context.site)
         if entry is not context.cut
     )
+    return third
+
+
+def submit_with_key(context, name):
+    status, _, _, _ = context.site.call(
+        context.third,
+        "POST",
+        name,
+        body=forwarding_harness.render_job(),
+        key="new-key",
+    )
+    return status
+
+
+@behave.when("the third entry accepts a job with that key")
+def accept_with_key(context):
+    context.third = find_third(context)
+    harness = context.site.harness
+    step = job.Step(count=1, need=job.Resources(1000, 0), estimate=1.0)
+    harness.accepted[identifiers.JobId(OTHER_NAME)] = job.Job(
+        job_id=identifiers.JobId(OTHER_NAME),
+        queue=identifiers.QueueId("quotes"),
+        team=identifiers.TeamId("canvas"),
+        spec="",
+        steps=(step,),
+        accepted=harness.wall(),
+    )
+    assert submit_with_key(context, OTHER_NAME) == 200
+
+
+@behave.then("the third entry does not reject a submission with that key")
+def check_not_rejected(context):
+    status = submit_with_key(context, THIRD_NAME)
+    assert context.cut.address in context.third.peers.sent
+    assert status in (503, 504), status
+
+
+@behave.when("the configuration of the third entry is out of date")
+def outdate_configuration(context):
+    context.third = find_third(context)
     declarations = context.third.service._declarations_feed
     declarations.seconds_since_current = lambda: 10.0
 
