--- a/review/world_2.py
+++ b/review/world_2.py
@@ -74,9 +74,14 @@
 """
 
 
+_reserved: set[int] = set()
+
+
 def reserve_ports(count: int) -> int:
-    """Returns the first of `count` free adjacent ports."""
-    for first in range(21000 + os.getpid() % 4000 * 5, 60000, count):
+    """Returns the first of `count` free adjacent ports, each time others."""
+    for first in range(21000 + os.getpid() % 1000 * 32, 60000, count):
+        if first in _reserved:
+            continue
         sockets = []
         try:
             for port in range(first, first + count):
@@ -86,6 +91,7 @@
         except OSError:
             continue
         else:
+            _reserved.add(first)
             return first
         finally:
             for item in sockets:
@@ -623,6 +629,7 @@
             )
         )
         self.child: asyncio.subprocess.Process | None = None
+        self.started_at = 0.0
 
     async def start(self, stdout: Any = None) -> None:
         """Starts the process with the command of the deploy file."""
@@ -643,6 +650,7 @@
             stdout=stdout,
             stderr=asyncio.subprocess.STDOUT,
         )
+        self.started_at = self.world.now()
         self.world.log("entry-started", entry=self.name)
 
     def send(self, number: signal.Signals) -> None:
@@ -676,6 +684,9 @@
         self.store = Store(self)
         self.cloud = HttpServer(self._handle_cloud)
         self.fences: dict[str, int] = {}
+        self.waves: dict[int, list[str]] = {}
+        self.serviced: set[tuple[int, str]] = set()
+        self.on_machine_order: Callable[[str], None] | None = None
         self.task_seconds = 1.0
 
     def log(self, what: str, **fields: Any) -> None:
@@ -707,26 +718,69 @@
             rows = [item.describe() for item in self.machines.values()]
             return render({"machines": rows, "next_page_token": ""})
         fields = request.read_json()
-        machine = self.machines.get(fields["machine"])
+        machine = self.machines.get(fields.get("machine", ""))
         if machine is None:
             return render({}, 400)
         token = int(request.headers["x-fencing-token"])
+        answer = self._order_machine(machine, request.path, fields, token)
+        self.log(
+            "machine-order",
+            path=request.path,
+            machine=machine.name,
+            holder=request.headers["x-lease-holder"],
+            token=token,
+            status=answer[0],
+        )
+        if self.on_machine_order is not None:
+            self.on_machine_order(request.headers["x-lease-holder"])
+        return answer
+
+    def _order_machine(
+        self, machine: Machine, path: str, fields: dict[str, Any], token: int
+    ) -> tuple[int, bytes]:
         if token < self.fences.get(machine.name, 0):
             return render({"reason": "fence"}, 409)
         self.fences[machine.name] = token
-        self.log("machine-order", path=request.path, machine=machine.name)
+        wave = fields.get("wave")
+        pool = fields.get("pool", machine.pool)
+        if path == "/-/machine-upkeep":
+            if machine.name not in self.waves.get(wave, ()):
+                return render({"reason": "wave"}, 409)
+            if (wave, machine.name) in self.serviced:
+                return render({})
+        elif pool == machine.pool:
+            return render({})
         if machine.state != "up":
             return render({"reason": "busy"}, 409)
         machine.crash()
         machine.state = "upkeep"
-        if request.path == "/-/machine-move":
-            machine.pool = fields["pool"]
+        if path == "/-/machine-upkeep":
+            self.serviced.add((wave, machine.name))
+        else:
+            machine.pool = pool
             machine.state = "moving"
         asyncio.get_running_loop().call_later(
             MAINTENANCE_SECONDS, lambda: asyncio.ensure_future(machine.boot())
         )
         return render({})
 
+    async def declare_wave(
+        self, number: int, machines: list[str], seconds: float, cap: int
+    ) -> None:
+        """Writes a maintenance wave."""
+        self.waves[number] = machines
+        await self.store.put(
+            "keyed.op",
+            f"wave/{number}",
+            {
+                "wave": number,
+                "machines": machines,
+                "duration_s": seconds,
+                "cap": cap,
+            },
+        )
+        self.log("wave", wave=number, machines=",".join(machines))
+
     async def start(
         self, machines: list[Machine], zones: list[str], stdouts: Any = None
     ) -> None:
