Count machines that take work; demand by the mean work of jobs

Change: pooldemand.JobSizes, the backlog apart from the forecast in autoscaler, machines that take no work left out in machinecontrol.

--- a/clementinewood/autoscaler.py
+++ b/clementinewood/autoscaler.py
@@ -7,6 +7,9 @@
 then idle ones from pools above their targets. Machines idle for IDLE_SECONDS
 return to the spare pool. If the pools need more machines than exist, each gets
 a share by its need, and pools above their share drain machines for the others.
+
+Only machines that take work, or will soon, count as machines of a pool: a pool
+whose machines are drained for maintenance or unresponsive is short of others.
 """
 
 import dataclasses
@@ -49,11 +52,14 @@
     Attributes:
         pool: The pool.
         long_running_cores: Cores that its long-running tasks take.
-        demand: Cores that its other work takes if all of it runs at once.
+        demand: Cores that its other work takes. It grows while a peak builds
+            up, since it follows the arrival rate.
+        backlog: Cores that its accepted work takes if all of it runs at once.
+            A peak that builds up does not change it.
         arrivals: Jobs that arrived in the last
             `pooldemand.ARRIVAL_WINDOW_SECONDS`.
         cores: Cores of one of its machines.
-        machines: Machines that are up or moving in.
+        machines: Machines that take work or will do so soon.
         down: Machines that are down and expected back.
         idle: Machines that run nothing.
         busy: Machines that only run work that ends by itself, the least busy
@@ -65,6 +71,7 @@
     pool: identifiers.PoolId
     long_running_cores: float = 0.0
     demand: float
+    backlog: float = 0.0
     arrivals: int = 0
     cores: float
     machines: int
@@ -84,7 +91,8 @@
         least = max(0, self.least - self.down)
         if self.cores <= 0:
             return least
-        cores = self.long_running_cores + self.demand * headroom
+        short_tasks = max(self.demand * headroom, self.backlog * HEADROOM)
+        cores = self.long_running_cores + short_tasks
         return max(least, math.ceil(cores / self.cores))
 
 
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -38,6 +38,14 @@
 """Spare machines that a wave does not take unless forced: a peak needs about as
 many before the machines under maintenance return."""
 
+UNRESPONSIVE_POLLS = 2
+"""Polls in a row without a response from which a machine takes no work for a
+while; single responses get lost."""
+
+EJECTION_IGNORED_SECONDS = 1.0
+"""Ejections that end within this time do not make a machine count as missing: a
+move takes longer."""
+
 MAX_MOVES_PER_ROUND = 8
 """Upper limit of the moves ordered in one round of planning. It bounds the cost
 of one wrong measurement of demand."""
@@ -117,6 +125,7 @@
         self._orders = machineorders.MachineOrders()
         self._invalid_moves: set[tuple[str, str]] = set()
         self._autoscaler = autoscaler.Autoscaler()
+        self._job_sizes = pooldemand.JobSizes()
         self._listed_at = float("-inf")
         self._surplus: dict[identifiers.PoolId, int] = {}
         self._max_moves = MAX_MOVES_PER_ROUND
@@ -688,11 +697,21 @@
             and machine.machine_id not in due
             and machine.zone not in self._decisions.evacuated
         ]
+        self._job_sizes.observe(
+            self._decisions.jobs.values(), self._decisions.times
+        )
         demands = pooldemand.measure_demand(
-            self._decisions.jobs.values(), config, self._decisions.times, now
+            self._decisions.jobs.values(),
+            config,
+            self._decisions.times,
+            now,
+            self._job_sizes,
         )
+        out_of_service = self._list_out_of_service(due, now)
         loads = [
-            self._read_pool(pool.name, demands[pool.name], due)
+            self._read_pool(
+                pool.name, demands[pool.name], due, out_of_service
+            )
             for pool in config.pools.values()
             if not pool.spare
         ]
@@ -702,7 +721,7 @@
         self._surplus = {
             load.pool: load.machines
             - plan.wanted[load.pool]
-            - self._count_wave_machines(load.pool)
+            - self._count_wave_machines(load.pool, out_of_service)
             for load in loads
         }
         missing = sum(
@@ -713,21 +732,60 @@
             self._order_move(move)
         self._cordoned_for_moves = plan.cordoned
 
-    def _count_wave_machines(self, pool: identifiers.PoolId) -> int:
-        """Returns the number of a pool's machines drained or down for waves."""
+    def _count_wave_machines(
+        self,
+        pool: identifiers.PoolId,
+        out_of_service: set[identifiers.MachineId],
+    ) -> int:
+        """Returns how many of a pool's counted machines are down for waves."""
         return sum(
             1
             for state in self._waves.values()
             for machine_id in state.draining_machines.keys() | state.down
             if machine_id in self._machines
+            and machine_id not in out_of_service
             and self._machines[machine_id].pool == pool
         )
 
+    def _list_out_of_service(
+        self, due: set[identifiers.MachineId], now: float
+    ) -> set[identifiers.MachineId]:
+        """Returns the machines that are up and take no work for a while.
+
+        If most minions seem unresponsive, the fault is on this entry's side,
+        and other machines would be no better.
+        """
+        unresponsive = set()
+        reachable = 0
+        found = set()
+        for machine in self._machines.values():
+            if machine.state is not catalog.MachineState.UP:
+                continue
+            if machine.machine_id in due:
+                found.add(machine.machine_id)
+                continue
+            view = self._find_view(machine)
+            if view is None:
+                continue
+            if view.draining:
+                found.add(machine.machine_id)
+            elif (
+                view.failed_polls >= UNRESPONSIVE_POLLS
+                or view.ejected_until > now + EJECTION_IGNORED_SECONDS
+            ):
+                unresponsive.add(machine.machine_id)
+            else:
+                reachable += 1
+        if len(unresponsive) < reachable:
+            found |= unresponsive
+        return found
+
     def _read_pool(
         self,
         pool: identifiers.PoolId,
         demand: pooldemand.Demand,
         due: set[identifiers.MachineId],
+        out_of_service: set[identifiers.MachineId],
     ) -> autoscaler.PoolLoad:
         machines = 0
         down = 0
@@ -743,7 +801,8 @@
                 continue
             if machine.zone in self._decisions.evacuated:
                 continue
-            machines += 1
+            if machine.machine_id not in out_of_service:
+                machines += 1
             cores = max(cores, machine.capacity.cpu / 1000.0)
             view = self._find_view(machine)
             if (
@@ -762,7 +821,8 @@
         return autoscaler.PoolLoad(
             pool=pool,
             long_running_cores=demand.long_running_cores,
-            demand=max(demand.open, demand.arriving),
+            demand=demand.arriving,
+            backlog=demand.open,
             arrivals=demand.arrivals,
             cores=cores,
             machines=machines,
--- a/clementinewood/pooldemand.py
+++ b/clementinewood/pooldemand.py
@@ -1,9 +1,11 @@
 """Measures the demand of each pool's jobs.
 
 Load pattern: a peak builds up within two to three seconds. The arrival rate of
-work shows it before a backlog of tasks does. Work above a team's upper limit
-does not count as demand, nor do waiting tasks of jobs over the team's rate,
-which run on unused capacity.
+work shows it before a backlog of tasks does. The sizes of jobs vary by more
+than their mean, so that the work that arrives within a second says little of
+the next second; the number of jobs times the mean work of a queue's jobs says
+more. Work above a team's upper limit does not count as demand, nor do waiting
+tasks of jobs over the team's rate, which run on unused capacity.
 """
 
 import dataclasses
@@ -21,6 +23,13 @@
 """Least arrivals in the shorter window for it to count; a single job is no sign
 of a peak."""
 
+MIN_OBSERVED_JOBS = 8
+"""Jobs of a queue after which the mean of their work is used. The mean of fewer
+is as uncertain as the work of the jobs themselves."""
+
+HALF_LIFE_JOBS = 100.0
+"""Weight in jobs above which the weight of past jobs is halved."""
+
 
 @dataclasses.dataclass(slots=True)
 class Demand:
@@ -42,11 +51,69 @@
     least: int = 0
 
 
+class _MeanWork:
+    """Mean work of a queue's jobs in core-seconds."""
+
+    __slots__ = ("mean", "weight")
+
+    def __init__(self) -> None:
+        self.mean = 0.0
+        self.weight = 0.0
+
+    def observe(self, work: float) -> None:
+        if self.weight > HALF_LIFE_JOBS:
+            self.weight /= 2
+        self.weight += 1
+        self.mean += (work - self.mean) / self.weight
+
+
+class JobSizes:
+    """Learns the mean work of each queue's jobs."""
+
+    def __init__(self) -> None:
+        self._means: dict[identifiers.QueueId, _MeanWork] = {}
+        self._observed: set[identifiers.JobId] = set()
+
+    def observe(
+        self,
+        jobs: Iterable[activejob.ActiveJob],
+        times: joborder.RunTimes,
+    ) -> None:
+        """Adds the jobs that were not in the last call.
+
+        Args:
+            jobs: All unfinished jobs.
+            times: Expected run times.
+        """
+        present = set()
+        for active in jobs:
+            if active.job.long_running:
+                continue
+            present.add(active.job.job_id)
+            if active.job.job_id not in self._observed:
+                mean = self._means.setdefault(active.job.queue, _MeanWork())
+                mean.observe(_measure_work(active, times))
+        self._observed = present
+
+    def expect(self, active: activejob.ActiveJob, work: float) -> float:
+        """Returns the mean work of the queue of a job, once it is known.
+
+        Args:
+            active: The job.
+            work: Work of the job itself in core-seconds.
+        """
+        mean = self._means.get(active.job.queue)
+        if mean is None or mean.weight < MIN_OBSERVED_JOBS:
+            return work
+        return mean.mean
+
+
 def measure_demand(
     jobs: Iterable[activejob.ActiveJob],
     config: catalog.Configuration,
     times: joborder.RunTimes,
     now: float,
+    sizes: JobSizes | None = None,
 ) -> dict[identifiers.PoolId, Demand]:
     """Returns the demand of each pool.
 
@@ -55,6 +122,8 @@
         config: Configuration in force.
         times: Expected run times.
         now: Monotonic time in seconds.
+        sizes: Mean work of each queue's jobs; None to use the work of the jobs
+            that have just arrived.
     """
     found = {pool: Demand() for pool in config.pools}
     bursts: dict[identifiers.PoolId, tuple[int, float]] = {}
@@ -74,7 +143,10 @@
         past = age >= ARRIVAL_WINDOW_SECONDS or active.job.long_running
         if past or active.over_rate:
             continue
-        work = share * _measure_work(active, times)
+        work = _measure_work(active, times)
+        if sizes is not None:
+            work = sizes.expect(active, work)
+        work *= share
         demand.arrivals += 1
         demand.arriving += work / ARRIVAL_WINDOW_SECONDS
         if age < BURST_WINDOW_SECONDS:
