--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -16,6 +16,7 @@
     pooldemand,
     ports,
     run,
+    servingmachines,
     timer,
     waveplanner,
 )
@@ -38,14 +39,6 @@
 """Spare machines that a wave does not take unless forced: a peak needs about as
 many before the machines under maintenance return."""
 
-UNRESPONSIVE_POLLS = 2
-"""Polls in a row without a response from which a machine takes no work for a
-while; single responses get lost."""
-
-EJECTION_IGNORED_SECONDS = 1.0
-"""Ejections that end within this time do not make a machine count as missing: a
-move takes longer."""
-
 MAX_MOVES_PER_ROUND = 8
 """Upper limit of the moves ordered in one round of planning. It bounds the cost
 of one wrong measurement of demand."""
@@ -705,13 +698,15 @@
             config,
             self._decisions.times,
             now,
-            self._job_sizes,
+            self._job_sizes
+            if self._decisions.scheduling.stable_demand
+            else None,
+        )
+        out_of_service = servingmachines.list_out_of_service(
+            self._machines.values(), self._find_view, due, now
         )
-        out_of_service = self._list_out_of_service(due, now)
         loads = [
-            self._read_pool(
-                pool.name, demands[pool.name], due, out_of_service
-            )
+            self._read_pool(pool.name, demands[pool.name], due, out_of_service)
             for pool in config.pools.values()
             if not pool.spare
         ]
@@ -747,39 +742,6 @@
             and self._machines[machine_id].pool == pool
         )
 
-    def _list_out_of_service(
-        self, due: set[identifiers.MachineId], now: float
-    ) -> set[identifiers.MachineId]:
-        """Returns the machines that are up and take no work for a while.
-
-        If most minions seem unresponsive, the fault is on this entry's side,
-        and other machines would be no better.
-        """
-        unresponsive = set()
-        reachable = 0
-        found = set()
-        for machine in self._machines.values():
-            if machine.state is not catalog.MachineState.UP:
-                continue
-            if machine.machine_id in due:
-                found.add(machine.machine_id)
-                continue
-            view = self._find_view(machine)
-            if view is None:
-                continue
-            if view.draining:
-                found.add(machine.machine_id)
-            elif (
-                view.failed_polls >= UNRESPONSIVE_POLLS
-                or view.ejected_until > now + EJECTION_IGNORED_SECONDS
-            ):
-                unresponsive.add(machine.machine_id)
-            else:
-                reachable += 1
-        if len(unresponsive) < reachable:
-            found |= unresponsive
-        return found
-
     def _read_pool(
         self,
         pool: identifiers.PoolId,
