Specify scheduling under load and add switches for its features

Cause: features that act on load need a way to be switched off, and a wrong value must not start an entry with other features than intended.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -24,6 +24,7 @@
     quorum,
     reservation,
     run,
+    schedulingsettings,
     suspicion,
     teamrate,
 )
@@ -180,6 +181,7 @@
         evacuated: Zones that get no new work.
         config: Configuration in force, once known.
         early: Seconds before its due time at which a job may start.
+        scheduling: Scheduling features in use.
         times: Run times estimated from past runs.
         policy_cache: Which minions may run which step, on queues with a policy.
         live_minions: Minions that machines run, as the machine service says;
@@ -201,6 +203,7 @@
         self.evacuated: frozenset[identifiers.ZoneId] = frozenset()
         self.config: catalog.Configuration | None = None
         self.early = 0.0
+        self.scheduling = schedulingsettings.SchedulingSettings()
         self.times = joborder.RunTimes()
         self.policy_cache = policycache.PolicyCache()
         self.live_minions: Set[identifiers.MinionId] | None = None
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -24,6 +24,7 @@
     leaderelector,
     metric,
     ports,
+    schedulingsettings,
     takeover,
     timer,
     verdict,
@@ -176,6 +177,7 @@
         link_bytes_per_second: Capacity of this host's link; 0 if unknown.
         announcer: Tells other entries of a new term; None if they can't be
             told.
+        scheduling: Scheduling features in use.
         wall: Source of Unix time in seconds.
         random_fraction: Source of random numbers from 0 to 1.
 
@@ -202,6 +204,9 @@
         early_seconds: float = 0.0,
         link_bytes_per_second: float = 0.0,
         announcer: takeover.LeaderAnnouncer | None = None,
+        scheduling: schedulingsettings.SchedulingSettings = (
+            schedulingsettings.SchedulingSettings()
+        ),
         wall: Callable[[], float] = time.time,
         random_fraction: Callable[[], float] = _SYSTEM_RANDOM.random,
     ) -> None:
@@ -222,6 +227,7 @@
         self._timers = timers
         self._metrics = metrics
         self._early_seconds = early_seconds
+        self._scheduling = scheduling
         self._wall = wall
         self._writer = jobwriter.JobWriter(
             store,
@@ -782,6 +788,7 @@
             ),
         )
         driver.dispatcher.early = self._early_seconds
+        driver.dispatcher.scheduling = self._scheduling
         return driver
 
     def _on_elected(self, driver: dispatchdriver.DispatchDriver) -> None:
--- a/features/operations.feature
+++ b/features/operations.feature
@@ -42,7 +42,7 @@
     And a line "CW1604" names the job with state "failed"
 
   Scenario Outline: The link of an entry is read from the settings file
-    When a settings file with <limits> is read
+    When a settings file with the limit <limits> is read
     Then the entry's link carries <bytes> bytes a second
 
     Examples:
@@ -57,3 +57,16 @@
   Scenario: Unreadable records of another writer are skipped and logged with a reason
     When records that name no minion and no configuration are decoded
     Then each of them is logged as "CW1708" and the sound ones hold
+
+  Scenario Outline: A wrong value for a scheduling feature is refused by name
+    When a settings file with the scheduling setting <setting> is read
+    Then the settings error names <problem>
+
+    Examples:
+      | setting           | problem                                        |
+      | lookahead = "yes" | [scheduling] lookahead: the value has the wrong |
+      | admision = false  | [scheduling] admision: there is no such setting |
+
+  Scenario: A scheduling feature is switched off in the settings file
+    When a settings file with the scheduling setting admission = false is read
+    Then admission is off and the other scheduling features are on
--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -165,8 +165,7 @@
     context.outcome = platformsettings.read_settings(str(context.path))
 
 
-@behave.when("a settings file with {limits} is read")
-def read_limits(context, limits):
+def read_section(context, section, line):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     path = pathlib.Path(folder.name) / "settings.toml"
@@ -174,9 +173,36 @@
         'node = "edge-1"\nip = "10.0.0.1"\n'
         '[listen]\nfront = "10.0.0.1:1"\nready = "10.0.0.1:2"\n'
         '[platform]\naddress = "10.0.0.2:1"\n'
-        f"[limits]\n{limits}\n"
+        f"[{section}]\n{line}\n"
     )
-    context.settings = platformsettings.read_settings(str(path)).unwrap()
+    return platformsettings.read_settings(str(path))
+
+
+@behave.when("a settings file with the limit {limits} is read")
+def read_limits(context, limits):
+    context.settings = read_section(context, "limits", limits).unwrap()
+
+
+@behave.when("a settings file with the scheduling setting {line} is read")
+def read_scheduling(context, line):
+    context.outcome = read_section(context, "scheduling", line)
+
+
+@behave.then("the settings error names {problem}")
+def check_settings_error(context, problem):
+    match context.outcome:
+        case result.Failure(found):
+            assert problem in found.render(), found.render()
+        case other:
+            raise AssertionError(other)
+
+
+@behave.then("admission is off and the other scheduling features are on")
+def check_scheduling(context):
+    features = context.outcome.unwrap().scheduling
+    assert not features.admission
+    assert features.lookahead and features.fair_order
+    assert features.stable_demand
 
 
 @behave.then("the entry's link carries {amount:d} bytes a second")
