Keep one default of the scheduling features

Cause: ruff B008 rejects calls in argument defaults. Change: schedulingsettings.DEFAULTS. Result: ruff and mypy pass; operations.feature 12 passed.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -203,7 +203,7 @@
         self.evacuated: frozenset[identifiers.ZoneId] = frozenset()
         self.config: catalog.Configuration | None = None
         self.early = 0.0
-        self.scheduling = schedulingsettings.SchedulingSettings()
+        self.scheduling = schedulingsettings.DEFAULTS
         self.times = joborder.RunTimes()
         self.policy_cache = policycache.PolicyCache()
         self.live_minions: Set[identifiers.MinionId] | None = None
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -205,7 +205,7 @@
         link_bytes_per_second: float = 0.0,
         announcer: takeover.LeaderAnnouncer | None = None,
         scheduling: schedulingsettings.SchedulingSettings = (
-            schedulingsettings.SchedulingSettings()
+            schedulingsettings.DEFAULTS
         ),
         wall: Callable[[], float] = time.time,
         random_fraction: Callable[[], float] = _SYSTEM_RANDOM.random,
--- a/clementinewood/schedulingsettings.py
+++ b/clementinewood/schedulingsettings.py
@@ -30,6 +30,10 @@
     stable_demand: bool = True
 
 
+DEFAULTS = SchedulingSettings()
+"""Features of a deployment whose settings file has no such section."""
+
+
 def parse(
     fields: Mapping[str, Any], source: str = ""
 ) -> result.Result[SchedulingSettings, fault.Fault]:
