--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -91,7 +91,10 @@
         on_stored: Called with records that were stored and their offset.
         on_leadership_lost: Called once, with the reason, when the leadership
             is lost.
-        machine_order_delay_seconds: Seconds before the first machine order.
+        machine_order_delay_seconds: Seconds before the first order about a
+            machine that an earlier leader may just have ordered.
+        lease_seconds: Least time in seconds between machine orders of two
+            leaders.
         count_start: Counts orders to start a run, by outcome.
         count_given_up: Counts a task that is given up.
         on_store_recovered: Called when a read succeeds after others have
@@ -116,6 +119,7 @@
         on_stored: Callable[[Sequence[ports.KeyedRecord], int], None],
         on_leadership_lost: Callable[[str], None],
         machine_order_delay_seconds: float,
+        lease_seconds: float,
         count_start: Callable[[str], None],
         count_given_up: Callable[[], None],
         on_store_recovered: Callable[[], None] = lambda: None,
@@ -167,6 +171,7 @@
                 f"the machine service fenced an order of term {term}"
             ),
             machine_order_delay_seconds=machine_order_delay_seconds,
+            lease_seconds=lease_seconds,
         )
         self._feed = feed.Feed(
             store,
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -212,7 +212,7 @@
     ) -> None:
         self.declared = ports.Declarations(None, frozenset(), ())
         self.draining = False
-        self.table = jobtable.JobTable()
+        self.table = jobtable.JobTable(timers.clock)
         self.incarnation = identifiers.create_incarnation(entry_id)
         self.announcer = announcer
         self._announced: ports.Takeover | None = None
@@ -227,6 +227,7 @@
         self._timers = timers
         self._metrics = metrics
         self._early_seconds = early_seconds
+        self._lease_seconds = lease_seconds
         self._scheduling = scheduling
         self._wall = wall
         self._writer = jobwriter.JobWriter(
@@ -777,6 +778,7 @@
             on_stored=self._apply_own,
             on_leadership_lost=self.elector.step_down,
             machine_order_delay_seconds=machine_order_delay_seconds,
+            lease_seconds=self._lease_seconds,
             count_start=lambda outcome: self._metrics.count(
                 metric.RUN_STARTS, outcome=outcome
             ),
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -4,7 +4,7 @@
 import enum
 import json
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from returns import result
@@ -128,6 +128,19 @@
     settled: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoredOrder:
+    """The newest stored order about a machine, as this entry has read it.
+
+    Attributes:
+        settled: Whether its effect is known, so that it is not sent again.
+        read_at: Monotonic time in seconds at which the record was read.
+    """
+
+    settled: bool
+    read_at: float
+
+
 def encode_wave_start(began: float) -> bytes:
     """Returns the stored form of the Unix time at which a wave began."""
     return json.dumps({"began": round(began, 3)}).encode()
@@ -257,13 +270,21 @@
         cursors: Outcomes that stored progress includes, by minion.
         waves: Progress of waves, by number.
         moves: Last move ordered for each machine.
+
+    Args:
+        clock: Source of monotonic time in seconds; without one, every record
+            counts as just read.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = lambda: math.inf) -> None:
+        self._clock = clock
         self.leader: LeaderRecord | None = None
         self.cursors: dict[identifiers.MinionId, Cursor] = {}
         self.waves: dict[int, WaveProgress] = {}
         self.moves: dict[identifiers.MachineId, StoredMove] = {}
+        self._orders: dict[
+            tuple[RecordKind, identifiers.MachineId], StoredOrder
+        ] = {}
         self._entries: dict[identifiers.JobId, JobEntry] = {}
         self._offsets: dict[str, int] = {}
 
@@ -282,6 +303,23 @@
         entry = self._entries.get(job_id)
         return entry is not None and entry.cancelled
 
+    def list_machine_orders(
+        self,
+    ) -> dict[identifiers.MachineId, StoredOrder]:
+        """Returns the newest order about each machine.
+
+        Moves and maintenance have records of their own, which a snapshot
+        returns in any order; one that is not settled counts.
+        """
+        found: dict[identifiers.MachineId, StoredOrder] = {}
+        for (_, machine_id), order in self._orders.items():
+            known = found.get(machine_id, order)
+            found[machine_id] = StoredOrder(
+                settled=known.settled and order.settled,
+                read_at=max(known.read_at, order.read_at),
+            )
+        return found
+
     def apply(self, record: StoredRecord) -> JobEntry | LeaderRecord | None:
         """Applies one record.
 
@@ -359,6 +397,11 @@
                         identifiers.MinionId(str(minion_id)),
                         bool(settled),
                     )
+                    self._note_order(
+                        kind,
+                        identifiers.MachineId(name),
+                        settled=bool(settled),
+                    )
                 case _:
                     self._apply_wave(name, value)
         except decoding.ERRORS as error:
@@ -380,11 +423,29 @@
                     identifiers.MinionId(str(minion_id)),
                 )
             }
+            stored = MaintenanceStage(stage)
+            if stored is not MaintenanceStage.DRAINING:
+                self._note_order(
+                    RecordKind.WAVE,
+                    identifiers.MachineId(machine_id),
+                    settled=stored is MaintenanceStage.BEGUN,
+                )
         known = self.waves.setdefault(int(number), wave)
         known.machines.update(machines)
         if wave.began is not None:
             known.began = wave.began
 
+    def _note_order(
+        self,
+        kind: RecordKind,
+        machine_id: identifiers.MachineId,
+        *,
+        settled: bool,
+    ) -> None:
+        self._orders[kind, machine_id] = StoredOrder(
+            settled=settled, read_at=self._clock()
+        )
+
     def _apply_job(
         self,
         entry: JobEntry,
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -1,6 +1,7 @@
 """Orders maintenance and moves of machines while this entry leads."""
 
 import collections
+import math
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
@@ -13,6 +14,7 @@
     identifiers,
     jobtable,
     machineorders,
+    orderhandover,
     pooldemand,
     ports,
     run,
@@ -71,8 +73,10 @@
         compute_leadership_end: Returns the monotonic time in seconds until
             which no other entry can have become leader.
         on_fenced: Called when a newer leader has used a higher token.
-        machine_order_delay_seconds: Seconds before the first order, so that
-            orders of two leaders do not overlap.
+        machine_order_delay_seconds: Seconds before the first order about a
+            machine that an earlier leader may just have ordered.
+        lease_seconds: Least time in seconds between orders of two leaders
+            about one machine.
     """
 
     def __init__(
@@ -89,6 +93,7 @@
         compute_leadership_end: Callable[[], float],
         on_fenced: Callable[[], None],
         machine_order_delay_seconds: float,
+        lease_seconds: float = math.inf,
     ) -> None:
         self._decisions = decisions
         self._table = table
@@ -108,7 +113,17 @@
         self._compute_leadership_end = compute_leadership_end
         self._on_fenced = on_fenced
         self._started_at = timers.clock()
-        self._first_order_at = self._started_at + machine_order_delay_seconds
+        first_order_at = self._started_at + machine_order_delay_seconds
+        self._orders_from: dict[identifiers.MachineId, float] = {}
+        self._first_order_at = first_order_at
+        if machine_order_delay_seconds > 0.0 and lease_seconds < math.inf:
+            self._orders_from = orderhandover.compute_waits(
+                table.list_machine_orders(),
+                now=self._started_at,
+                last_order_at=first_order_at - lease_seconds,
+                lease_seconds=lease_seconds,
+            )
+            self._first_order_at = self._started_at
         self._active = False
         self._list_in_flight = False
         self._read_failures = 0
@@ -316,6 +331,9 @@
             return
         if now >= self._compute_leadership_end():
             return
+        for machine_id, start in list(self._orders_from.items()):
+            if start <= now:
+                del self._orders_from[machine_id]
         loads = self._read_loads(now)
         for state in self._waves.values():
             actions = waveplanner.plan_wave(
@@ -384,6 +402,8 @@
         config = self._decisions.config
         pool = config.pools.get(machine.pool) if config is not None else None
         is_off = pool is not None and pool.spare
+        if machine.machine_id in self._orders_from:
+            return True
         return (
             not is_off
             and bool(machine.minion_id)
@@ -688,6 +708,7 @@
             and machine.state is catalog.MachineState.UP
             and machine.machine_id not in self._orders
             and machine.machine_id not in due
+            and machine.machine_id not in self._orders_from
             and machine.zone not in self._decisions.evacuated
         ]
         self._job_sizes.observe(
@@ -773,6 +794,7 @@
                 or view.has_unstored_outcomes
                 or machine.machine_id in due
                 or machine.machine_id in self._orders
+                or machine.machine_id in self._orders_from
                 or machine.state is not catalog.MachineState.UP
             ):
                 continue
