Order machines at once that no earlier leader has just ordered

Change: only machines whose last order is not settled, or was settled within the last lease, wait; orders are stored before they are sent, so a machine without such a record was not ordered.

--- a/features/machine_handover.feature
+++ b/features/machine_handover.feature
@@ -91,3 +91,20 @@
   Scenario: A dispatcher that disregards listed maintenance breaks some wave
     Given 12 waves beside faults drawn from seed 29
     Then some wave breaks a rule without regard to listed maintenance
+
+  Scenario Outline: A new leader waits only for machines that were just ordered
+    Given a machine whose last order <order>
+    When a leader takes over whose predecessor may have ordered until 1 s ago
+    Then it may order that machine after <seconds> seconds
+
+    Examples:
+      | order                                | seconds |
+      | does not exist                       | 0       |
+      | was settled 10 s ago                 | 0       |
+      | was settled 2 s ago                  | 1       |
+      | was settled 0.5 s ago                | 2       |
+      | is not settled and was read 10 s ago | 2       |
+
+  Scenario: A record of maintenance that is not settled counts beside a settled move
+    Given the log has a settled move and an unsettled maintenance of a machine
+    Then the machine's newest order is not settled, in any order of the records
--- a/features/steps/machine_handover_steps.py
+++ b/features/steps/machine_handover_steps.py
@@ -1,5 +1,6 @@
 """Steps for maintenance waves while the dispatcher changes."""
 
+import itertools
 import random
 from unittest import mock
 
@@ -10,6 +11,7 @@
     identifiers,
     jobtable,
     machineorders,
+    orderhandover,
     ports,
     run,
     verdict,
@@ -296,3 +298,77 @@
             wave_faults.list_violations(wave_faults.run_wave(seed))
             for seed in context.seeds
         )
+
+
+TAKEOVER = 100.0
+LEASE_SECONDS = 3.0
+
+
+@behave.given("a machine whose last order does not exist")
+def create_no_order(context):
+    context.orders = {}
+
+
+@behave.given("a machine whose last order was settled {age:g} s ago")
+def create_settled_order(context, age):
+    context.orders = {
+        MACHINE: jobtable.StoredOrder(settled=True, read_at=TAKEOVER - age)
+    }
+
+
+@behave.given(
+    "a machine whose last order is not settled and was read {age:g} s ago"
+)
+def create_open_order(context, age):
+    context.orders = {
+        MACHINE: jobtable.StoredOrder(settled=False, read_at=TAKEOVER - age)
+    }
+
+
+@behave.when(
+    "a leader takes over whose predecessor may have ordered until {age:g} s ago"
+)
+def take_over_machines(context, age):
+    context.waits = orderhandover.compute_waits(
+        context.orders,
+        now=TAKEOVER,
+        last_order_at=TAKEOVER - age,
+        lease_seconds=LEASE_SECONDS,
+    )
+
+
+@behave.then("it may order that machine after {seconds:g} seconds")
+def check_order_wait(context, seconds):
+    wait = context.waits.get(MACHINE, TAKEOVER) - TAKEOVER
+    assert wait == seconds, context.waits
+
+
+@behave.given(
+    "the log has a settled move and an unsettled maintenance of a machine"
+)
+def create_two_orders(context):
+    move = jobtable.StoredMove(identifiers.PoolId("a"), OLD_MINION, True)
+    maintenance = jobtable.MachineProgress(
+        jobtable.MaintenanceStage.ORDERED, OLD_MINION
+    )
+    context.records = [
+        jobtable.StoredRecord(
+            jobtable.render_move_key(MACHINE), jobtable.encode_move(move), 5
+        ),
+        jobtable.StoredRecord(
+            jobtable.render_wave_machine_key(1, MACHINE),
+            jobtable.encode_machine_progress(maintenance),
+            3,
+        ),
+    ]
+
+
+@behave.then(
+    "the machine's newest order is not settled, in any order of the records"
+)
+def check_two_orders(context):
+    for records in itertools.permutations(context.records):
+        table = jobtable.JobTable(lambda: TAKEOVER)
+        for record in records:
+            table.apply(record)
+        assert not table.list_machine_orders()[MACHINE].settled
