Keep standby machines by the slack of a pool's jobs

Cause: jobs with little slack can't wait for machines to move in, others can. Change: the standby of a pool is in inverse proportion to the slack of its jobs.

--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -769,6 +769,7 @@
         demand: pooldemand.Demand,
         due: set[identifiers.MachineId],
         out_of_service: set[identifiers.MachineId],
+        slack: float,
     ) -> autoscaler.PoolLoad:
         machines = 0
         down = 0
@@ -813,6 +814,7 @@
             down=down,
             idle=tuple(idle),
             busy=tuple(machine_id for _, machine_id in sorted(busy)),
+            slack=slack,
             least=max(autoscaler.MIN_MACHINES, demand.least),
         )
 
--- a/clementinewood/pooldemand.py
+++ b/clementinewood/pooldemand.py
@@ -51,27 +51,29 @@
     least: int = 0
 
 
-class _MeanWork:
-    """Mean work of a queue's jobs in core-seconds."""
+class _Means:
+    """Mean work and chain of a queue's jobs, in core-seconds and seconds."""
 
-    __slots__ = ("mean", "weight")
+    __slots__ = ("chain", "weight", "work")
 
     def __init__(self) -> None:
-        self.mean = 0.0
+        self.work = 0.0
+        self.chain = 0.0
         self.weight = 0.0
 
-    def observe(self, work: float) -> None:
+    def observe(self, work: float, chain: float) -> None:
         if self.weight > HALF_LIFE_JOBS:
             self.weight /= 2
         self.weight += 1
-        self.mean += (work - self.mean) / self.weight
+        self.work += (work - self.work) / self.weight
+        self.chain += (chain - self.chain) / self.weight
 
 
 class JobSizes:
-    """Learns the mean work of each queue's jobs."""
+    """Learns the mean work and chain of each queue's jobs."""
 
     def __init__(self) -> None:
-        self._means: dict[identifiers.QueueId, _MeanWork] = {}
+        self._means: dict[identifiers.QueueId, _Means] = {}
         self._observed: set[identifiers.JobId] = set()
 
     def observe(
@@ -91,8 +93,12 @@
                 continue
             present.add(active.job.job_id)
             if active.job.job_id not in self._observed:
-                mean = self._means.setdefault(active.job.queue, _MeanWork())
-                mean.observe(_measure_work(active, times))
+                means = self._means.setdefault(active.job.queue, _Means())
+                chain, _ = active.measure_critical_path(
+                    times.expect(active.job.queue, step.estimate)
+                    for step in active.job.steps
+                )
+                means.observe(_measure_work(active, times), chain)
         self._observed = present
 
     def expect(self, active: activejob.ActiveJob, work: float) -> float:
@@ -102,10 +108,26 @@
             active: The job.
             work: Work of the job itself in core-seconds.
         """
-        mean = self._means.get(active.job.queue)
-        if mean is None or mean.weight < MIN_OBSERVED_JOBS:
+        means = self._means.get(active.job.queue)
+        if means is None or means.weight < MIN_OBSERVED_JOBS:
             return work
-        return mean.mean
+        return means.work
+
+    def find_slack(
+        self, pool: identifiers.PoolId, config: catalog.Configuration
+    ) -> float:
+        """Returns the least mean slack of a pool's queues in seconds.
+
+        Returns 0 if none is known.
+        """
+        slacks = [
+            (queue.stretch - 1.0) * means.chain + queue.slack
+            for name, means in self._means.items()
+            if means.weight >= MIN_OBSERVED_JOBS
+            and (queue := config.queues.get(name)) is not None
+            and queue.pool == pool
+        ]
+        return min(slacks, default=0.0)
 
 
 def measure_demand(
