--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -727,7 +727,13 @@
             self._machines.values(), self._find_view, due, now
         )
         loads = [
-            self._read_pool(pool.name, demands[pool.name], due, out_of_service)
+            self._read_pool(
+                pool.name,
+                demands[pool.name],
+                due,
+                out_of_service,
+                self._job_sizes.find_slack(pool.name, config),
+            )
             for pool in config.pools.values()
             if not pool.spare
         ]
