Give machines first to work that can still meet its objective; count memory

At 11 s the memory of a pool was used up beside 1,022 free cores. Change: while the pools need more machines than exist, waiting work that can't meet its objective shares what is left; the scarcer resource decides. Result: uneven_demand and autoscaler pass.

--- a/clementinewood/autoscaler.py
+++ b/clementinewood/autoscaler.py
@@ -63,6 +63,8 @@
             up, since it follows the arrival rate.
         backlog: Cores that its accepted work takes if all of it runs at once.
             A peak that builds up does not change it.
+        late: Cores among `backlog` of waiting work that can't meet its
+            objective any more.
         arrivals: Jobs that arrived in the last
             `pooldemand.ARRIVAL_WINDOW_SECONDS`.
         cores: Cores of one of its machines.
@@ -81,6 +83,7 @@
     long_running_cores: float = 0.0
     demand: float
     backlog: float = 0.0
+    late: float = 0.0
     arrivals: int = 0
     cores: float
     machines: int
@@ -100,18 +103,20 @@
         factor = MOVE_SECONDS / self.slack
         return min(MAX_STANDBY_FACTOR, max(MIN_STANDBY_FACTOR, factor))
 
-    def count_wanted(self, headroom: float) -> int:
+    def count_wanted(self, headroom: float, *, timely: bool = False) -> int:
         """Returns the number of machines that the pool should have.
 
         Args:
             headroom: Factor on demand, without long-running tasks.
+            timely: Whether to leave out work that will be late anyway.
         """
         # Machines that are down count towards the minimum, since they return,
         # but they serve no demand.
         least = max(0, self.least - self.down)
         if self.cores <= 0:
             return least
-        short_tasks = max(self.demand * headroom, self.backlog * HEADROOM)
+        backlog = self.backlog - (self.late if timely else 0.0)
+        short_tasks = max(self.demand * headroom, backlog * HEADROOM)
         cores = self.long_running_cores + short_tasks
         return max(least, math.ceil(cores / self.cores))
 
@@ -155,12 +160,15 @@
         self._needed_at: dict[identifiers.PoolId, dict[int, float]] = {}
         self._rising_since: dict[identifiers.PoolId, float] = {}
 
-    def count_wanted(self, load: PoolLoad, now: float) -> int:
+    def count_wanted(
+        self, load: PoolLoad, now: float, *, timely: bool = False
+    ) -> int:
         """Returns the number of machines that a pool should have.
 
         Args:
             load: Load of the pool.
             now: Monotonic time in seconds.
+            timely: Whether to leave out work that will be late anyway.
         """
         headroom = HEADROOM
         if not load.arrivals:
@@ -169,7 +177,7 @@
             since = self._rising_since.setdefault(load.pool, now)
             if now - since < RISE_SECONDS:
                 headroom *= RISE_FACTOR
-        return load.count_wanted(headroom)
+        return load.count_wanted(headroom, timely=timely)
 
     def plan(
         self,
@@ -190,7 +198,11 @@
             most_moves: Upper limit of the moves in the plan.
         """
         wanted = {load.pool: self.count_wanted(load, now) for load in loads}
-        targets = share_machines(loads, wanted, len(spare))
+        timely = {
+            load.pool: self.count_wanted(load, now, timely=True)
+            for load in loads
+        }
+        targets = share_machines(loads, wanted, len(spare), timely)
         moves: list[Move] = []
         donors = _list_donors(loads, spare, targets)
         missing = 0
@@ -239,6 +251,7 @@
     loads: Sequence[PoolLoad],
     wanted: Mapping[identifiers.PoolId, int],
     spare: int,
+    timely: Mapping[identifiers.PoolId, int] | None = None,
 ) -> dict[identifiers.PoolId, int]:
     """Returns each pool's target, limited to the machines that exist.
 
@@ -246,16 +259,35 @@
         loads: Loads of all pools except the spare pool.
         wanted: Machines that each pool should have.
         spare: Number of spare machines that may move.
+        timely: Machines that each pool should have for work that can meet its
+            objective; they come first.
     """
     existing = spare + sum(load.machines for load in loads)
-    total = sum(wanted.values())
-    if total <= existing:
+    if sum(wanted.values()) <= existing:
         return dict(wanted)
-    least = sum(load.least for load in loads)
-    factor = max(0.0, (existing - least) / max(1, total - least))
+    first = {load.pool: load.least for load in loads}
+    if timely is not None:
+        needed = {
+            pool: max(first[pool], min(timely[pool], count))
+            for pool, count in wanted.items()
+        }
+        if sum(needed.values()) > existing:
+            return _share_rest(first, needed, existing)
+        first = needed
+    return _share_rest(first, wanted, existing)
+
+
+def _share_rest(
+    first: Mapping[identifiers.PoolId, int],
+    wanted: Mapping[identifiers.PoolId, int],
+    existing: int,
+) -> dict[identifiers.PoolId, int]:
+    """Returns `first` and an even part of what each pool wants beyond it."""
+    rest = sum(wanted.values()) - sum(first.values())
+    factor = max(0.0, (existing - sum(first.values())) / max(1, rest))
     return {
-        load.pool: load.least + int((wanted[load.pool] - load.least) * factor)
-        for load in loads
+        pool: first[pool] + int((count - first[pool]) * factor)
+        for pool, count in wanted.items()
     }
 
 
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -781,7 +781,7 @@
         down = 0
         idle = []
         busy: list[tuple[int, identifiers.MachineId]] = []
-        cores = 0.0
+        cores = memory = 0.0
         for machine in self._machines.values():
             target = self._orders.find_target(machine.machine_id)
             if (target or machine.pool) != pool:
@@ -794,6 +794,7 @@
             if machine.machine_id not in out_of_service:
                 machines += 1
             cores = max(cores, machine.capacity.cpu / 1000.0)
+            memory = max(memory, machine.capacity.memory)
             view = self._find_view(machine)
             if (
                 view is None
@@ -809,11 +810,13 @@
                 idle.append(machine.machine_id)
             elif not view.long_running_count:
                 busy.append((view.used.cpu, machine.machine_id))
+        factor = demand.compute_memory_factor(cores, memory)
         return autoscaler.PoolLoad(
             pool=pool,
-            long_running_cores=demand.long_running_cores,
-            demand=demand.arriving,
-            backlog=demand.open,
+            long_running_cores=demand.long_running_cores * factor,
+            demand=demand.arriving * factor,
+            backlog=demand.open * factor,
+            late=demand.late * factor,
             arrivals=demand.arrivals,
             cores=cores,
             machines=machines,
--- a/clementinewood/pooldemand.py
+++ b/clementinewood/pooldemand.py
@@ -5,7 +5,9 @@
 than their mean, so that the work that arrives within a second says little of
 the next second; the number of jobs times the mean work of a queue's jobs says
 more. Work above a team's upper limit does not count as demand, nor do waiting
-tasks of jobs over the team's rate, which run on unused capacity.
+tasks of jobs over the team's rate, which run on unused capacity. Work that can
+no longer meet its objective counts apart: while the pools need more machines
+than exist, machines serve more callers elsewhere.
 """
 
 import dataclasses
@@ -37,7 +39,11 @@
 
     Attributes:
         long_running_cores: Cores of long-running tasks.
+        long_running_memory: Memory of long-running tasks in MB.
         open: Cores that the other tasks of open steps take if all run at once.
+        open_memory: Memory in MB that they take.
+        late: Cores among `open` of waiting tasks whose jobs can't meet their
+            objective any more.
         arriving: Cores that jobs arriving at the present rate keep busy.
         arrivals: Jobs that arrived within the last `ARRIVAL_WINDOW_SECONDS`.
         least: Minions needed by the step with the most tasks for its limit per
@@ -45,11 +51,27 @@
     """
 
     long_running_cores: float = 0.0
+    long_running_memory: float = 0.0
     open: float = 0.0
+    open_memory: float = 0.0
+    late: float = 0.0
     arriving: float = 0.0
     arrivals: int = 0
     least: int = 0
 
+    def compute_memory_factor(self, cores: float, memory: float) -> float:
+        """Returns by how much memory is scarcer than processors, at least 1.
+
+        Args:
+            cores: Cores of one machine.
+            memory: Memory of one machine in MB.
+        """
+        used_cores = self.long_running_cores + self.open
+        used_memory = self.long_running_memory + self.open_memory
+        if min(cores, memory, used_cores) <= 0.0:
+            return 1.0
+        return max(1.0, used_memory / memory / (used_cores / cores))
+
 
 class _Means:
     """Mean work and chain of a queue's jobs, in core-seconds and seconds."""
@@ -160,7 +182,7 @@
         if demand is None:
             continue
         share = shares.get(active.job.team, 1.0)
-        _add_open(demand, active, share)
+        _add_open(demand, active, share, late=_is_late(active, times, now))
         age = now - active.arrived
         past = age >= ARRIVAL_WINDOW_SECONDS or active.job.long_running
         if past or active.over_rate:
@@ -181,18 +203,38 @@
     return found
 
 
+def _is_late(
+    active: activejob.ActiveJob, times: joborder.RunTimes, now: float
+) -> bool:
+    """Whether a job can't meet its objective any more."""
+    if active.queue is None or active.job.long_running:
+        return False
+    whole, left = active.measure_critical_path(
+        times.expect(active.job.queue, step.estimate)
+        for step in active.job.steps
+    )
+    objective = active.queue.stretch * whole + active.queue.slack
+    return active.arrived + objective < now + left
+
+
 def _add_open(
-    demand: Demand, active: activejob.ActiveJob, share: float
+    demand: Demand, active: activejob.ActiveJob, share: float, *, late: bool
 ) -> None:
     for part in active.work.values():
         tasks = sum(part.runs_by_minion.values())
         if not active.over_rate:
             tasks += len(part.pending)
         cores = tasks * part.step.room.cpu / 1000.0
+        memory = tasks * part.step.room.memory
         if part.step.long_running:
             demand.long_running_cores += cores
+            demand.long_running_memory += memory
         else:
             demand.open += share * cores
+            demand.open_memory += share * memory
+            if late and not active.over_rate:
+                waiting = len(part.pending) * part.step.room.cpu / 1000.0
+                demand.late += share * waiting
         if part.step.max_per_minion:
             least = -(-tasks // part.step.max_per_minion)
             demand.least = max(demand.least, least)
