Use machines that an earlier leader has moved as soon as the list shows it

Cause: a new leader repeats its predecessor's unsettled moves before it uses the machines, and has to wait for the lease first. Change: a move is settled once the list shows the machine up in the pool of the order with another minion; a repeated move to the same pool does nothing.

--- a/clementinewood/machineorders.py
+++ b/clementinewood/machineorders.py
@@ -227,7 +227,25 @@
         case OrderState.READY:
             # Sending it would wait for a machine that has been lost.
             down = machine.state is catalog.MachineState.DOWN
-            return down and not order.uncertain
+            if down and not order.uncertain:
+                return True
+            return _has_moved(order, machine)
+    return False
+
+
+def _has_moved(order: MachineOrder, machine: catalog.Machine) -> bool:
+    """Whether a machine has moved as ordered, whoever sent the order.
+
+    The machine service carries out a repeated move to the same pool only once,
+    so another attempt that arrives late ends nothing.
+    """
+    match order.operation:
+        case Move(pool):
+            return (
+                machine.state is catalog.MachineState.UP
+                and machine.pool == pool
+                and machine.minion_id not in ("", order.minion_id)
+            )
     return False
 
 
--- a/features/machine_handover.feature
+++ b/features/machine_handover.feature
@@ -108,3 +108,16 @@
   Scenario: A record of maintenance that is not settled counts beside a settled move
     Given the log has a settled move and an unsettled maintenance of a machine
     Then the machine's newest order is not settled, in any order of the records
+
+  Scenario Outline: A new leader uses machines that its predecessor has moved
+    Given a new leader that finds an unsettled move of a machine to pool b
+    When the machine is listed as <state> in pool <pool> with <minion>
+    Then the move is <settled>
+
+    Examples:
+      | state  | pool | minion          | settled     |
+      | up     | b    | a new minion    | settled     |
+      | up     | b    | its old minion  | not settled |
+      | up     | a    | a new minion    | not settled |
+      | moving | b    | no minion       | not settled |
+      | up     | b    | no minion       | not settled |
--- a/features/steps/machine_handover_steps.py
+++ b/features/steps/machine_handover_steps.py
@@ -372,3 +372,47 @@
         for record in records:
             table.apply(record)
         assert not table.list_machine_orders()[MACHINE].settled
+
+
+@behave.given(
+    "a new leader that finds an unsettled move of a machine to pool b"
+)
+def restore_move(context):
+    context.orders = machineorders.MachineOrders()
+    context.orders.restore(
+        MACHINE,
+        machineorders.Move(identifiers.PoolId("b")),
+        OLD_MINION,
+        TAKEOVER,
+    )
+
+
+@behave.when("the machine is listed as {state} in pool {pool} with {minion}")
+def list_moved_machine(context, state, pool, minion):
+    minions = {
+        "a new minion": "m1",
+        "its old minion": OLD_MINION,
+        "no minion": "",
+    }
+    machine = catalog.Machine(
+        machine_id=MACHINE,
+        pool=identifiers.PoolId(pool),
+        state=catalog.MachineState(state),
+        zone=identifiers.ZoneId("a"),
+        minion_id=identifiers.MinionId(minions[minion]),
+    )
+    context.settled = context.orders.settle(
+        {MACHINE: machine}, TAKEOVER + machineorders.LIST_LAG_SECONDS
+    )
+
+
+@behave.then("the move is settled")
+def check_move_settled(context):
+    assert [order.machine_id for order in context.settled] == [MACHINE]
+    assert MACHINE not in context.orders
+
+
+@behave.then("the move is not settled")
+def check_move_open(context):
+    assert not context.settled
+    assert MACHINE in context.orders
