--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -1,6 +1,7 @@
 """Orders maintenance and moves of machines while this entry leads."""
 
 import collections
+import math
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
@@ -13,9 +14,11 @@
     identifiers,
     jobtable,
     machineorders,
+    orderhandover,
     pooldemand,
     ports,
     run,
+    servingmachines,
     timer,
     waveplanner,
 )
@@ -70,8 +73,10 @@
         compute_leadership_end: Returns the monotonic time in seconds until
             which no other entry can have become leader.
         on_fenced: Called when a newer leader has used a higher token.
-        machine_order_delay_seconds: Seconds before the first order, so that
-            orders of two leaders do not overlap.
+        machine_order_delay_seconds: Seconds before the first order about a
+            machine that an earlier leader may just have ordered.
+        lease_seconds: Least time in seconds between orders of two leaders
+            about one machine.
     """
 
     def __init__(
@@ -88,6 +93,7 @@
         compute_leadership_end: Callable[[], float],
         on_fenced: Callable[[], None],
         machine_order_delay_seconds: float,
+        lease_seconds: float = math.inf,
     ) -> None:
         self._decisions = decisions
         self._table = table
@@ -107,7 +113,17 @@
         self._compute_leadership_end = compute_leadership_end
         self._on_fenced = on_fenced
         self._started_at = timers.clock()
-        self._first_order_at = self._started_at + machine_order_delay_seconds
+        first_order_at = self._started_at + machine_order_delay_seconds
+        self._orders_from: dict[identifiers.MachineId, float] = {}
+        self._first_order_at = first_order_at
+        if machine_order_delay_seconds > 0.0 and lease_seconds < math.inf:
+            self._orders_from = orderhandover.compute_waits(
+                table.list_machine_orders(),
+                now=self._started_at,
+                last_order_at=first_order_at - lease_seconds,
+                lease_seconds=lease_seconds,
+            )
+            self._first_order_at = self._started_at
         self._active = False
         self._list_in_flight = False
         self._read_failures = 0
@@ -117,6 +133,7 @@
         self._orders = machineorders.MachineOrders()
         self._invalid_moves: set[tuple[str, str]] = set()
         self._autoscaler = autoscaler.Autoscaler()
+        self._job_sizes = pooldemand.JobSizes()
         self._listed_at = float("-inf")
         self._surplus: dict[identifiers.PoolId, int] = {}
         self._max_moves = MAX_MOVES_PER_ROUND
@@ -314,6 +331,9 @@
             return
         if now >= self._compute_leadership_end():
             return
+        for machine_id, start in list(self._orders_from.items()):
+            if start <= now:
+                del self._orders_from[machine_id]
         loads = self._read_loads(now)
         for state in self._waves.values():
             actions = waveplanner.plan_wave(
@@ -382,6 +402,8 @@
         config = self._decisions.config
         pool = config.pools.get(machine.pool) if config is not None else None
         is_off = pool is not None and pool.spare
+        if machine.machine_id in self._orders_from:
+            return True
         return (
             not is_off
             and bool(machine.minion_id)
@@ -686,13 +708,26 @@
             and machine.state is catalog.MachineState.UP
             and machine.machine_id not in self._orders
             and machine.machine_id not in due
+            and machine.machine_id not in self._orders_from
             and machine.zone not in self._decisions.evacuated
         ]
+        self._job_sizes.observe(
+            self._decisions.jobs.values(), self._decisions.times
+        )
         demands = pooldemand.measure_demand(
-            self._decisions.jobs.values(), config, self._decisions.times, now
+            self._decisions.jobs.values(),
+            config,
+            self._decisions.times,
+            now,
+            self._job_sizes
+            if self._decisions.scheduling.stable_demand
+            else None,
+        )
+        out_of_service = servingmachines.list_out_of_service(
+            self._machines.values(), self._find_view, due, now
         )
         loads = [
-            self._read_pool(pool.name, demands[pool.name], due)
+            self._read_pool(pool.name, demands[pool.name], due, out_of_service)
             for pool in config.pools.values()
             if not pool.spare
         ]
@@ -702,7 +737,7 @@
         self._surplus = {
             load.pool: load.machines
             - plan.wanted[load.pool]
-            - self._count_wave_machines(load.pool)
+            - self._count_wave_machines(load.pool, out_of_service)
             for load in loads
         }
         missing = sum(
@@ -713,13 +748,18 @@
             self._order_move(move)
         self._cordoned_for_moves = plan.cordoned
 
-    def _count_wave_machines(self, pool: identifiers.PoolId) -> int:
-        """Returns the number of a pool's machines drained or down for waves."""
+    def _count_wave_machines(
+        self,
+        pool: identifiers.PoolId,
+        out_of_service: set[identifiers.MachineId],
+    ) -> int:
+        """Returns how many of a pool's counted machines are down for waves."""
         return sum(
             1
             for state in self._waves.values()
             for machine_id in state.draining_machines.keys() | state.down
             if machine_id in self._machines
+            and machine_id not in out_of_service
             and self._machines[machine_id].pool == pool
         )
 
@@ -728,6 +768,7 @@
         pool: identifiers.PoolId,
         demand: pooldemand.Demand,
         due: set[identifiers.MachineId],
+        out_of_service: set[identifiers.MachineId],
     ) -> autoscaler.PoolLoad:
         machines = 0
         down = 0
@@ -743,7 +784,8 @@
                 continue
             if machine.zone in self._decisions.evacuated:
                 continue
-            machines += 1
+            if machine.machine_id not in out_of_service:
+                machines += 1
             cores = max(cores, machine.capacity.cpu / 1000.0)
             view = self._find_view(machine)
             if (
@@ -752,6 +794,7 @@
                 or view.has_unstored_outcomes
                 or machine.machine_id in due
                 or machine.machine_id in self._orders
+                or machine.machine_id in self._orders_from
                 or machine.state is not catalog.MachineState.UP
             ):
                 continue
@@ -762,7 +805,8 @@
         return autoscaler.PoolLoad(
             pool=pool,
             long_running_cores=demand.long_running_cores,
-            demand=max(demand.open, demand.arriving),
+            demand=demand.arriving,
+            backlog=demand.open,
             arrivals=demand.arrivals,
             cores=cores,
             machines=machines,
