Expect the longest run of a step on the critical path

Cause: the critical path of a job was computed from the mean run, while a step ends with the longest of its runs: of 8 runs with a logarithmic spread of 0.5 it takes 1.8 times the mean. Jobs counted as late too early. Change: the regression of joborder.RunTimes learns the spread; from 20 runs on, a step of n tasks is expected to take the longest of n runs, and what is left of a step that of its undone tasks. The demand of pools keeps the mean.

--- a/clementinewood/activejob.py
+++ b/clementinewood/activejob.py
@@ -1,7 +1,7 @@
 """Tracks which tasks of one job may start."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Callable
 
 from clementinewood import catalog, identifiers, job, run
 
@@ -206,25 +206,26 @@
         )
 
     def measure_critical_path(
-        self, seconds: Iterable[float]
+        self, expect: Callable[[job.Step, int], float]
     ) -> tuple[float, float]:
         """Returns the seconds of the critical path, in total and remaining.
 
         Args:
-            seconds: Expected run time of each step in seconds, in order.
+            expect: Returns the expected seconds until a number of tasks of a
+                step that start together are done.
         """
         whole: list[float] = []
         left: list[float] = []
-        for number, (step, expected) in enumerate(
-            zip(self.job.steps, seconds, strict=True)
-        ):
-            done = self.progress.is_step_done(0, number, step.count)
+        for number, step in enumerate(self.job.steps):
+            undone = step.count - self.progress.count_done(0, number)
+            expected = expect(step, step.count)
+            remaining = expected
+            if undone < step.count:
+                remaining = expect(step, undone) if undone > 0 else 0.0
             before = [whole[earlier] for earlier in step.after]
             before_left = [left[earlier] for earlier in step.after]
             whole.append(max(before, default=0.0) + expected)
-            left.append(
-                max(before_left, default=0.0) + (0.0 if done else expected)
-            )
+            left.append(max(before_left, default=0.0) + remaining)
         return max(whole, default=0.0), max(left, default=0.0)
 
     def _find_work(self, task: job.TaskId) -> OpenStep | None:
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -731,8 +731,10 @@
         if queue.advice is not None:
             query_seconds = policycache.expect_seconds(queue.advice)
         whole, left = active.measure_critical_path(
-            query_seconds + self.times.expect(queue.name, step.estimate)
-            for step in accepted.steps
+            lambda step, count: (
+                query_seconds
+                + self.times.expect_longest(queue.name, step.estimate, count)
+            )
         )
         return joborder.rank(
             joborder.WaitingJob(
--- a/clementinewood/job.py
+++ b/clementinewood/job.py
@@ -420,6 +420,10 @@
         self.crashed.pop(place, None)
         self.changed.add(place)
 
+    def count_done(self, occurrence: int, step: int) -> int:
+        """Returns the number of tasks of a step that are done."""
+        return self.done.get((occurrence, step), 0).bit_count()
+
     def is_step_done(self, occurrence: int, step: int, count: int) -> bool:
         """Whether all `count` tasks of a step are done."""
         return self.done.get((occurrence, step), 0) == (1 << count) - 1
--- a/clementinewood/joborder.py
+++ b/clementinewood/joborder.py
@@ -4,12 +4,16 @@
 seconds, which is more than its pool can run. Serving jobs in order of arrival
 makes every job late once the backlog exceeds the slack of a job. Jobs that can
 still meet their objective therefore go first, by slack; late jobs follow, by
-the latest time at which they are still of use.
+the latest time at which they are still of use. A step ends with the longest of
+its runs, so the critical path of a job with wide steps is expected from the
+spread of past runs.
 """
 
 import dataclasses
 import enum
+import functools
 import math
+import statistics
 
 from clementinewood import catalog, identifiers
 
@@ -26,6 +30,10 @@
 HALF_LIFE_RUNS = 400.0
 """Weight in observed runs above which the weight of past runs is halved."""
 
+MIN_SPREAD_RUNS = 20
+"""Least number of observed runs from which the spread of run times is used; the
+standard error of the spread is then a sixth of it."""
+
 SLACK_MARGIN_RATIO = 0.2
 """Slack that a job needs to count as able to meet its objective, as a share of
 its remaining work. Expected run times are uncertain."""
@@ -108,10 +116,22 @@
 class _RunTimeRegression:
     """Regression of actual on declared run times of a queue, in logarithms."""
 
-    __slots__ = ("cross_sum", "actual", "square_sum", "declared", "weight")
+    __slots__ = (
+        "actual",
+        "actual_square_sum",
+        "cross_sum",
+        "declared",
+        "slope",
+        "spread",
+        "square_sum",
+        "weight",
+    )
 
     def __init__(self) -> None:
         self.weight = 0.0
+        self.actual_square_sum = 0.0
+        self.slope = PRIOR_SLOPE
+        self.spread = 0.0
         self.declared = 0.0
         self.actual = 0.0
         self.square_sum = 0.0
@@ -123,21 +143,44 @@
             self.weight /= 2
             self.square_sum /= 2
             self.cross_sum /= 2
+            self.actual_square_sum /= 2
         self.weight += 1
         before = declared - self.declared
+        actual_before = actual - self.actual
         self.declared += before / self.weight
-        self.actual += (actual - self.actual) / self.weight
+        self.actual += actual_before / self.weight
         self.square_sum += before * (declared - self.declared)
         self.cross_sum += before * (actual - self.actual)
+        self.actual_square_sum += actual_before * (actual - self.actual)
+        self.slope = (
+            self.cross_sum + PRIOR_SLOPE * PRIOR_WEIGHT * PRIOR_VARIANCE
+        ) / (self.square_sum + PRIOR_WEIGHT * PRIOR_VARIANCE)
+        if self.weight >= MIN_SPREAD_RUNS:
+            self.spread = self._measure_spread()
 
     def expect(self, declared: float) -> float:
         """Returns the expected logarithm of the actual seconds."""
         if not self.weight:
             return declared
-        slope = (
-            self.cross_sum + PRIOR_SLOPE * PRIOR_WEIGHT * PRIOR_VARIANCE
-        ) / (self.square_sum + PRIOR_WEIGHT * PRIOR_VARIANCE)
-        return self.actual + slope * (declared - self.declared)
+        return self.actual + self.slope * (declared - self.declared)
+
+    def _measure_spread(self) -> float:
+        """Returns the standard deviation from the regression line."""
+        residual_sum = self.actual_square_sum - self.slope * (
+            2 * self.cross_sum - self.slope * self.square_sum
+        )
+        return math.sqrt(max(0.0, residual_sum) / (self.weight - 1))
+
+
+@functools.cache
+def expect_maximum(count: int) -> float:
+    """Returns the expected maximum of `count` standard normal values.
+
+    Blom's approximation is at most 0.03 off, which is 2% of a run time at a
+    spread of 0.5. The cache is bounded by the largest number of tasks of a
+    step.
+    """
+    return statistics.NormalDist().inv_cdf((count - 0.375) / (count + 0.25))
 
 
 class RunTimes:
@@ -161,6 +204,18 @@
             return declared
         return math.exp(trend.expect(math.log(declared)))
 
+    def expect_longest(
+        self, queue: identifiers.QueueId, declared: float, count: int
+    ) -> float:
+        """Returns the expected seconds of the longest of `count` runs."""
+        trend = self._trends.get(queue)
+        if trend is None or declared <= 0 or not trend.spread:
+            return self.expect(queue, declared)
+        return math.exp(
+            trend.expect(math.log(declared))
+            + trend.spread * expect_maximum(count)
+        )
+
 
 if __name__ == "__main__":
     times = RunTimes()
