Order jobs by their teams' fair shares while a pool is short of room

Cause: jobs that can meet their objective were ordered by their team's cores per weight over all pools, also with ample room, and late jobs without regard to shares, so that one team's backlog of late jobs went first. Change: fairshare measures, once per planning pass, which pools are short of room and the dominant share over weight of each team there; within a class, jobs of teams with less load go first, in tenths of the fair share. Minions count what each team's runs use. Off with fair_order = false.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -13,6 +13,7 @@
     activejob,
     catalog,
     event,
+    fairshare,
     hedge,
     identifiers,
     job,
@@ -686,7 +687,7 @@
         config = self.config
         if config is None:
             return []
-        ranked = []
+        waiting = []
         for active in self.jobs.values():
             if active.cancelled or active.progress.state in job.TERMINAL:
                 continue
@@ -700,14 +701,24 @@
                 self._finish(active, job.JobState.FAILED)
                 continue
             if any(work.pending for work in active.work.values()):
-                ranked.append((self._rank(active, queue, now), active))
+                waiting.append(active)
         orders: list[StartRun] = []
-        if not ranked:
+        if not waiting:
             return orders
         candidates = placement.list_candidates(
             self.views.values(), now, self.evacuated
         )
-        for _, active in sorted(ranked, key=lambda pair: pair[0]):
+        order = None
+        if self.scheduling.fair_order:
+            order = fairshare.measure_order(
+                waiting,
+                candidates,
+                self.views.values(),
+                config.teams,
+                self._usage,
+            )
+        waiting.sort(key=lambda active: self._rank(active, order, now))
+        for active in waiting:
             assert active.queue is not None
             options = candidates.get(active.queue.pool)
             if not options:
@@ -723,10 +734,11 @@
     def _rank(
         self,
         active: activejob.ActiveJob,
-        queue: catalog.Queue,
+        order: fairshare.Order | None,
         now: float,
     ) -> tuple[float, ...]:
-        accepted = active.job
+        accepted, queue = active.job, active.queue
+        assert queue is not None
         query_seconds = 0.0
         if queue.advice is not None:
             query_seconds = policycache.expect_seconds(queue.advice)
@@ -736,7 +748,8 @@
                 + self.times.expect_longest(queue.name, step.estimate, count)
             )
         )
-        return joborder.rank(
+        load = self._team_load(accepted.team) if order is None else 0.0
+        rank = joborder.rank(
             joborder.WaitingJob(
                 queue=queue,
                 arrived=active.arrived,
@@ -744,11 +757,14 @@
                 chain_left=left,
                 begun=active.begun,
                 long_running=accepted.long_running,
-                team_load=self._team_load(accepted.team),
+                team_load=load,
                 over_rate=active.over_rate,
             ),
             now,
         )
+        if order is None or accepted.long_running:
+            return rank
+        return order.create_key(queue.pool, accepted.team, rank)
 
     def _is_over_rate(self, accepted: job.Job, arrived: float) -> bool:
         if self.config is None or accepted.long_running:
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -16,6 +16,8 @@
 LEASE_MARGIN = 0.3
 """Seconds added to a lease for rounding and the age of the clock reading."""
 
+_NO_ROOM = job.Resources()
+
 
 class RunState(enum.Enum):
     """State of a run as the dispatcher knows it."""
@@ -220,6 +222,7 @@
             acknowledged.
         runs: Runs that may exist on it, by task and number.
         used: Room that these runs may take.
+        used_by_team: Part of it that each team's runs may take.
         long_running_count: Number of long-running tasks among them.
         cordoned: Whether it gets no new work, so that its machine can move or
             have maintenance.
@@ -247,6 +250,9 @@
     stored_sequence: int = 0
     runs: dict[RunKey, Run] = dataclasses.field(default_factory=dict)
     used: job.Resources = job.Resources()
+    used_by_team: dict[identifiers.TeamId, job.Resources] = dataclasses.field(
+        default_factory=dict
+    )
     long_running_count: int = 0
     cordoned: bool = False
     maintenance_pending: bool = False
@@ -275,6 +281,8 @@
         """Adds a run that may exist on the minion and counts its room."""
         self.runs[item.key] = item
         self.used = self.used.plus(item.room)
+        used = self.used_by_team.get(item.team, _NO_ROOM)
+        self.used_by_team[item.team] = used.plus(item.room)
         self.long_running_count += item.long_running
         if item.isolated:
             self.isolated.append(item)
@@ -285,6 +293,11 @@
             del self.runs[item.key]
             self.starting.discard(item.key)
             self.used = self.used.minus(item.room)
+            used = self.used_by_team[item.team].minus(item.room)
+            if used == _NO_ROOM:
+                del self.used_by_team[item.team]
+            else:
+                self.used_by_team[item.team] = used
             self.long_running_count -= item.long_running
             if item in self.isolated:
                 self.isolated.remove(item)
