--- a/features/order_under_shortage.feature
+++ b/features/order_under_shortage.feature
@@ -42,21 +42,24 @@
     And the dispatcher plans
     Then the job of shade goes first
 
-  # Such a team must neither count as idle nor fail the planning pass.
+  # Such a team must neither count as idle, nor wait for all others, nor fail the
+  # planning pass.
   Scenario Outline: A team without a declared weight counts with the smallest one
-    Given a pool of 192 cores with fair order on, of which team canvas uses 189
+    Given a pool of 192 cores with fair order on, of which team canvas uses <canvas>
+    And of which team shade uses <shade>
     And jobs of canvas and, a little later, of shade that are timely and need 2 cores each
     When a configuration comes into force in which <team> <lacks>
     And the dispatcher plans
-    Then the job of shade goes first
+    Then the job of <first> goes first
 
     Examples:
-      | team   | lacks            |
-      | canvas | has no weight    |
-      | canvas | is missing       |
-      | shade  | has no weight    |
-      | shade  | is missing       |
-      | nobody | has a weight     |
+      | canvas | shade | team   | lacks         | first  |
+      | 130    | 59    | canvas | has no weight | shade  |
+      | 130    | 59    | canvas | is missing    | shade  |
+      | 59     | 130   | canvas | has no weight | canvas |
+      | 59     | 130   | canvas | is missing    | canvas |
+      | 130    | 59    | shade  | has no weight | shade  |
+      | 130    | 59    | nobody | has a weight  | shade  |
 
   Scenario: Tasks above a team's upper limit don't make a pool short of room
     Given a pool of 192 cores with fair order on, of which team canvas uses 100
@@ -65,6 +68,21 @@
     When the dispatcher plans
     Then the job of canvas goes first
 
+  Scenario Outline: A variant without a mechanism orders otherwise
+    Given a pool of 192 cores with fair order on, of which team canvas uses <canvas>
+    And of which team shade uses <shade>
+    And jobs of canvas and, a little later, of shade that are timely and need 2 cores each
+    When a configuration comes into force in which canvas is missing
+    And the dispatcher plans without the mechanism "<mechanism>"
+    Then the job of <first> goes first
+
+    Examples:
+      | mechanism                               | canvas | shade | first  |
+      | loads count in full pools only          | 60     | 0     | shade  |
+      | loads count in full pools               | 130    | 59    | canvas |
+      | missing weights are not taken as large  | 130    | 59    | canvas |
+      | missing weights are not taken as small  | 59     | 130   | shade  |
+
   Scenario: The longest run of a step is expected from the spread of past runs
     Given run times with a logarithmic spread of 0.5
     When 19 runs are known
