--- a/clementinewood/pooldemand.py
+++ b/clementinewood/pooldemand.py
@@ -116,10 +116,7 @@
             present.add(active.job.job_id)
             if active.job.job_id not in self._observed:
                 means = self._means.setdefault(active.job.queue, _Means())
-                chain, _ = active.measure_critical_path(
-                    times.expect(active.job.queue, step.estimate)
-                    for step in active.job.steps
-                )
+                chain, _ = _measure_path(active, times)
                 means.observe(_measure_work(active, times), chain)
         self._observed = present
 
@@ -203,16 +200,24 @@
     return found
 
 
+def _measure_path(
+    active: activejob.ActiveJob, times: joborder.RunTimes
+) -> tuple[float, float]:
+    """Returns a job's critical path in seconds, in total and remaining."""
+    return active.measure_critical_path(
+        lambda step, count: times.expect_longest(
+            active.job.queue, step.estimate, count
+        )
+    )
+
+
 def _is_late(
     active: activejob.ActiveJob, times: joborder.RunTimes, now: float
 ) -> bool:
     """Whether a job can't meet its objective any more."""
     if active.queue is None or active.job.long_running:
         return False
-    whole, left = active.measure_critical_path(
-        times.expect(active.job.queue, step.estimate)
-        for step in active.job.steps
-    )
+    whole, left = _measure_path(active, times)
     objective = active.queue.stretch * whole + active.queue.slack
     return active.arrived + objective < now + left
 
