--- a/clementinewood/autoscaler.py
+++ b/clementinewood/autoscaler.py
@@ -40,13 +40,6 @@
 """Share of an even split of all machines that a pool keeps without demand, so
 that it can serve the start of a peak before machines move in."""
 
-MOVE_SECONDS = 2.0
-"""Time from the decision to move a machine until it takes work."""
-
-MIN_STANDBY_FACTOR = 0.4
-MAX_STANDBY_FACTOR = 1.4
-"""Limits of the factor on KEPT_SHARE by the slack of a pool's jobs."""
-
 IDLE_SECONDS = 1.5
 """Time without demand after which a machine returns to the spare pool. Keeping
 it for this long costs about as much as one more move."""
@@ -73,8 +66,6 @@
         idle: Machines that run nothing.
         busy: Machines that only run work that ends by itself, the least busy
             first.
-        slack: Seconds that its jobs can usually wait and still meet their
-            objective; 0 if that is not known.
         least: Machines that it needs whatever the demand, so that the tasks of
             a step can run on different minions.
     """
@@ -90,19 +81,8 @@
     down: int = 0
     idle: tuple[identifiers.MachineId, ...] = ()
     busy: tuple[identifiers.MachineId, ...] = ()
-    slack: float = 0.0
     least: int = MIN_MACHINES
 
-    def compute_standby_factor(self) -> float:
-        """Returns the pool's need for standby machines, 1 being usual.
-
-        Jobs that can wait until machines have moved in need few.
-        """
-        if self.slack <= 0.0:
-            return 1.0
-        factor = MOVE_SECONDS / self.slack
-        return min(MAX_STANDBY_FACTOR, max(MIN_STANDBY_FACTOR, factor))
-
     def count_wanted(self, headroom: float, *, timely: bool = False) -> int:
         """Returns the number of machines that the pool should have.
 
@@ -222,8 +202,7 @@
         even = len(spare) + sum(load.machines + load.down for load in loads)
         kept = round(KEPT_SHARE * even / (len(loads) + 1))
         for load in loads:
-            standby = round(kept * load.compute_standby_factor())
-            needed = max(wanted[load.pool], standby)
+            needed = max(wanted[load.pool], kept)
             for machine_id in self._find_unneeded(load, needed, now):
                 if machine_id not in taken and len(moves) < most_moves:
                     moves.append(
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -727,13 +727,7 @@
             self._machines.values(), self._find_view, due, now
         )
         loads = [
-            self._read_pool(
-                pool.name,
-                demands[pool.name],
-                due,
-                out_of_service,
-                self._job_sizes.find_slack(pool.name, config),
-            )
+            self._read_pool(pool.name, demands[pool.name], due, out_of_service)
             for pool in config.pools.values()
             if not pool.spare
         ]
@@ -775,7 +769,6 @@
         demand: pooldemand.Demand,
         due: set[identifiers.MachineId],
         out_of_service: set[identifiers.MachineId],
-        slack: float,
     ) -> autoscaler.PoolLoad:
         machines = 0
         down = 0
@@ -823,7 +816,6 @@
             down=down,
             idle=tuple(idle),
             busy=tuple(machine_id for _, machine_id in sorted(busy)),
-            slack=slack,
             least=max(autoscaler.MIN_MACHINES, demand.least),
         )
 
--- a/clementinewood/pooldemand.py
+++ b/clementinewood/pooldemand.py
@@ -73,29 +73,27 @@
         return max(1.0, used_memory / memory / (used_cores / cores))
 
 
-class _Means:
-    """Mean work and chain of a queue's jobs, in core-seconds and seconds."""
+class _MeanWork:
+    """Mean work of a queue's jobs in core-seconds."""
 
-    __slots__ = ("chain", "weight", "work")
+    __slots__ = ("mean", "weight")
 
     def __init__(self) -> None:
-        self.work = 0.0
-        self.chain = 0.0
+        self.mean = 0.0
         self.weight = 0.0
 
-    def observe(self, work: float, chain: float) -> None:
+    def observe(self, work: float) -> None:
         if self.weight > HALF_LIFE_JOBS:
             self.weight /= 2
         self.weight += 1
-        self.work += (work - self.work) / self.weight
-        self.chain += (chain - self.chain) / self.weight
+        self.mean += (work - self.mean) / self.weight
 
 
 class JobSizes:
-    """Learns the mean work and chain of each queue's jobs."""
+    """Learns the mean work of each queue's jobs."""
 
     def __init__(self) -> None:
-        self._means: dict[identifiers.QueueId, _Means] = {}
+        self._means: dict[identifiers.QueueId, _MeanWork] = {}
         self._observed: set[identifiers.JobId] = set()
 
     def observe(
@@ -115,9 +113,8 @@
                 continue
             present.add(active.job.job_id)
             if active.job.job_id not in self._observed:
-                means = self._means.setdefault(active.job.queue, _Means())
-                chain, _ = _measure_path(active, times)
-                means.observe(_measure_work(active, times), chain)
+                mean = self._means.setdefault(active.job.queue, _MeanWork())
+                mean.observe(_measure_work(active, times))
         self._observed = present
 
     def expect(self, active: activejob.ActiveJob, work: float) -> float:
@@ -127,26 +124,10 @@
             active: The job.
             work: Work of the job itself in core-seconds.
         """
-        means = self._means.get(active.job.queue)
-        if means is None or means.weight < MIN_OBSERVED_JOBS:
+        mean = self._means.get(active.job.queue)
+        if mean is None or mean.weight < MIN_OBSERVED_JOBS:
             return work
-        return means.work
-
-    def find_slack(
-        self, pool: identifiers.PoolId, config: catalog.Configuration
-    ) -> float:
-        """Returns the least mean slack of a pool's queues in seconds.
-
-        Returns 0 if none is known.
-        """
-        slacks = [
-            (queue.stretch - 1.0) * means.chain + queue.slack
-            for name, means in self._means.items()
-            if means.weight >= MIN_OBSERVED_JOBS
-            and (queue := config.queues.get(name)) is not None
-            and queue.pool == pool
-        ]
-        return min(slacks, default=0.0)
+        return mean.mean
 
 
 def measure_demand(
