Write log lines without blocking the event loop

Cause: loguru wrote to standard output synchronously. Change: logbuffer queues up to 1 MiB; the event loop writes when the descriptor accepts output. When the queue is full, the oldest line of the lowest rank is dropped (debug, info, warnings, decisions, errors); CW1007 and clementinewood.log.dropped count them.

--- a/clementinewood/command_entry.py
+++ b/clementinewood/command_entry.py
@@ -9,6 +9,7 @@
 from clementinewood import (
     entry,
     event,
+    logreport,
     page,
     settings,
     timer,
@@ -71,12 +72,14 @@
     Returns:
         The process exit status.
     """
-    event.configure_log(
+    log = event.configure_log(
         level=config.log_level.name,
         json=config.log_format is settings.LogFormat.JSON,
     )
     timers = timer.GracefulTimers()
     sockets = transport.Transport(timers).register(timers)
+    if log is not None:
+        logreport.attach(log, sockets, timers)
     site = web.Web(timers).register(timers)
     page.register_pages(site)
     daemon = entry.Entry(
--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -1,15 +1,21 @@
 """Numbered log events and the set-up of the logger."""
 
 import enum
+import io
 import sys
-from typing import TextIO
+from typing import Any, TextIO
 
 from loguru import logger
 
+from clementinewood import logbuffer
+
 _min_severity = 0
 """loguru severity number below which events are not rendered: requests emit
 DEBUG events, and rendering those that are dropped would cost time."""
 
+_output: logbuffer.LogOutput | None = None
+"""Where log lines go, if they go to a descriptor."""
+
 
 class Event(enum.Enum):
     """Every log event: number, level and message.
@@ -24,6 +30,7 @@
     DRAIN_STARTED = (1004, "INFO", "graceful shutdown started")
     DRAIN_FINISHED = (1005, "INFO", "graceful shutdown finished")
     HANDLER_FAILED = (1006, "ERROR", "a handler raised an exception")
+    LOG_LINES_DROPPED = (1007, "WARNING", "log lines were dropped")
     BUNDLE_IN_FORCE = (1101, "INFO", "bundle is in force at this entry")
     BUNDLE_REFUSED = (1102, "WARNING", "bundle was refused")
     BUNDLE_APPENDED = (1103, "INFO", "bundle was appended to the log")
@@ -118,6 +125,31 @@
         return self.value[2]
 
 
+_DECISIONS = frozenset(
+    {
+        Event.BUNDLE_IN_FORCE,
+        Event.CONFIGURATION_IN_FORCE,
+        Event.LEADERSHIP_ACQUIRED,
+        Event.LEADERSHIP_ENDED,
+        Event.MACHINE_ORDERED,
+        Event.JOB_ACCEPTED,
+        Event.JOB_REFUSED,
+        Event.JOB_CANCELLED,
+        Event.CANCEL_OF_ENDED_JOB,
+        Event.JOB_STARTED,
+        Event.JOB_ENDED,
+        Event.RUN_STOPPED,
+        Event.RUNS_LOST,
+        Event.RUN_FAILED,
+        Event.TASK_GIVEN_UP,
+    }
+)
+"""Events that tell what was decided about a job, a machine, the leadership or
+the configuration; they are kept longer than warnings."""
+
+_DECISION_NUMBERS = frozenset(f"CW{item.number}" for item in _DECISIONS)
+
+
 def emit(
     event: Event, *, exception: BaseException | None = None, **fields: object
 ) -> None:
@@ -147,20 +179,28 @@
 
 def configure_log(
     *, level: str = "INFO", json: bool = False, stream: TextIO = sys.stderr
-) -> None:
+) -> logbuffer.LogOutput | None:
     """Configures loguru to write log records to `stream`.
 
     Args:
         level: Lowest level logged.
         json: Whether to write one JSON object per line instead of text.
         stream: Stream to write to.
+
+    Returns:
+        The output that queues lines while the descriptor of `stream` accepts
+        none, to be attached to the event loop; None if `stream` has no
+        descriptor.
     """
-    global _min_severity
+    global _min_severity, _output
     _min_severity = logger.level(level).no
     logger.remove()
+    if _output is not None:
+        _output.close()
+    _output = _open_output(stream)
     # `enqueue=True` would start a thread.
     logger.add(
-        stream,
+        stream if _output is None else _write_message,
         level=level,
         serialize=json,
         format="{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} {level} {message}",
@@ -168,6 +208,40 @@
         diagnose=False,
         enqueue=False,
     )
+    return _output
+
+
+def _open_output(stream: TextIO) -> logbuffer.LogOutput | None:
+    try:
+        stream.flush()
+        return logbuffer.LogOutput(stream.fileno())
+    except (io.UnsupportedOperation, OSError):
+        return None
+
+
+def _write_message(message: Any) -> None:
+    assert _output is not None
+    record = message.record
+    rank = rank_line(record["level"].no, record["extra"].get("event", ""))
+    _output.write(rank, str(message).encode(errors="backslashreplace"))
+
+
+def rank_line(severity: int, number: str) -> logbuffer.Rank:
+    """Returns the importance of a line.
+
+    Args:
+        severity: Number of its loguru level.
+        number: Number of its event, such as CW1601.
+    """
+    if severity >= logger.level("ERROR").no:
+        return logbuffer.Rank.ERROR
+    if number in _DECISION_NUMBERS:
+        return logbuffer.Rank.DECISION
+    if severity >= logger.level("WARNING").no:
+        return logbuffer.Rank.WARNING
+    if severity >= logger.level("INFO").no:
+        return logbuffer.Rank.INFO
+    return logbuffer.Rank.DEBUG
 
 
 if __name__ == "__main__":
--- a/clementinewood/metric.py
+++ b/clementinewood/metric.py
@@ -230,6 +230,19 @@
     "1",
     "1 while this entry is the dispatcher.",
 )
+LOG_DROPPED = Instrument(
+    "clementinewood.log.dropped",
+    Kind.TOTAL,
+    "1",
+    "Log lines dropped because nobody read them, by rank.",
+    ("rank",),
+)
+LOG_BUFFERED = Instrument(
+    "clementinewood.log.buffered",
+    Kind.GAUGE,
+    "By",
+    "Size of the log lines that wait for a reader.",
+)
 
 CATALOGUE: tuple[Instrument, ...] = tuple(
     value for value in globals().values() if isinstance(value, Instrument)
--- a/clementinewood/transport.py
+++ b/clementinewood/transport.py
@@ -422,6 +422,25 @@
             self._transport.adopt(sock, receiver, peer, self._write_limit)
 
 
+class _Writer:
+    """A descriptor of another part that waits until it accepts output."""
+
+    def __init__(
+        self, transport: "Transport", fd: int, callback: Callable[[], None]
+    ) -> None:
+        self._transport = transport
+        self._fd = fd
+        self._callback = callback
+
+    def handle_events(self, events: int) -> None:
+        """Calls back; it writes and notices errors by itself."""
+        self._callback()
+
+    def abort(self, reason: str) -> None:
+        """Ends the wait: a callback that fails would be called again."""
+        self._transport.remove_writer(self._fd)
+
+
 class Transport(circuits.BaseComponent):
     """Owns every socket of the process.
 
@@ -442,7 +461,7 @@
         self.buffered_bytes = 0
         self.timers = timers
         self._epoll = select.epoll()
-        self._polled: dict[int, Connection | _Listener] = {}
+        self._polled: dict[int, Connection | _Listener | _Writer] = {}
         self._listeners: list[_Listener] = []
         self._connections: set[Connection] = set()
         self._in_batch = False
@@ -532,6 +551,8 @@
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setblocking(False)
+            # The look-up of a host name would block; addresses are numbers.
+            socket.inet_pton(socket.AF_INET, address[0])
             code = sock.connect_ex(address)
         except OSError as error:
             code = error.errno or errno.EIO
@@ -596,6 +617,20 @@
             self._epoll.register(fd, new)
             self._polled[fd] = connection
 
+    def add_writer(self, fd: int, callback: Callable[[], None]) -> None:
+        """Calls `callback` whenever `fd` accepts output or has failed.
+
+        Raises:
+            OSError: `fd` can't be polled, such as that of a regular file.
+        """
+        self._epoll.register(fd, select.EPOLLOUT)
+        self._polled[fd] = _Writer(self, fd, callback)
+
+    def remove_writer(self, fd: int) -> None:
+        """Ends `add_writer`."""
+        if self._polled.pop(fd, None) is not None:
+            self._epoll.unregister(fd)
+
     def end_connection(self, connection: Connection, reason: str) -> None:
         """Closes `connection` and notifies its receiver, once."""
         if connection.is_closed:
@@ -659,7 +694,7 @@
             sock.close()
 
     def _record_failure(
-        self, target: "Connection | _Listener", error: Exception
+        self, target: "Connection | _Listener | _Writer", error: Exception
     ) -> None:
         """Counts and logs an exception, and ends its connection.
 
@@ -672,7 +707,9 @@
         )
         target.abort("handler failed")
 
-    def _guard(self, target: "Connection | _Listener", events: int) -> None:
+    def _guard(
+        self, target: "Connection | _Listener | _Writer", events: int
+    ) -> None:
         try:
             target.handle_events(events)
         except Exception as error:
