Count a job as begun once a minion has confirmed a start

Change: the state is set by the response to a start or by a report that lists a run as running or ended, and is stored with the next append or renewal. CW1605 is logged at the same moment; its `waited` counts from when the leader read the job.

--- a/clementinewood/activejob.py
+++ b/clementinewood/activejob.py
@@ -61,7 +61,6 @@
         "numbers_from",
         "progress",
         "queue",
-        "reported",
         "work",
     )
 
@@ -80,7 +79,6 @@
         self.progress = progress
         self.numbers_from = numbers_from
         self.cancelled = False
-        self.reported = False
         self.queue: catalog.Queue | None = None
         self.live: dict[job.TaskId, run.Run] = {}
         self.work: dict[tuple[int, int], OpenStep] = {}
@@ -91,8 +89,8 @@
 
     @property
     def begun(self) -> bool:
-        """Whether a task has started."""
-        return self.progress.state is not job.JobState.QUEUED
+        """Whether a task has started, or is assigned to a minion."""
+        return self.progress.state is not job.JobState.QUEUED or bool(self.live)
 
     def open_steps(self, wall: float, early: float = 0.0) -> None:
         """Opens the steps that are due and whose earlier steps are done.
--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -602,7 +602,7 @@
                 outcome=outcome.value,
             )
         self.dispatcher.handle_start_outcome(
-            order, outcome, self._timers.clock(), self._wall()
+            order, outcome, self._timers.clock()
         )
         if outcome is not dispatcher.StartOutcome.STARTED:
             self._schedule_plan()
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -217,6 +217,7 @@
         self._started_at = now
         self._former_leaders_excluded_at = math.inf
         self._dirty: set[identifiers.JobId] = set()
+        self._newly_begun: set[identifiers.JobId] = set()
         self._ended: dict[identifiers.JobId, job.JobState] = {}
         self._usage: dict[identifiers.TeamId, job.Resources] = {}
         self._stops: dict[run.RunKey, run.Run] = {}
@@ -512,9 +513,10 @@
         order: StartRun,
         outcome: StartOutcome,
         now: float,
-        wall: float,
     ) -> None:
         """Applies the outcome of a start order; retries or drops the run."""
+        if outcome is StartOutcome.STARTED:
+            self._mark_begun(order.task, order.minion_id, now)
         item = self._find_run(order.minion_id, order.task, order.number)
         view = self.views.get(order.minion_id)
         if item is None or view is None:
@@ -529,7 +531,6 @@
                     item.state = run.RunState.RUNNING
                 view.starting.discard(item.key)
                 item.state_changed_at = now
-                self._log_job_started(item, wall)
             case StartOutcome.UNKNOWN:
                 unanswered = item.state is run.RunState.STARTING
                 if not unanswered or item.attempts_in_flight > 0:
@@ -569,20 +570,33 @@
                     item.start_rejected = True
                     item.awaits_report = True
 
-    def _log_job_started(self, item: run.Run, wall: float) -> None:
-        """Logs that the first run of a job has started."""
-        active = self.jobs.get(item.task.job)
-        if active is None or active.reported:
+    def _mark_begun(
+        self, task: job.TaskId, minion_id: identifiers.MinionId, now: float
+    ) -> None:
+        """Sets the state of a job once a minion has confirmed a start.
+
+        A run that is only planned or ordered may never start, so it leaves the
+        job pending. The state is stored with the next append, at the latest
+        with the next renewal; an append of its own would delay starts.
+        """
+        active = self.jobs.get(task.job)
+        if (
+            active is None
+            or active.progress.state is not job.JobState.QUEUED
+            or active.cancelled
+            or not active.has_task(task)
+        ):
             return
-        active.reported = True
+        active.progress.state = job.JobState.RUNNING
+        self._newly_begun.add(task.job)
         event.emit(
             event.Event.JOB_STARTED,
-            job=item.task.job,
-            queue=item.queue,
-            team=item.team,
-            task=item.task.render(),
-            minion=item.minion_id,
-            waited=round(wall - active.job.accepted, 3),
+            job=task.job,
+            queue=active.job.queue,
+            team=active.job.team,
+            task=task.render(),
+            minion=minion_id,
+            waited=round(now - active.arrived, 3),
             term=self.term,
         )
 
@@ -954,7 +968,6 @@
         self._reservations.get(active.job.job_id, {}).pop(task, None)
         place = (task.occurrence, task.step, task.position)
         active.progress.assign(place, number, item.minion_id)
-        active.progress.state = job.JobState.RUNNING
         self._dirty.add(active.job.job_id)
         self._planned.append(item)
 
@@ -1035,10 +1048,11 @@
         """Returns what has changed since the last batch."""
         progress = {
             job_id: self.jobs[job_id].progress
-            for job_id in self._dirty
+            for job_id in self._dirty | self._newly_begun
             if job_id in self.jobs
         }
         self._dirty.clear()
+        self._newly_begun.clear()
         cursors = {
             view.minion_id: jobtable.Cursor(
                 view.minion.incarnation, view.applied_sequence
@@ -1089,7 +1103,7 @@
         return [order for order in orders if order is not None]
 
     def has_changes(self) -> bool:
-        """Whether there is anything to be stored or acknowledged."""
+        """Whether anything has to be stored or acknowledged at once."""
         return bool(self._dirty) or any(
             view.applied_sequence > view.stored_sequence
             for view in self.views.values()
@@ -1204,6 +1218,7 @@
         if active is None or not active.has_task(row.task):
             return
         task = row.task
+        self._mark_begun(task, view.minion_id, now)
         item = active.live.get(task)
         known = (
             item is not None
@@ -1290,6 +1305,7 @@
         listed: set[tuple[job.TaskId, int]] = set()
         for row in report.running:
             listed.add((row.task, row.number))
+            self._mark_begun(row.task, view.minion_id, now)
             item = self._find_run(view.minion_id, row.task, row.number)
             if item is None:
                 item = self._adopt(view, row, now)
@@ -1358,9 +1374,6 @@
         view.add_run(item)
         active.add_run(item)
         self._count_usage(item.team, item.need, 1)
-        if active.progress.state is job.JobState.QUEUED:
-            active.progress.state = job.JobState.RUNNING
-            self._dirty.add(active.job.job_id)
         return item
 
     def _create_unwanted(
--- a/clementinewood/joborder.py
+++ b/clementinewood/joborder.py
@@ -61,7 +61,7 @@
         chain: Expected seconds of its critical path.
         chain_left: Expected seconds of its critical path over unfinished
             steps.
-        begun: Whether a task of it has started.
+        begun: Whether a task of it has started, or is assigned to a minion.
         long_running: Whether it runs until it is cancelled.
         team_load: Cores that its team uses per unit of the team's weight.
         over_rate: Whether it arrived beyond its team's token bucket.
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -321,7 +321,10 @@
         return entry if entry.accepted is not None else None
 
     def count_pending(self, queue: identifiers.QueueId) -> int:
-        """Returns the number of queued jobs of `queue`."""
+        """Returns the number of jobs of `queue` of which no task has started.
+
+        These are the jobs whose state is shown as queued.
+        """
         return sum(
             1
             for entry in self._entries.values()
--- a/features/steps/job_decisions_steps.py
+++ b/features/steps/job_decisions_steps.py
@@ -553,7 +553,7 @@
     context.older = next(iter(batch.progress.values())).copy()
     (order,) = dispatch.handle_batch_stored(batch, 0.2)
     started = dispatcher.StartOutcome.STARTED
-    dispatch.handle_start_outcome(order, started, 0.3, 0.3)
+    dispatch.handle_start_outcome(order, started, 0.3)
     done = run.EndedRun(
         sequence=1,
         task=order.task,
@@ -593,7 +593,7 @@
     orders = dispatch.handle_batch_stored(dispatch.take_batch(), now + 0.2)
     for order in orders:
         started = dispatcher.StartOutcome.STARTED
-        dispatch.handle_start_outcome(order, started, now + 0.3, now + 0.3)
+        dispatch.handle_start_outcome(order, started, now + 0.3)
     return orders
 
 
@@ -660,7 +660,7 @@
     (order,) = dispatch.handle_batch_stored(batch, now + 0.2)
     assert order.number > context.order.number
     started = dispatcher.StartOutcome.STARTED
-    dispatch.handle_start_outcome(order, started, now + 0.3, now + 0.3)
+    dispatch.handle_start_outcome(order, started, now + 0.3)
     poll(dispatch, now + 1.0, create_failure(order, 2))
 
 
@@ -791,7 +791,6 @@
                 order,
                 dispatcher.StartOutcome.STARTED,
                 context.now,
-                context.now,
             )
         new = plan_once(context)
 
@@ -896,7 +895,7 @@
     (repeated,) = context.dispatch.plan(2.0, 2.0)
     assert repeated.number == context.order.number
     context.dispatch.handle_start_outcome(
-        repeated, dispatcher.StartOutcome.SUPERSEDED, 2.1, 2.1
+        repeated, dispatcher.StartOutcome.SUPERSEDED, 2.1
     )
 
 
@@ -905,9 +904,9 @@
     dispatch = context.dispatch
     (repeated,) = dispatch.plan(2.0, 2.0)
     first = dispatcher.StartOutcome.UNKNOWN
-    dispatch.handle_start_outcome(context.order, first, 2.05, 2.05)
+    dispatch.handle_start_outcome(context.order, first, 2.05)
     dispatch.handle_start_outcome(
-        repeated, dispatcher.StartOutcome(outcome), 2.1, 2.1
+        repeated, dispatcher.StartOutcome(outcome), 2.1
     )
 
 
