--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -210,6 +210,7 @@
         self.machine_control.stop()
         for subscription in self._subscriptions:
             subscription.cancel()
+        self._minions.disconnect()
 
     def handle_store_recovered(self) -> None:
         """Repeats what the store has not answered."""
@@ -341,9 +342,11 @@
                 wait = self._compute_long_poll(now)
             if now >= self._compute_leadership_end():
                 wait = min(wait, UNCONFIRMED_LONG_POLL_SECONDS)
-            if view.runs and not view.failed_polls and self._may_grant_leases():
-                # Renewing the lease of an unresponsive minion would delay
-                # the time from which its tasks can start elsewhere.
+            reachable = not view.failed_polls and not view.refuses_orders
+            if view.runs and reachable and self._may_grant_leases():
+                # Renewing the lease of a minion that can't be reached, or only
+                # by polls, would delay the time from which its tasks can start
+                # elsewhere.
                 deadline = view.lease_deadline(now)
         if view.applied_sequence > view.stored_sequence or view.failed_polls:
             wait = 0.0
@@ -508,10 +511,13 @@
     def _plan(self) -> None:
         if not self._active:
             return
+        now = self._timers.clock()
+        condition = self._response_times.judge(now)
         orders = self.dispatcher.plan(
-            self._timers.clock(),
+            now,
             self._wall(),
             may_start=self._may_start(),
+            responses_late=condition is responsetime.Condition.SLOW,
         )
         for order in orders:
             self._send(order)
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -62,11 +62,11 @@
 earliest, and counts on leases of this leader for `MAX_PRIOR_LEASE_SECONDS` from
 then on."""
 
-MAX_PRIOR_LEASE_SECONDS = (
-    run.LEASE_SECONDS * (1 + run.CLOCK_DRIFT)
-    + run.LEASE_MARGIN
-    + MAX_FENCING_DELAY_SECONDS
-)
+MAX_ORDER_SILENCE_SECONDS = 2.0
+"""Time without an order taken, while orders wait, after which a minion's leases
+are no longer extended: three attempts of a start at their timeout."""
+
+MAX_PRIOR_LEASE_SECONDS = run.MAX_LEASE_SECONDS + MAX_FENCING_DELAY_SECONDS
 """Longest time for which a lease of an earlier leader can be valid."""
 
 
@@ -96,6 +96,11 @@
     NOT_SENT = "not-sent"
 
 
+_ORDER_NOT_TAKEN = frozenset(
+    (StartOutcome.UNKNOWN, StartOutcome.NOT_SENT, StartOutcome.BUSY)
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartRun:
     """Order to start a run.
@@ -445,12 +450,22 @@
         view.listed = False
 
     def expire_unresponsive(self, view: run.MinionView, now: float) -> None:
-        """Drops runs of an unresponsive minion whose leases have expired."""
-        expired = view.failed_polls and self._have_leases_expired(view, now)
-        if expired and view.runs:
-            self._assess_crash(view, view.runs.values(), now, confirmed=False)
+        """Drops runs of an unresponsive minion whose leases have expired.
+
+        A minion that answers polls but takes no orders counts as well; it has
+        not crashed.
+        """
+        if not view.failed_polls and not view.refuses_orders:
+            return
+        if not self._have_leases_expired(view, now):
+            return
+        if view.runs:
+            if view.failed_polls:
+                self._assess_crash(
+                    view, view.runs.values(), now, confirmed=False
+                )
             self._lose_runs(view, now)
-        if expired:
+        if view.failed_polls:
             view.token_accepted = False
 
     def forget_minions(self, now: float) -> None:
@@ -517,9 +532,22 @@
         """Applies the outcome of a start order; retries or drops the run."""
         item = self._find_run(order.minion_id, order.task, order.number)
         view = self.views.get(order.minion_id)
-        if item is None or view is None:
+        if view is None:
             return
-        item.attempts_in_flight -= 1
+        if item is not None:
+            item.attempts_in_flight -= 1
+            self._apply_start_outcome(view, item, outcome, now, wall)
+        if outcome not in _ORDER_NOT_TAKEN:
+            view.note_order_taken(now)
+
+    def _apply_start_outcome(
+        self,
+        view: run.MinionView,
+        item: run.Run,
+        outcome: StartOutcome,
+        now: float,
+        wall: float,
+    ) -> None:
         match outcome:
             case StartOutcome.STARTED:
                 view.last_contact = now
@@ -596,11 +624,17 @@
         if answered:
             item.stop_confirmed = True
             item.state_changed_at = now
+            self.views[order.minion_id].note_order_taken(now)
 
     # Planning.
 
     def plan(
-        self, now: float, wall: float, *, may_start: bool = True
+        self,
+        now: float,
+        wall: float,
+        *,
+        may_start: bool = True,
+        responses_late: bool = False,
     ) -> list[Order]:
         """Returns the orders to be sent now.
 
@@ -609,9 +643,11 @@
             wall: Unix time in seconds.
             may_start: Whether starts may be ordered; otherwise repeated start
                 orders wait.
+            responses_late: Whether the responses of all minions are late.
         """
         orders: list[Order] = []
         for view in self.views.values():
+            self._update_order_refusal(view, now, responses_late=responses_late)
             self.expire_unresponsive(view, now)
         self._end_probations(now)
         self._decide_verdicts(now)
@@ -634,6 +670,25 @@
             )
         return orders
 
+    def _update_order_refusal(
+        self, view: run.MinionView, now: float, *, responses_late: bool
+    ) -> None:
+        refused = view.refuses_orders
+        view.update_order_refusal(
+            now, MAX_ORDER_SILENCE_SECONDS, late=responses_late
+        )
+        if view.refuses_orders:
+            # Once nothing waits there, its next order would most likely be
+            # lost as well.
+            view.ejected_until = now + placement.BASE_EJECTION_SECONDS
+        if view.refuses_orders and not refused:
+            event.emit(
+                event.Event.MINION_REFUSES_ORDERS,
+                minion=view.minion_id,
+                runs=len(view.runs),
+                leases=round(view.leases_expire_at - now, 3),
+            )
+
     def _hedge_starts(self, now: float) -> None:
         """Repeats start orders whose response is later than usual.
 
@@ -662,6 +717,7 @@
         item.tries += 1
         item.attempts_in_flight += 1
         item.last_ordered_at = now
+        view.note_order_sent(now)
         return self._create_start(view, item, now)
 
     def _plan_stops(self, now: float) -> list[Order]:
@@ -676,6 +732,7 @@
                 continue
             item.tries += 1
             item.state_changed_at = now
+            self.views[item.minion_id].note_order_sent(now)
             orders.append(StopRun(item.minion_id, item.task, item.number))
         return orders
 
@@ -1298,6 +1355,7 @@
             if item.state is run.RunState.STARTING:
                 item.state = run.RunState.RUNNING
                 item.state_changed_at = now
+                view.note_order_taken(now)
             view.starting.discard(item.key)
             item.unconfirmed = False
             item.awaits_report = False
@@ -1321,6 +1379,12 @@
             gone = settled and item.state_changed_at < sent
             if gone:
                 self._remove_run(view, item)
+            elif item.state is run.RunState.STOPPING and _has_ended_unstopped(
+                item, sent
+            ):
+                self._remove_run(view, item)
+                if not view.refuses_orders:
+                    view.note_order_taken(now)
             elif item.awaits_report and item.last_ordered_at < sent:
                 item.awaits_report = False
                 if not item.start_rejected:
@@ -1387,6 +1451,7 @@
     def _add_unneeded(self, view: run.MinionView, item: run.Run) -> None:
         """Stops a run that no task needs; it counts until it has ended."""
         item.unneeded = True
+        item.seen_in_report = True
         view.add_run(item)
         self._count_usage(item.team, item.need, 1)
         self._stop(item)
@@ -1738,6 +1803,20 @@
     return count + int(item.at_work) <= item.max_unavailable
 
 
+def _has_ended_unstopped(item: run.Run, sent: float) -> bool:
+    """Whether a run is over although no stop order was confirmed.
+
+    Args:
+        item: A run that the minion's newest report does not list.
+        sent: Monotonic time in seconds at which that report was requested.
+    """
+    if item.seen_in_report:
+        return True
+    # Minions reject start orders whose lease has ended.
+    ordered = item.last_ordered_at
+    return ordered > 0.0 and ordered + run.MAX_LEASE_SECONDS < sent
+
+
 def _find_crash_place(item: run.Run) -> tuple[int, int, int]:
     """Returns the key of a task's crashes; members of a gang share one."""
     task = item.task
--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -93,6 +93,11 @@
     ENTRY_UNRESPONSIVE = (1711, "WARNING", "entry does not answer another")
     ENTRY_RESPONSIVE = (1712, "INFO", "entry answers another again")
     JOBS_TAKEN_OVER = (1714, "INFO", "jobs taken over by a new leader")
+    MINION_REFUSES_ORDERS = (
+        1715,
+        "WARNING",
+        "minion answers polls but takes no orders",
+    )
     MACHINE_ORDERED = (1801, "INFO", "machine move or maintenance ordered")
     MACHINE_REFUSED = (1802, "WARNING", "order about a machine refused")
     MACHINES_UNREACHABLE = (1803, "WARNING", "machines can't be listed")
--- a/clementinewood/placement.py
+++ b/clementinewood/placement.py
@@ -63,6 +63,7 @@
         and not view.draining
         and not view.cordoned
         and view.failed_polls == 0
+        and not view.refuses_orders
         and view.ejected_until <= now
         and view.clock_offset is not None
         and view.minion.zone not in evacuated
--- a/clementinewood/ports.py
+++ b/clementinewood/ports.py
@@ -343,6 +343,9 @@
     def forget(self, minion_id: identifiers.MinionId) -> None:
         """Closes the connections to a minion that no longer exists."""
 
+    def disconnect(self) -> None:
+        """Closes all connections, so that minions can accept a successor's."""
+
 
 class MachineOutcome(enum.Enum):
     """Outcome of a machine order."""
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -16,6 +16,10 @@
 LEASE_MARGIN = 0.3
 """Seconds added to a lease for rounding and the age of the clock reading."""
 
+MAX_LEASE_SECONDS = LEASE_SECONDS * (1 + CLOCK_DRIFT) + LEASE_MARGIN
+"""Longest time on the dispatcher's clock for which a lease granted now, or a
+start order sent now, can be valid at its minion."""
+
 
 class RunState(enum.Enum):
     """State of a run as the dispatcher knows it."""
@@ -126,6 +130,17 @@
         """Task and number, which identify the run."""
         return (self.task, self.number)
 
+    @property
+    def awaits_order(self) -> bool:
+        """Whether no answer or report shows that its last order was taken."""
+        match self.state:
+            case RunState.STARTING:
+                return self.tries > 0 and not self.unconfirmed
+            case RunState.STOPPING:
+                return self.tries > 0 and not self.stop_confirmed
+            case _:
+                return False
+
     @property
     def at_work(self) -> bool:
         """Whether a long-running task is available."""
@@ -231,6 +246,10 @@
             may start on it.
         isolated: The suspected runs on probation here.
         starting: Runs of this leader whose start is planned or not confirmed.
+        orders_unanswered_since: Monotonic time in seconds since which it has
+            taken no order although some were sent; infinity if none waits.
+        refuses_orders: Whether that has lasted for so long that its leases are
+            not extended and it gets no new work.
     """
 
     minion: catalog.Minion
@@ -255,6 +274,8 @@
     held_until: float = 0.0
     isolated: list[Run] = dataclasses.field(default_factory=list)
     starting: set[RunKey] = dataclasses.field(default_factory=set)
+    orders_unanswered_since: float = math.inf
+    refuses_orders: bool = False
 
     @property
     def minion_id(self) -> identifiers.MinionId:
@@ -311,8 +332,37 @@
 
     def record_lease(self, now: float) -> None:
         """Extends `leases_expire_at` for a lease granted now."""
-        end = now + LEASE_SECONDS * (1 + CLOCK_DRIFT) + LEASE_MARGIN
-        self.leases_expire_at = max(self.leases_expire_at, end)
+        self.leases_expire_at = max(
+            self.leases_expire_at, now + MAX_LEASE_SECONDS
+        )
+
+    def note_order_sent(self, now: float) -> None:
+        """Records that an order was sent."""
+        self.orders_unanswered_since = min(self.orders_unanswered_since, now)
+
+    def note_order_taken(self, now: float) -> None:
+        """Records that an answer or report shows that an order was taken."""
+        waits = any(item.awaits_order for item in self.runs.values())
+        self.orders_unanswered_since = now if waits else math.inf
+        self.refuses_orders = False
+
+    def update_order_refusal(
+        self, now: float, longest: float, *, late: bool
+    ) -> None:
+        """Decides whether it counts as refusing orders.
+
+        Args:
+            now: Monotonic time in seconds.
+            longest: Seconds without an order taken while orders wait.
+            late: Whether the responses of all minions are late, so that
+                missing ones say nothing about this minion.
+        """
+        if now - self.orders_unanswered_since < longest:
+            return
+        waits = any(item.awaits_order for item in self.runs.values())
+        if late or not waits:
+            self.orders_unanswered_since = now if waits else math.inf
+        self.refuses_orders = waits and not late
 
 
 if __name__ == "__main__":
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -603,6 +603,9 @@
     def forget(self, minion_id):
         pass
 
+    def disconnect(self):
+        pass
+
 
 class Decoder:
     """Reads the records that `JobHarness` writes."""
