Count a successor's waits from the predecessor's last possible act

Cause: the wait before the first machine order was counted from when the predecessor's last leader record was read. The longest lease of a predecessor counted 2 s for leases given after the candidacy, while 2.8 s after the last append are permitted.

Change: election.compute_last_action derives the bound from when the successor's candidacy was known to be stored, after which the store rejects the predecessor, and the permitted time on a clock that is 2% slow.

The full suite was not run. The new scenarios were not run on the code before the change.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -12,6 +12,7 @@
 from clementinewood import (
     activejob,
     catalog,
+    election,
     event,
     hedge,
     identifiers,
@@ -52,15 +53,16 @@
 MAX_HELD_RATIO = 3
 """At most one of this many minions of a pool is held for suspected tasks."""
 
-MAX_FENCING_DELAY_SECONDS = quorum.CONFIRMATION_WINDOW_SECONDS
-"""Time after which an earlier leader extends no more leases, once half of the
-minions have accepted the new leader's token."""
-
 START_PERMISSION_SECONDS = 2.8
 """Age of the last stored append from which starts and leases need a majority of
-the minions. A successor begins a leader timeout (1 s) after that append at the
-earliest, and counts on leases of this leader for `MAX_PRIOR_LEASE_SECONDS` from
-then on."""
+the minions."""
+
+MAX_FENCING_DELAY_SECONDS = max(
+    election.compute_last_action(0.0, START_PERMISSION_SECONDS),
+    quorum.CONFIRMATION_WINDOW_SECONDS,
+)
+"""Time after which an earlier leader extends no more leases, once the new
+leader's candidacy is stored and half of the minions have accepted its token."""
 
 MAX_ORDER_SILENCE_SECONDS = 2.0
 """Time without an order taken, while orders wait, after which a minion's leases
--- a/clementinewood/election.py
+++ b/clementinewood/election.py
@@ -9,7 +9,7 @@
 import dataclasses
 import enum
 
-from clementinewood import identifiers, jobtable
+from clementinewood import identifiers, jobtable, run
 
 LEADER_RENEWAL_INTERVAL_SECONDS = 0.25
 """Period at which the leader appends a LeaderRecord to renew its leadership."""
@@ -80,6 +80,22 @@
     return min(MAX_LINK_DELAY_SECONDS, TAKEOVER_BYTES / bytes_per_second)
 
 
+def compute_last_action(fenced_at: float, permitted_seconds: float) -> float:
+    """Returns until when a former leader may have given an order or a lease.
+
+    It acts for some time from when it sent its last stored append. Since the
+    store rejects its appends once a later candidacy is stored, that one was
+    sent before; when its records are read, or which they are, says nothing.
+
+    Args:
+        fenced_at: Monotonic time in seconds by which the successor's candidacy
+            was stored.
+        permitted_seconds: Age of its last stored append, on its own clock, up
+            to which it acts.
+    """
+    return fenced_at + permitted_seconds * (1 + run.CLOCK_DRIFT)
+
+
 @dataclasses.dataclass(slots=True)
 class ElectionState:
     """State of the leader election as seen by one entry.
--- a/clementinewood/leaderelector.py
+++ b/clementinewood/leaderelector.py
@@ -94,7 +94,6 @@
         self._candidacy_stored_at = 0.0
         self._resigning = False
         self._previous_leader: jobtable.LeaderRecord | None = None
-        self._previous_leader_seen_at = 0.0
 
     @property
     def role(self) -> election.ElectionRole:
@@ -147,7 +146,6 @@
         now = self._timers.clock()
         if record.leader != self._own_incarnation:
             self._previous_leader = record
-            self._previous_leader_seen_at = now
         match self._election.observe_leadership(record, now):
             case election.LeadershipChange.CONFIRMED:
                 if self._log is not None and self._log.busy:
@@ -263,17 +261,17 @@
     def _compute_machine_order_delay(self) -> float:
         """Returns the seconds before the first order about a machine.
 
-        Orders of two leaders about one machine must be a lease apart. The
-        previous leader sent its last one no later than its last record was
-        read.
+        Orders of two leaders about one machine must be a lease apart.
         """
         previous = self._previous_leader
         if previous is None or _is_same_entry(
             previous.leader, self._own_incarnation
         ):
             return 0.0
-        age = self._timers.clock() - self._previous_leader_seen_at
-        return max(0.0, self._lease_seconds - age)
+        last_order = election.compute_last_action(
+            self._candidacy_stored_at, dispatchdriver.LEADERSHIP_VALID_SECONDS
+        )
+        return last_order + self._lease_seconds - self._timers.clock()
 
 
 def _is_same_entry(
--- a/features/machine_handover.feature
+++ b/features/machine_handover.feature
@@ -91,3 +91,17 @@
   Scenario: A dispatcher that disregards listed maintenance breaks some wave
     Given 12 waves beside faults drawn from seed 29
     Then some wave breaks a rule without regard to listed maintenance
+
+  Scenario Outline: A successor's first machine order is a lease after the predecessor's last
+    Given a leader whose record another entry reads at <read> seconds
+    When the other entry's candidacy is stored at <stored> seconds and it leads at <leads> seconds
+    Then its first machine order comes at <first> seconds or later
+
+    Examples: The predecessor may order for 0.8 s on its clock, which may be 2% slow
+      | read | stored | leads | first  |
+      | 10.0 | 11.2   | 11.3  | 15.016 |
+      | 10.0 | 11.2   | 13.9  | 15.016 |
+      | 10.9 | 11.0   | 11.0  | 14.816 |
+
+  Scenario: A lease that a predecessor gives last of all counts for a successor
+    Then the longest lease of a predecessor covers 2.8 s of permission and 4 s of lease on slow clocks
--- a/features/steps/machine_handover_steps.py
+++ b/features/steps/machine_handover_steps.py
@@ -7,8 +7,10 @@
 
 from clementinewood import (
     catalog,
+    dispatcher,
     identifiers,
     jobtable,
+    leaderelector,
     machineorders,
     ports,
     run,
@@ -296,3 +298,52 @@
             wave_faults.list_violations(wave_faults.run_wave(seed))
             for seed in context.seeds
         )
+
+
+@behave.given("a leader whose record another entry reads at {read:g} seconds")
+def read_leader(context, read):
+    context.timers = mock.Mock()
+    context.elector = leaderelector.LeaderElector(
+        identifiers.Incarnation("entry-2/1"),
+        store=mock.Mock(),
+        dispatch_feed=mock.Mock(),
+        jobs_feed=mock.Mock(),
+        timers=context.timers,
+        random_fraction=lambda: 0.5,
+        lease_seconds=3.0,
+        create_driver=mock.Mock(),
+        on_elected=mock.Mock(),
+        on_stepped_down=mock.Mock(),
+    )
+    context.timers.clock.return_value = read
+    context.elector.observe_leadership(
+        jobtable.LeaderRecord(
+            identifiers.Term(1), identifiers.Incarnation("entry-1/1")
+        ),
+        1,
+    )
+
+
+@behave.when(
+    "the other entry's candidacy is stored at {stored:g} seconds and it leads"
+    " at {leads:g} seconds"
+)
+def take_over(context, stored, leads):
+    context.timers.clock.return_value = stored
+    context.elector._handle_candidacy_stored(2)
+    context.timers.clock.return_value = leads
+
+
+@behave.then("its first machine order comes at {first:g} seconds or later")
+def check_first_order(context, first):
+    delay = context.elector._compute_machine_order_delay()
+    assert context.timers.clock() + delay >= first - 1e-6, delay
+
+
+@behave.then(
+    "the longest lease of a predecessor covers {permission:g} s of permission"
+    " and {lease:g} s of lease on slow clocks"
+)
+def check_prior_lease(context, permission, lease):
+    longest = (permission + lease) * (1 + run.CLOCK_DRIFT)
+    assert longest <= dispatcher.MAX_PRIOR_LEASE_SECONDS, longest
