Refuse jobs for load that would complete too late to be of use

Change: the leader predicts the wait of each pool and stores a load report while one is above 1 s; entries fold it and refuse a new job with 429, overloaded and Retry-After if it would complete after three times its objective, once a read of the log that began after the request has shown that the job is not stored. New instruments, event CW1617 and the command queues.

--- a/clementinewood/cli.py
+++ b/clementinewood/cli.py
@@ -11,6 +11,7 @@
     command_dev,
     command_entry,
     command_load,
+    command_queues,
     command_status,
 )
 
@@ -34,6 +35,7 @@
     command_entry.add_commands(subparsers)
     command_bundle.add_commands(subparsers)
     command_status.add_commands(subparsers)
+    command_queues.add_commands(subparsers)
     command_load.add_commands(subparsers)
     command_dev.add_commands(subparsers)
     command_demo.add_commands(subparsers)
--- a/clementinewood/command_status.py
+++ b/clementinewood/command_status.py
@@ -99,7 +99,8 @@
     return trouble
 
 
-def _render_table(rows: Sequence[Sequence[object]]) -> list[str]:
+def render_table(rows: Sequence[Sequence[object]]) -> list[str]:
+    """Returns the lines of a table with aligned columns."""
     texts = [[str(cell) for cell in row] for row in rows]
     widths = [max(map(len, column)) for column in zip(*texts, strict=True)]
     return [
@@ -127,7 +128,7 @@
                     state,
                 ]
             )
-    lines = _render_table(rows)
+    lines = render_table(rows)
     teams: dict[str, list[int]] = {}
     for status in known:
         for team, usage in status["teams"].items():
@@ -136,13 +137,13 @@
                 sums[column] += usage[name]
     rows = [["TEAM", "RUNNING", "QUEUED", "RIGHTS"]]
     rows += [[team, *teams[team]] for team in sorted(teams)]
-    lines += ["", *_render_table(rows)]
+    lines += ["", *render_table(rows)]
     rows = [["POOL", "WORKERS", "LISTED", "LEAVING"]]
     pools = max((status["pools"] for status in known), key=len)
     for name in sorted(pools):
         pool = pools[name]
         rows.append([name, pool["workers"], pool["listed"], pool["leaving"]])
-    return [*lines, "", *_render_table(rows)]
+    return [*lines, "", *render_table(rows)]
 
 
 def add_commands(subparsers: Any) -> None:
--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -76,6 +76,7 @@
         "INFO",
         "cancellation of an ended job answered",
     )
+    JOB_REFUSED_FOR_LOAD = (1617, "INFO", "job refused for load")
     CANDIDACY_STARTED = (1701, "INFO", "dispatcher candidacy started")
     LEADERSHIP_ACQUIRED = (1702, "INFO", "elected dispatcher")
     LEADERSHIP_ENDED = (1703, "WARNING", "stepped down as dispatcher")
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -19,9 +19,11 @@
     fencedlog,
     identifiers,
     job,
+    jobadmission,
     jobtable,
     jobwriter,
     leaderelector,
+    loadreport,
     metric,
     ports,
     schedulingsettings,
@@ -255,7 +257,7 @@
             store,
             ports.Stream.DISPATCH,
             timers,
-            on_snapshot=self._fold,
+            on_snapshot=self._load_dispatch,
             on_records=self._fold,
             on_caught_up=lambda: self.elector.handle_log_caught_up(),
             min_read_interval=FOLLOWER_DISPATCH_READ_INTERVAL_SECONDS,
@@ -278,6 +280,17 @@
             on_elected=self._on_elected,
             on_stepped_down=self._on_stepped_down,
         )
+        self._admission = jobadmission.JobAdmission(
+            enabled=scheduling.admission,
+            jobs_feed=self._jobs_feed,
+            timers=timers,
+            metrics=metrics,
+            wall=wall,
+            read_table=lambda: self.table,
+            find_config=lambda: self.declared.configuration,
+            find_term=self._find_term,
+            is_pending=lambda key: key in self._writer.pending(),
+        )
         self._declarations_feed = feed.Feed(
             store,
             ports.Stream.DECLARATIONS,
@@ -391,13 +404,28 @@
     def submit(
         self, accepted: job.Job, timeout_seconds: float, on_answer: OnAnswer
     ) -> None:
-        """Stores a job, which is accepted once it is stored.
+        """Stores a job unless it is refused; it is accepted once stored.
 
         Args:
             accepted: The job.
             timeout_seconds: Seconds that the caller waits.
             on_answer: Called once with the outcome.
         """
+        if self.table.find(accepted.job_id) is not None:
+            on_answer(Accepted())
+            return
+        deadline = self._timers.clock() + timeout_seconds
+        self._admission.admit(
+            accepted,
+            lambda: self._store_job(
+                accepted, deadline - self._timers.clock(), on_answer
+            ),
+            on_answer,
+        )
+
+    def _store_job(
+        self, accepted: job.Job, timeout_seconds: float, on_answer: OnAnswer
+    ) -> None:
         if self.table.find(accepted.job_id) is not None:
             on_answer(Accepted())
             return
@@ -553,6 +581,10 @@
             return announced
         return ports.Takeover(stored.term, stored.leader)
 
+    def _find_term(self) -> identifiers.Term | None:
+        leader = self._find_leader()
+        return None if leader is None else leader.term
+
     def _is_state_stale(self) -> bool:
         age = self._dispatch_feed.seconds_since_caught_up()
         return self._dispatch_feed.failing or age > STATE_STALE_SECONDS
@@ -687,6 +719,11 @@
             metric.STORE_LOAD_SECONDS, seconds, stream=stream.value
         )
 
+    def _load_dispatch(self, records: Sequence[jobtable.StoredRecord]) -> None:
+        self._fold(records)
+        # A report among the newest records may be of any age.
+        self._admission.observe_report(float("-inf"))
+
     def _fold(self, records: Sequence[jobtable.StoredRecord]) -> None:
         for record in records:
             try:
@@ -705,6 +742,11 @@
                 self.elector.observe_leadership(leader, record.offset)
             case jobtable.JobEntry() as entry:
                 self._apply_job_entry(entry)
+                if jobtable.is_job_key(record.key) and entry.accepted:
+                    self._admission.observe_job(entry.accepted)
+            case loadreport.LoadReport():
+                # Earlier reads would have shown an older one.
+                self._admission.observe_report(self._dispatch_feed.caught_up_at)
 
     def _is_folded(self, key: str) -> bool:
         prefix, _, name = key.partition("/")
@@ -813,12 +855,14 @@
             dispatch_offset=self._dispatch_feed.next_offset,
         )
         driver.start(self.declared)
+        self._admission.start_reporting(driver)
         if self.announcer is not None:
             self.announcer.announce(
                 ports.Takeover(driver.term, self.incarnation)
             )
 
     def _on_stepped_down(self) -> None:
+        self._admission.stop_reporting()
         self._jobs_feed.min_read_interval = FOLLOWER_JOBS_READ_INTERVAL_SECONDS
         self._dispatch_feed.min_read_interval = (
             FOLLOWER_DISPATCH_READ_INTERVAL_SECONDS
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -9,7 +9,7 @@
 
 from returns import result
 
-from clementinewood import decoding, event, identifiers, job
+from clementinewood import decoding, event, identifiers, job, loadreport
 
 
 class RecordKind(enum.Enum):
@@ -25,6 +25,7 @@
     WAVE = "w"
     MOVE = "v"
     LEADER = "office"
+    LOAD = "load"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +48,11 @@
     return f"{kind.value}/{job_id}"
 
 
+def is_job_key(key: str) -> bool:
+    """Whether `key` is that of an accepted job."""
+    return key.startswith(f"{RecordKind.JOB.value}/")
+
+
 def render_block_key(job_id: identifiers.JobId, block: int) -> str:
     """Returns the key of a block of a job's progress."""
     return f"{render_key(RecordKind.PROGRESS, job_id)}/{block}"
@@ -144,6 +150,7 @@
 
 
 LEADER_KEY = RecordKind.LEADER.value
+LOAD_KEY = RecordKind.LOAD.value
 
 _RECORDS_WITHOUT_JOB = frozenset(
     (RecordKind.CURSOR, RecordKind.WAVE, RecordKind.MOVE)
@@ -257,10 +264,12 @@
         cursors: Outcomes that stored progress includes, by minion.
         waves: Progress of waves, by number.
         moves: Last move ordered for each machine.
+        load: Newest load report; None if it is malformed.
     """
 
     def __init__(self) -> None:
         self.leader: LeaderRecord | None = None
+        self.load: loadreport.LoadReport | None = None
         self.cursors: dict[identifiers.MinionId, Cursor] = {}
         self.waves: dict[int, WaveProgress] = {}
         self.moves: dict[identifiers.MachineId, StoredMove] = {}
@@ -282,17 +291,22 @@
         entry = self._entries.get(job_id)
         return entry is not None and entry.cancelled
 
-    def apply(self, record: StoredRecord) -> JobEntry | LeaderRecord | None:
+    def apply(
+        self, record: StoredRecord
+    ) -> JobEntry | LeaderRecord | loadreport.LoadReport | None:
         """Applies one record.
 
         Returns:
-            The job entry or leader record that it changed, or None.
+            The job entry, leader record or load report that it changed, or
+            None.
         """
         if self._offsets.get(record.key, -1) >= record.offset:
             return None
         self._offsets[record.key] = record.offset
         if record.key == LEADER_KEY:
             return self._apply_leader(record)
+        if record.key == LOAD_KEY:
+            return self._apply_load(record)
         prefix, _, name = record.key.partition("/")
         try:
             kind = RecordKind(prefix)
@@ -340,6 +354,15 @@
                 _drop(record, reason)
         return None
 
+    def _apply_load(self, record: StoredRecord) -> loadreport.LoadReport | None:
+        match loadreport.decode(record.value):
+            case result.Success(report):
+                self.load = report
+            case result.Failure(reason):
+                self.load = None
+                _drop(record, reason)
+        return self.load
+
     def _apply_other(
         self, kind: RecordKind, name: str, record: StoredRecord
     ) -> None:
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -151,6 +151,27 @@
         for subscription in self._subscriptions:
             subscription.cancel()
 
+    def list_targets(
+        self,
+    ) -> list[tuple[catalog.Machine, identifiers.PoolId]] | None:
+        """Returns each machine with the pool that it belongs or moves to.
+
+        Returns None while the list of machines is not known, and an empty list
+        if there is no machine service.
+        """
+        if self._service is None:
+            return []
+        age = self._timers.clock() - self._listed_at
+        if not self._machines or age > LIST_STALE_SECONDS:
+            return None
+        return [
+            (
+                machine,
+                self._orders.find_target(machine.machine_id) or machine.pool,
+            )
+            for machine in self._machines.values()
+        ]
+
     def set_waves(self, waves: Sequence[catalog.Wave]) -> None:
         """Replaces the waves declared by operators."""
         if self._service is None:
--- a/clementinewood/metric.py
+++ b/clementinewood/metric.py
@@ -197,6 +197,27 @@
     "1",
     "Tasks given up because minions crashed under them.",
 )
+PREDICTED_WAIT = Instrument(
+    "clementinewood.admission.predicted_wait",
+    Kind.GAUGE,
+    "s",
+    "Predicted wait of new jobs at the leader, by team's rate.",
+    ("pool", "rate"),
+)
+WAITING_JOBS = Instrument(
+    "clementinewood.admission.waiting_jobs",
+    Kind.GAUGE,
+    "1",
+    "Jobs with waiting tasks at the leader.",
+    ("pool",),
+)
+LOAD_REFUSALS = Instrument(
+    "clementinewood.admission.refusals",
+    Kind.COUNTER,
+    "1",
+    "New jobs refused for load by this entry.",
+    ("pool",),
+)
 STORE_READS = Instrument(
     "clementinewood.store.reads",
     Kind.COUNTER,
--- a/clementinewood/teamrate.py
+++ b/clementinewood/teamrate.py
@@ -37,15 +37,27 @@
         Returns:
             Whether a token was left, so that the job is within the rate.
         """
+        bucket = self._refill(team, weight, now)
+        if bucket.tokens < 1.0:
+            return False
+        bucket.tokens -= 1.0
+        return True
+
+    def has_token(
+        self, team: identifiers.TeamId, weight: float, now: float
+    ) -> bool:
+        """Whether `take` would find a token."""
+        return self._refill(team, weight, now).tokens >= 1.0
+
+    def _refill(
+        self, team: identifiers.TeamId, weight: float, now: float
+    ) -> _Bucket:
         capacity = max(1.0, weight * BURST_SECONDS)
         bucket = self._buckets.setdefault(team, _Bucket(capacity, now))
         elapsed = max(0.0, now - bucket.refilled_at)
         bucket.tokens = min(capacity, bucket.tokens + elapsed * weight)
         bucket.refilled_at = max(now, bucket.refilled_at)
-        if bucket.tokens < 1.0:
-            return False
-        bucket.tokens -= 1.0
-        return True
+        return bucket
 
 
 if __name__ == "__main__":
--- a/clementinewood/verdict.py
+++ b/clementinewood/verdict.py
@@ -31,6 +31,7 @@
     QUEUE_CLOSING = "queue-closing"
     STALE_CONFIGURATION = "stale-configuration"
     QUEUE_FULL = "queue-full"
+    OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     TEAM_LIMIT = "team-limit"
     NO_MINION = "no-minion"
@@ -65,6 +66,7 @@
     Reason.QUEUE_CLOSING: 410,
     Reason.STALE_CONFIGURATION: 503,
     Reason.QUEUE_FULL: 429,
+    Reason.OVERLOADED: 429,
     Reason.DEADLINE: 503,
     Reason.TEAM_LIMIT: 429,
     Reason.NO_MINION: 503,
--- a/features/decoder_fuzz.feature
+++ b/features/decoder_fuzz.feature
@@ -34,6 +34,7 @@
       | stored wave machine  |
       | stored move          |
       | leader record        |
+      | load report          |
       | entry record         |
       | settings             |
 
--- a/features/job_harness.py
+++ b/features/job_harness.py
@@ -22,6 +22,7 @@
     metric,
     ports,
     run,
+    schedulingsettings,
     timer,
     verdict,
 )
@@ -644,6 +645,7 @@
             without it, there is no policy.
         limits: Largest appends that the store takes.
         timers: Timer service; by default one on a manual clock.
+        scheduling: Scheduling features in use.
     """
 
     def __init__(
@@ -657,8 +659,10 @@
         policy_share=None,
         limits=STORE_LIMITS,
         timers=None,
+        scheduling=schedulingsettings.DEFAULTS,
     ):
         self.random = random.Random(seed)
+        self.scheduling = scheduling
         if timers is None:
             timers = timer.TimerService(clock=clock.ManualClock(100.0))
         self.clock = timers.clock
@@ -774,6 +778,7 @@
             decoder=Decoder(self),
             timers=timers,
             metrics=METRICS,
+            scheduling=self.scheduling,
             wall=self.wall,
             random_fraction=self.random.random,
         )
--- a/features/steps/decoder_fuzz_steps.py
+++ b/features/steps/decoder_fuzz_steps.py
@@ -320,6 +320,23 @@
         [3, "edge-1/5", False],
         lambda body: apply_record(jobtable.LEADER_KEY, body),
     ),
+    "load report": (
+        {
+            "term": 3,
+            "pools": [
+                {
+                    "pool": "quotes",
+                    "cores": 64.0,
+                    "feasible_wait": 1.5,
+                    "wait": 4.0,
+                    "over_rate_wait": 12.0,
+                    "ratios": {"quote-draft": 0.9},
+                }
+            ],
+            "over_rate": ["canvas"],
+        },
+        lambda body: apply_record(jobtable.LOAD_KEY, body),
+    ),
     "entry record": (
         {"address": "10.1.0.9:7001", "zone": "hobart"},
         lambda body: entrydirectory.decode_address("edge-1", body),
