--- a/clementinewood/completionforecast.py
+++ b/clementinewood/completionforecast.py
@@ -41,10 +41,10 @@
 """Factor on a job's expected chain, since expected run times are uncertain."""
 
 TURNOVER_FACTOR = 2.0
-"""Multiple of the time until a new job is late up to which waiting jobs that can
-meet their objective don't count as going before it. Many of them turn late
-first and go after it; with a factor of 1, most jobs refused within their team's
-rate would have been served in time."""
+"""Multiple of the time until a new job is late, up to which the jobs that can
+meet their objective are not taken to go before it: many of them turn late first
+and go after it. With a factor of 1, most of the jobs refused within their
+team's rate would have been served in time."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/clementinewood/jobadmission.py
+++ b/clementinewood/jobadmission.py
@@ -258,7 +258,6 @@
             team_id, team.weight, now
         )
 
-
     def _log_refusal(
         self,
         accepted: job.Job,
--- a/features/load_peak.py
+++ b/features/load_peak.py
@@ -92,9 +92,7 @@
     def run(self):
         """Returns the callers after the peak and all returns."""
         total = self.overload * (CORES + SPARE_CORES) / JOB_WORK
-        others = {
-            team: rate for team, rate in RATES.items() if team != FLOOD
-        }
+        others = {team: rate for team, rate in RATES.items() if team != FLOOD}
         rates = {FLOOD: total - sum(others.values()), **others}
         for team, rate in rates.items():
             at = self.random.expovariate(rate)
--- a/features/steps/load_admission_steps.py
+++ b/features/steps/load_admission_steps.py
@@ -173,7 +173,9 @@
     assert not is_refused_for_load(answer), answer
 
 
-@behave.then("8 refusals at once get rising times to wait, also of another team")
+@behave.then(
+    "8 refusals at once get rising times to wait, also of another team"
+)
 def check_retries(context):
     load = loadreport.PoolLoad(
         pool=identifiers.PoolId("quotes"),
