Refuse jobs within their team's rate only behind jobs that go first

Cause: a new job goes before late ones until it is late itself.

Change: the wait of a job within its team's rate counts only jobs that can meet their objective.

--- a/clementinewood/completionforecast.py
+++ b/clementinewood/completionforecast.py
@@ -40,12 +40,6 @@
 RUN_TIME_FACTOR = 1.0 + joborder.SLACK_MARGIN_RATIO
 """Factor on a job's expected chain, since expected run times are uncertain."""
 
-TURNOVER_FACTOR = 2.0
-"""Multiple of the time until a new job is late, up to which the jobs that can
-meet their objective are not taken to go before it: many of them turn late first
-and go after it. With a factor of 1, most of the jobs refused within their
-team's rate would have been served in time."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Supply:
@@ -226,20 +220,20 @@
         if supply.cores <= 0.0:
             continue
         amounts = waiting[pool]
-        feasible = late = over_rate = 0.0
+        wait = over_rate_wait = 0.0
         if supply.is_short:
+            # A new job goes before late ones until it is late itself. Later,
+            # it is uncertain which jobs go first.
+            wait = compute_wait(amounts.feasible, caps, supply.cores)
             within = _add_amounts(amounts.feasible, amounts.late)
             whole = _add_amounts(within, amounts.over_rate)
-            feasible = compute_wait(amounts.feasible, caps, supply.cores)
-            late = max(feasible, compute_wait(within, caps, supply.cores))
-            over_rate = max(late, compute_wait(whole, caps, supply.cores))
+            over_rate_wait = max(wait, compute_wait(whole, caps, supply.cores))
         forecasts[pool] = Forecast(
             loadreport.PoolLoad(
                 pool=pool,
                 cores=supply.cores,
-                feasible_wait=feasible,
-                wait=late,
-                over_rate_wait=over_rate,
+                wait=wait,
+                over_rate_wait=over_rate_wait,
                 ratios=ratios.get(pool, {}),
             ),
             amounts.jobs,
@@ -390,16 +384,7 @@
         accepted.steps, ratio=ratio, query_seconds=query_seconds
     )
     objective = queue.stretch * chain + queue.slack
-    feasible_seconds = objective - chain * (1 + joborder.SLACK_MARGIN_RATIO)
-    if over_rate:
-        wait = load.over_rate_wait
-    elif load.feasible_wait <= TURNOVER_FACTOR * max(
-        REPORT_WAIT_SECONDS, feasible_seconds
-    ):
-        # It may start before it is late, and go before late jobs then.
-        wait = load.feasible_wait
-    else:
-        wait = load.wait
+    wait = load.over_rate_wait if over_rate else load.wait
     work = sum(
         step.count * step.room.cpu / 1000.0 * step.estimate * ratio
         for step in accepted.steps
--- a/clementinewood/loadreport.py
+++ b/clementinewood/loadreport.py
@@ -33,17 +33,13 @@
     Attributes:
         pool: The pool.
         cores: Cores at work, arriving, or able to move in.
-        feasible_wait: Predicted seconds that a new job waits behind jobs that
-            can still meet their objective.
-        wait: Predicted seconds that a new job within its team's rate waits
-            once it is late.
+        wait: Predicted seconds that a new job within its team's rate waits.
         over_rate_wait: Predicted seconds that one beyond the rate waits.
         ratios: Learned ratio of actual to declared run time, by queue.
     """
 
     pool: identifiers.PoolId
     cores: float
-    feasible_wait: float
     wait: float
     over_rate_wait: float
     ratios: Mapping[identifiers.QueueId, float]
@@ -72,7 +68,6 @@
             {
                 "pool": load.pool,
                 "cores": round(load.cores, 3),
-                "feasible_wait": round(load.feasible_wait, 3),
                 "wait": round(load.wait, 3),
                 "over_rate_wait": round(load.over_rate_wait, 3),
                 "ratios": {
@@ -133,10 +128,9 @@
 
 
 def _read_pool(item: Any) -> PoolLoad:
-    feasible_wait = _read_number(item["feasible_wait"], MAX_SECONDS)
     wait = _read_number(item["wait"], MAX_SECONDS)
     over_rate_wait = _read_number(item["over_rate_wait"], MAX_SECONDS)
-    if not feasible_wait <= wait <= over_rate_wait:
+    if wait > over_rate_wait:
         raise ValueError("the waits are in the wrong order")
     cores = _read_number(item["cores"], math.inf)
     ratios = {
@@ -148,7 +142,6 @@
     return PoolLoad(
         pool=identifiers.PoolId(_read_name(item["pool"])),
         cores=cores,
-        feasible_wait=feasible_wait,
         wait=wait,
         over_rate_wait=over_rate_wait,
         ratios=ratios,
--- a/features/steps/decoder_fuzz_steps.py
+++ b/features/steps/decoder_fuzz_steps.py
@@ -327,7 +327,6 @@
                 {
                     "pool": "quotes",
                     "cores": 64.0,
-                    "feasible_wait": 1.5,
                     "wait": 4.0,
                     "over_rate_wait": 12.0,
                     "ratios": {"quote-draft": 0.9},
--- a/features/steps/load_admission_steps.py
+++ b/features/steps/load_admission_steps.py
@@ -351,7 +351,6 @@
     load = loadreport.PoolLoad(
         pool=identifiers.PoolId("quotes"),
         cores=16.0,
-        feasible_wait=0.0,
         wait=0.0,
         over_rate_wait=30.0,
         ratios={},
