--- a/features/shortage_replay.py
+++ b/features/shortage_replay.py
@@ -199,7 +199,7 @@
     orders += dispatch.handle_batch_stored(dispatch.take_batch(), now)
     for order in orders:
         started = dispatcher.StartOutcome.STARTED
-        dispatch.handle_start_outcome(order, started, now, now)
+        dispatch.handle_start_outcome(order, started, now)
     return orders
 
 
--- a/features/steps/minion_connections_steps.py
+++ b/features/steps/minion_connections_steps.py
@@ -416,9 +416,7 @@
     job_decisions_steps.poll(dispatch, 0.0)
     dispatch.plan(0.1, 0.1)
     (order,) = dispatch.handle_batch_stored(dispatch.take_batch(), 0.2)
-    dispatch.handle_start_outcome(
-        order, dispatcher.StartOutcome.STARTED, 0.3, 0.3
-    )
+    dispatch.handle_start_outcome(order, dispatcher.StartOutcome.STARTED, 0.3)
     context.dispatch, context.order = dispatch, order
 
 
