--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -14,6 +14,7 @@
     identifiers,
     job,
     jobtable,
+    lookahead,
     machinecontrol,
     policycache,
     ports,
@@ -94,6 +95,8 @@
         machine_order_delay_seconds: Seconds before the first machine order.
         count_start: Counts orders to start a run, by outcome.
         count_given_up: Counts a task that is given up.
+        report_holds: Reports changes of holds and the number of tasks that were
+            backfilled.
         on_store_recovered: Called when a read succeeds after others have
             failed.
         knows_cancellations: Returns whether the log of jobs was read recently.
@@ -118,6 +121,9 @@
         machine_order_delay_seconds: float,
         count_start: Callable[[str], None],
         count_given_up: Callable[[], None],
+        report_holds: Callable[
+            [Sequence[lookahead.Change], int], None
+        ] = lambda changes, backfilled: None,
         on_store_recovered: Callable[[], None] = lambda: None,
         knows_cancellations: Callable[[], bool] = lambda: True,
     ) -> None:
@@ -137,6 +143,7 @@
         self._on_stored = on_stored
         self._count_start = count_start
         self._count_given_up = count_given_up
+        self._report_holds = report_holds
         self._on_leadership_lost = on_leadership_lost
         self._knows_cancellations = knows_cancellations
         self._active = True
@@ -517,6 +524,7 @@
             self._send(order)
         for _ in range(self.dispatcher.take_given_up()):
             self._count_given_up()
+        self._report_holds(*self.dispatcher.lookahead.take_changes())
         query = self.dispatcher.policy_cache.take_query()
         if query is not None:
             self._send_query(query)
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -18,6 +18,7 @@
     job,
     joborder,
     jobtable,
+    lookahead,
     pacing,
     placement,
     policycache,
@@ -183,6 +184,7 @@
         early: Seconds before its due time at which a job may start.
         scheduling: Scheduling features in use.
         times: Run times estimated from past runs.
+        lookahead: Holds room for jobs that wait for it.
         policy_cache: Which minions may run which step, on queues with a policy.
         live_minions: Minions that machines run, as the machine service says;
             None if that is not known.
@@ -205,6 +207,7 @@
         self.early = 0.0
         self.scheduling = schedulingsettings.DEFAULTS
         self.times = joborder.RunTimes()
+        self.lookahead = lookahead.LookAhead(self.times)
         self.policy_cache = policycache.PolicyCache()
         self.live_minions: Set[identifiers.MinionId] | None = None
         self.cursors: dict[identifiers.MinionId, jobtable.Cursor] = {}
@@ -622,7 +625,9 @@
             )
             self._starts = []
         orders.extend(self._plan_stops(now))
+        self.lookahead.begin_pass(now, active=self.scheduling.lookahead)
         orders.extend(self._plan_starts(now, wall, may_start=may_start))
+        self.lookahead.end_pass(self.jobs)
         for paced in self._pacer.plan(self.views.values(), now):
             orders.append(
                 PaceRun(
@@ -707,7 +712,7 @@
         candidates = placement.list_candidates(
             self.views.values(), now, self.evacuated
         )
-        for _, active in sorted(ranked, key=lambda pair: pair[0]):
+        for rank, active in sorted(ranked, key=lambda pair: pair[0]):
             assert active.queue is not None
             options = candidates.get(active.queue.pool)
             if not options:
@@ -718,6 +723,7 @@
                 ]
                 orders += self._use_reservations(active, unreserved, now)
             self._place_job(active, options, now)
+            self.lookahead.hold_room(active, rank, options, self._fits_team_cap)
         return orders
 
     def _rank(
@@ -853,12 +859,15 @@
         for candidate in reserved_on:
             # `reservation` bounds these starts; one that waits would be lost.
             candidate.starts_left = max(1, candidate.starts_left)
-        found = placement.choose_minion(step, reserved_on, work.runs_by_minion)
+        ends = self.lookahead.expect_end(active, step)
+        found = placement.choose_minion(
+            step, reserved_on, work.runs_by_minion, ends=ends
+        )
         if found is None or not self._fits_team_cap(active.job.team, step.need):
             return None
         if step.rack and step.rack not in found.view.minion.labels:
             return None
-        placement.take_room(found, step)
+        placement.take_room(found, step, ends)
         self._count_usage(active.job.team, step.need, 1)
         item = self._create_run(
             active, reserved.task, reserved.number, reserved.minion_id
@@ -875,6 +884,7 @@
         options: list[placement.Candidate],
     ) -> list[tuple[int, placement.Candidate]]:
         chosen = []
+        ends = self.lookahead.expect_end(active, work.step)
         runs_by_minion = dict(work.runs_by_minion)
         found: placement.Candidate | None = None
         for index in list(work.pending):
@@ -884,14 +894,14 @@
             if not self._fits_team_cap(active.job.team, work.step.need):
                 break
             if found is None or not placement.is_still_best(
-                work.step, found, runs_by_minion
+                work.step, found, runs_by_minion, ends
             ):
                 found = placement.choose_minion(
-                    work.step, options, runs_by_minion
+                    work.step, options, runs_by_minion, ends=ends
                 )
             if found is None:
                 break
-            placement.take_room(found, work.step)
+            placement.take_room(found, work.step, ends)
             minion_id = found.view.minion_id
             runs_by_minion[minion_id] = runs_by_minion.get(minion_id, 0) + 1
             self._count_usage(active.job.team, work.step.need, 1)
@@ -1027,6 +1037,7 @@
             tail_target=step.tail_target,
             max_unavailable=step.max_unavailable,
             image=step.image,
+            expected_seconds=self.times.expect(active.job.queue, step.estimate),
         )
 
     # Stored progress.
--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -76,6 +76,9 @@
         "INFO",
         "cancellation of an ended job answered",
     )
+    ROOM_HELD = (1621, "INFO", "room held for a step that waits")
+    HELD_STEP_STARTED = (1622, "INFO", "step for which room was held started")
+    HOLD_LAPSED = (1623, "INFO", "room held for a step is free for others")
     CANDIDACY_STARTED = (1701, "INFO", "dispatcher candidacy started")
     LEADERSHIP_ACQUIRED = (1702, "INFO", "elected dispatcher")
     LEADERSHIP_ENDED = (1703, "WARNING", "stepped down as dispatcher")
--- a/clementinewood/joborder.py
+++ b/clementinewood/joborder.py
@@ -105,6 +105,20 @@
     )
 
 
+def find_slack(rank_key: tuple[float, ...]) -> float | None:
+    """Returns the seconds by which a job may still start later.
+
+    Args:
+        rank_key: Its sort key by `rank`.
+
+    Returns:
+        The slack, or None if the job can't meet its objective or has none.
+    """
+    if rank_key[1] not in (UrgencyClass.BEGUN, UrgencyClass.FEASIBLE):
+        return None
+    return rank_key[-1]
+
+
 class _RunTimeRegression:
     """Regression of actual on declared run times of a queue, in logarithms."""
 
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import enum
+import functools
 import random
 import time
 from collections.abc import Callable, Sequence
@@ -17,6 +18,7 @@
     event,
     feed,
     fencedlog,
+    holdreport,
     identifiers,
     job,
     jobtable,
@@ -781,6 +783,7 @@
                 metric.RUN_STARTS, outcome=outcome
             ),
             count_given_up=lambda: self._metrics.count(metric.TASKS_GIVEN_UP),
+            report_holds=functools.partial(holdreport.report, self._metrics),
             on_store_recovered=self._handle_store_recovered,
             knows_cancellations=lambda: (
                 self._jobs_feed.seconds_since_current()
--- a/clementinewood/metric.py
+++ b/clementinewood/metric.py
@@ -197,6 +197,19 @@
     "1",
     "Tasks given up because minions crashed under them.",
 )
+HOLDS = Instrument(
+    "clementinewood.holds",
+    Kind.COUNTER,
+    "1",
+    "Steps for which room of a full pool was held, by what became of it.",
+    ("pool", "change"),
+)
+BACKFILLED_TASKS = Instrument(
+    "clementinewood.tasks.backfilled",
+    Kind.COUNTER,
+    "1",
+    "Tasks started on held room that they leave in time.",
+)
 STORE_READS = Instrument(
     "clementinewood.store.reads",
     Kind.COUNTER,
--- a/clementinewood/placement.py
+++ b/clementinewood/placement.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping, Sequence
 
 from clementinewood import catalog, identifiers, job, run, suspicion
@@ -35,6 +36,10 @@
         has_long_running: Whether it runs long-running tasks.
         set_aside: Whether it only takes a task suspected of crashing minions.
         starts_left: Starts that may be ordered before others are confirmed.
+        held_from: Monotonic time in seconds from which some of the room is held
+            for a job of higher rank; infinity if none is.
+        spare: Room that is left beside the hold from then on.
+        backfilled: Tasks placed here beside or before the hold.
     """
 
     view: run.MinionView
@@ -42,6 +47,9 @@
     has_long_running: bool
     set_aside: bool = False
     starts_left: int = MAX_STARTS_IN_FLIGHT
+    held_from: float = math.inf
+    spare: job.Resources = job.Resources()
+    backfilled: int = 0
 
     @property
     def rack(self) -> str:
@@ -126,6 +134,7 @@
     runs_by_minion: Mapping[identifiers.MinionId, int],
     *,
     rack: str = "",
+    ends: float = -math.inf,
 ) -> Candidate | None:
     """Returns the best minion for one task of `step`, or None.
 
@@ -135,12 +144,14 @@
         runs_by_minion: Runs of the step on each minion, compared with
             `step.max_per_minion`.
         rack: Preferred rack; empty for the one that the step declares.
+        ends: Expected end of the run in monotonic seconds; by default, holds
+            do not limit it.
     """
     best: Candidate | None = None
     best_rank: tuple[float, ...] = ()
     wanted = rack or step.rack
     for candidate in candidates:
-        if candidate.starts_left <= 0 or not step.room.fits(candidate.free):
+        if not _has_room(step, candidate, ends):
             continue
         minion = candidate.view.minion
         if step.label and step.label not in minion.labels:
@@ -174,6 +185,7 @@
     step: job.Step,
     candidate: Candidate,
     runs_by_minion: Mapping[identifiers.MinionId, int],
+    ends: float = -math.inf,
 ) -> bool:
     """Whether the minion chosen for one task also suits the next one.
 
@@ -184,15 +196,29 @@
     here = runs_by_minion.get(candidate.view.minion_id, 0)
     return (
         not step.long_running
-        and candidate.starts_left > 0
-        and step.room.fits(candidate.free)
+        and _has_room(step, candidate, ends)
         and not (limit and here >= limit)
     )
 
 
-def take_room(candidate: Candidate, step: job.Step) -> None:
+def _has_room(step: job.Step, candidate: Candidate, ends: float) -> bool:
+    """Whether a run of `step` that ends at `ends` may start now."""
+    return (
+        candidate.starts_left > 0
+        and step.room.fits(candidate.free)
+        and (ends <= candidate.held_from or step.room.fits(candidate.spare))
+    )
+
+
+def take_room(
+    candidate: Candidate, step: job.Step, ends: float = -math.inf
+) -> None:
     """Subtracts the room of one task of `step` from `candidate`."""
     candidate.free = candidate.free.minus(step.room)
+    if candidate.held_from < math.inf and ends > -math.inf:
+        candidate.backfilled += 1
+        if ends > candidate.held_from:
+            candidate.spare = candidate.spare.minus(step.room)
     candidate.starts_left -= 1
     if step.long_running:
         candidate.has_long_running = True
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -88,6 +88,7 @@
         usage: Tail latency in milliseconds if it serves users, else
             thousandths of a core.
         pace: Pace at which it may work, in percent of full pace.
+        expected_seconds: Expected run time in seconds.
     """
 
     task: job.TaskId
@@ -120,6 +121,7 @@
     percent: int = 0
     usage: int = 0
     pace: int = 100
+    expected_seconds: float = 0.0
 
     @property
     def key(self) -> "RunKey":
