--- a/clementinewood/lookahead.py
+++ b/clementinewood/lookahead.py
@@ -8,7 +8,6 @@
 for runs that end before the hold begins, or where enough is left beside it.
 """
 
-import collections
 import dataclasses
 import enum
 import heapq
@@ -35,11 +34,6 @@
 """Most tasks of a step for which room is held, which bounds the cost of a
 planning pass. The largest steps that were observed to wait have about 40."""
 
-MAX_ATTEMPTS = 3
-"""Most steps of a pool for which a hold is computed in a pass. A hold that
-withholds no free room is not made, as for small tasks that one ending run makes
-room for, and the next job gets the chance."""
-
 StepKey = tuple[identifiers.JobId, int, int]
 """Job, occurrence and number of a step."""
 
@@ -256,9 +250,6 @@
         self._active = False
         self._now = 0.0
         self._held: dict[identifiers.PoolId, list[placement.Candidate]] = {}
-        self._attempts: collections.Counter[identifiers.PoolId] = (
-            collections.Counter()
-        )
         self._steps: dict[StepKey, _HeldStep] = {}
         self._changes: list[Change] = []
         self._backfilled = 0
@@ -273,7 +264,6 @@
         self._now = now
         self._active = active
         self._held.clear()
-        self._attempts.clear()
 
     def expect_end(self, active: activejob.ActiveJob, step: job.Step) -> float:
         """Returns the expected end of a run that starts now.
@@ -283,7 +273,7 @@
         queue = active.queue
         if (
             queue is None
-            or queue.pool not in self._held
+            or not self._held.get(queue.pool)
             or step.long_running
             or queue.advice is not None
         ):
@@ -311,7 +301,6 @@
             not self._active
             or queue is None
             or queue.pool in self._held
-            or self._attempts[queue.pool] >= MAX_ATTEMPTS
             or queue.advice is not None
         ):
             return
@@ -336,11 +325,11 @@
                 now=self._now,
                 limit=self._now + min(slack, MAX_HOLD_SECONDS),
             )
-            self._attempts[queue.pool] += 1
+            # At most one hold is computed for a pool, to keep the pass cheap.
+            self._held[queue.pool] = found
             if found:
-                self._held[queue.pool] = found
                 self._record_hold(key, queue.pool, waiting, found)
-                return
+            return
 
     def _may_hold(self, key: StepKey, waiting: int) -> bool:
         held = self._steps.get(key)
--- a/clementinewood/placement.py
+++ b/clementinewood/placement.py
@@ -3,7 +3,8 @@
 Load pattern: a queue's demand rises to several times its mean for some seconds
 and fills its pool, in which long-running tasks share the minions. Long-running
 tasks are packed onto few minions, which keeps the others free for bursts of
-short tasks, maintenance and moves; short tasks go where most cores are free.
+short tasks, maintenance and moves. Short tasks go beside long-running ones and
+where the fewest cores are free, which leaves room for larger tasks elsewhere.
 """
 
 import dataclasses
