--- a/clementinewood/metric.py
+++ b/clementinewood/metric.py
@@ -218,6 +218,19 @@
     "New jobs refused for load by this entry.",
     ("pool",),
 )
+HOLDS = Instrument(
+    "clementinewood.holds",
+    Kind.COUNTER,
+    "1",
+    "Steps for which room of a full pool was held, by what became of it.",
+    ("pool", "change"),
+)
+BACKFILLED_TASKS = Instrument(
+    "clementinewood.tasks.backfilled",
+    Kind.COUNTER,
+    "1",
+    "Tasks started on held room that they leave in time.",
+)
 STORE_READS = Instrument(
     "clementinewood.store.reads",
     Kind.COUNTER,
