--- a/bench/lookahead.py
+++ b/bench/lookahead.py
@@ -164,7 +164,7 @@
     orders = dispatch.handle_batch_stored(dispatch.take_batch(), now)
     for order in orders:
         dispatch.handle_start_outcome(
-            order, dispatcher.StartOutcome.STARTED, now, now
+            order, dispatcher.StartOutcome.STARTED, now
         )
     return orders
 
