Serve no open queue by a configuration older than the sender knows

Cause: an entry that can't read the store forwards a request with the newest version that it knows. The entry that is asked refused keyed requests by an older version, but served open queues, which the newer version may have dropped. Change: a request that names a newer configuration is refused as stale, also on open queues.

--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -373,7 +373,8 @@
             )
         age = self._declarations_feed.seconds_since_current()
         newest = max(min_version, self.read_newest_version())
-        stale = age > CONFIGURATION_STALE_SECONDS or self._version() < newest
+        outdated = self._version() < newest
+        stale = outdated or age > CONFIGURATION_STALE_SECONDS
         queue = config.find_queue(request.host, request.path)
         if queue is None:
             if stale:
@@ -387,6 +388,12 @@
         team = identifiers.TeamId("")
         if request.credentials is not None:
             team = config.keys.get(request.credentials, team)
+        if outdated:
+            # A newer version may have dropped the queue, also an open one.
+            return _refuse(
+                verdict.Reason.STALE_CONFIGURATION,
+                "A newer configuration is in force.",
+            )
         if not queue.open_to_all:
             if stale:
                 return _refuse(
--- a/features/job_states.feature
+++ b/features/job_states.feature
@@ -312,3 +312,10 @@
     And the leader does not respond to other entries
     And 1.2 seconds pass on that site
     Then every entry but the leader reports the job as "running" within 0.5 seconds
+
+  Scenario: An entry serves no open queue by an older configuration than the sender knows
+    Given a site of entries in zones "a b c" with 3 minions
+    When the queue of that site is open to all
+    And 0.5 seconds pass on that site
+    Then every entry serves a request that names its own configuration
+    And every entry refuses one that names a newer configuration as stale
--- a/features/steps/job_states_steps.py
+++ b/features/steps/job_states_steps.py
@@ -644,3 +644,50 @@
 def check_third(context, state):
     assert read_state(context, context.third) == state
     assert context.third.peers.sent[-1] == context.cut.address
+
+
+@behave.when("the queue of that site is open to all")
+def open_queue(context):
+    known = context.site.harness.declared.configuration
+    context.site.harness.declare(
+        configuration=dataclasses.replace(
+            known,
+            version=known.version + 1,
+            queues={
+                name: dataclasses.replace(queue, open_to_all=True)
+                for name, queue in known.queues.items()
+            },
+        )
+    )
+
+
+def admit_count(entry, min_version):
+    (queue,) = entry.service.declared.configuration.queues.values()
+    return entry.service.admit(
+        jobservice.CallerRequest(
+            kind=jobservice.RequestKind.DESCRIBE,
+            host=queue.host,
+            path=queue.prefix,
+            credentials=None,
+            timeout_seconds=3.0,
+        ),
+        min_version,
+    )
+
+
+@behave.then("every entry serves a request that names its own configuration")
+def check_own_version(context):
+    for entry in context.site.entries:
+        version, _ = entry.service.read_configuration_age()
+        admitted = admit_count(entry, version)
+        assert isinstance(admitted, jobservice.AdmittedRequest), admitted
+
+
+@behave.then(
+    "every entry refuses one that names a newer configuration as stale"
+)
+def check_newer_version(context):
+    for entry in context.site.entries:
+        version, _ = entry.service.read_configuration_age()
+        refused = admit_count(entry, version + 1)
+        assert refused.reason is verdict.Reason.STALE_CONFIGURATION, refused
