--- a/clementinewood/jobadmission.py
+++ b/clementinewood/jobadmission.py
@@ -36,7 +36,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Doomed:
+class _PendingRefusal:
     """A job that is refused unless the log has it.
 
     Attributes:
@@ -91,7 +91,7 @@
         self._reporter: loadreporter.LoadReporter | None = None
         self._team_buckets = teamrate.TeamTokenBuckets()
         self._retries = completionforecast.RetryPlanner()
-        self._doomed: list[_Doomed] = []
+        self._pending: list[_PendingRefusal] = []
         self._logged_at: dict[
             tuple[identifiers.QueueId, identifiers.TeamId], float
         ] = {}
@@ -160,25 +160,25 @@
         if self._predict(accepted) is None:
             on_admitted()
             return
-        self._doomed.append(_Doomed(accepted, on_admitted, on_refused))
-        if len(self._doomed) == 1:
+        self._pending.append(_PendingRefusal(accepted, on_admitted, on_refused))
+        if len(self._pending) == 1:
             self._timers.subscribe_once(READ_DELAY_SECONDS, self._read_log)
 
     def _read_log(self) -> None:
         """Reads whether the log has the jobs that are to be refused."""
-        doomed, self._doomed = self._doomed, []
+        pending, self._pending = self._pending, []
 
         def finish(known: bool) -> None:
-            for item in doomed:
+            for item in pending:
                 self._decide(item, known=known)
 
         self._jobs_feed.call_when_caught_up(finish, READ_TIMEOUT_SECONDS)
 
-    def _decide(self, doomed: _Doomed, *, known: bool) -> None:
-        accepted = doomed.accepted
+    def _decide(self, pending: _PendingRefusal, *, known: bool) -> None:
+        accepted = pending.accepted
         found = self._predict(accepted)
         if found is None or not known:
-            doomed.on_admitted()
+            pending.on_admitted()
             return
         load, prediction = found
         seconds = self._retries.plan(
@@ -186,7 +186,7 @@
         )
         self._metrics.count(metric.LOAD_REFUSALS, pool=load.pool)
         self._log_refusal(accepted, prediction, seconds)
-        doomed.on_refused(
+        pending.on_refused(
             verdict.Refusal(
                 verdict.Reason.OVERLOADED,
                 detail="The job would complete too late to be of use.",
