Start groups of suspects on fewer minions than are most of a zone

Traced: two groups of suspects crashed two of the three minions of a zone within 0.3 s, which was taken for a loss of the zone and counted for no task. Change: a group starts on one more minion of a zone or rack only if fewer than half of it would crash with all groups there.

--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -4,6 +4,7 @@
 times passed in, without I/O; `dispatchdriver` carries out the orders.
 """
 
+import collections
 import dataclasses
 import enum
 import math
@@ -1763,11 +1764,20 @@
     ) -> list[placement.Candidate]:
         """Returns the minions on which a suspected task may start."""
         if isolation is suspicion.Isolation.GROUP:
+            started = collections.Counter(
+                domain
+                for view in self.views.values()
+                if placement.is_on_probation(view, now)
+                for domain in suspicion.list_domains(view.minion)
+            )
             return [
                 option
                 for option in options
-                if placement.is_quiet(option.view, now)
-                or placement.may_join_group(option.view)
+                if placement.may_join_group(option.view)
+                or placement.is_quiet(option.view, now)
+                and self._crash_history.allows_group(
+                    suspicion.list_domains(option.view.minion), started
+                )
             ]
         # One at a time in each zone: see `suspicion.CrashHistory`.
         busy_zones = {
--- a/clementinewood/suspicion.py
+++ b/clementinewood/suspicion.py
@@ -11,7 +11,7 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from clementinewood import catalog, identifiers, job, run
 
@@ -75,8 +75,9 @@
 class CrashHistory:
     """Holds the last crashes, to tell those of a whole zone from single ones.
 
-    One suspected task at a time starts alone in each zone, so a crash under it
-    is shared by most of its zone or rack only if these are the cause.
+    One suspected task at a time starts alone in each zone, and groups of them
+    on fewer minions than are most of a zone or rack, so crashes under them are
+    shared by most of a zone or rack only if these are the cause.
     """
 
     def __init__(self) -> None:
@@ -111,9 +112,28 @@
         """Whether most minions of a failure domain crashed around `at`."""
         return any(self._is_domain_lost(at, domain) for domain in domains)
 
+    def allows_group(
+        self, domains: Iterable[Domain], started: Mapping[Domain, int]
+    ) -> bool:
+        """Whether a group of suspects may start on one more minion.
+
+        Args:
+            domains: Failure domains of the minion.
+            started: Number of minions on which suspects have just started, by
+                failure domain.
+        """
+        return all(
+            started.get(domain, 0) + 1 < self._compute_least(domain)
+            for domain in domains
+        )
+
+    def _compute_least(self, domain: Domain) -> int:
+        """Returns the number of crashes from which a domain counts as lost."""
+        return max(2, math.ceil(DOMAIN_SHARE * self._sizes[domain]))
+
     def _is_domain_lost(self, at: float, domain: Domain) -> bool:
         known = self._crashes.get(domain, ())
-        least = max(2, math.ceil(DOMAIN_SHARE * self._sizes[domain]))
+        least = self._compute_least(domain)
         if len(known) < least:
             return False
         return (
--- a/features/deadly_tasks.feature
+++ b/features/deadly_tasks.feature
@@ -82,3 +82,14 @@
       | 2         | alone                 | 2.0   | 1.5  | is not |
       | 2         | beside others         | 2.0   | 0.05 | is not |
       | 2         | in a run that counted | 2.0   | 0.05 | is not |
+
+  Scenario Outline: Groups of suspects start on fewer minions than are most of a zone
+    Given a zone of <size> minions, on <started> of which suspects have just started
+    Then a group of suspects <may> start on another one
+
+    Examples: Half of a zone that crashes within 0.3 s counts as lost
+      | size | started | may     |
+      | 3    | 0       | may     |
+      | 3    | 1       | may not |
+      | 6    | 1       | may     |
+      | 6    | 2       | may not |
--- a/features/steps/deadly_tasks_steps.py
+++ b/features/steps/deadly_tasks_steps.py
@@ -226,3 +226,26 @@
         for finding in context.findings
         if finding.item is not context.suspect
     )
+
+
+@behave.given(
+    "a zone of {size:d} minions, on {started:d} of which suspects have just"
+    " started"
+)
+def create_suspect_zone(context, size, started):
+    zone = suspicion.Domain("zone", "a")
+    context.crash_history = suspicion.CrashHistory()
+    context.crash_history.set_domains([(zone,)] * size)
+    context.allowed = context.crash_history.allows_group(
+        (zone,), {zone: started}
+    )
+
+
+@behave.then("a group of suspects may start on another one")
+def check_group_allowed(context):
+    assert context.allowed
+
+
+@behave.then("a group of suspects may not start on another one")
+def check_group_not_allowed(context):
+    assert not context.allowed
