Test the sharing of machines by timely work and by the scarcer resource

No product code changed. Without the order by timely work the pool with fresh work gets fewer machines than it needs in both rows.

--- a/features/steps/uneven_demand_steps.py
+++ b/features/steps/uneven_demand_steps.py
@@ -404,3 +404,46 @@
         0.0,
     )
     assert len(found) == count, found
+
+
+@behave.given(
+    "{count:d} machines and two pools of which one wants {wanted:d} for work"
+    " that is late"
+)
+def create_late_pool(context, count, wanted):
+    context.spare, context.late_wanted = count, wanted
+
+
+@behave.when("the other wants {count:d} machines for fresh work")
+def share_between_pools(context, count):
+    late, fresh = POOLS[:2]
+    loads = [
+        autoscaler.PoolLoad(pool=pool, demand=0.0, cores=CORES, machines=0)
+        for pool in (late, fresh)
+    ]
+    context.targets = autoscaler.share_machines(
+        loads,
+        {late: context.late_wanted, fresh: count},
+        context.spare,
+        {late: 0, fresh: count},
+    )
+
+
+@behave.then("the other pool's target is {count:d} machines")
+def check_fresh_target(context, count):
+    assert context.targets[POOLS[1]] == count, context.targets
+    assert sum(context.targets.values()) <= context.spare, context.targets
+
+
+@behave.given(
+    "tasks that take {cores:g} cores and {memory:g} MB of machines with"
+    " {most:g} and {whole:g}"
+)
+def create_memory_demand(context, cores, memory, most, whole):
+    demand = pooldemand.Demand(open=cores, open_memory=memory)
+    context.factor = demand.compute_memory_factor(most, whole)
+
+
+@behave.then("memory is scarcer by a factor of {factor:g}")
+def check_memory_factor(context, factor):
+    assert math.isclose(context.factor, factor), context.factor
--- a/features/uneven_demand.feature
+++ b/features/uneven_demand.feature
@@ -49,3 +49,23 @@
     Given 5 machines of a pool
     When 3 of them miss 2 polls
     Then 0 of them are out of service
+
+  Scenario Outline: Machines that are short go first to work that can meet its objective
+    Given 20 machines and two pools of which one wants 30 for work that is late
+    When the other wants <fresh> machines for fresh work
+    Then the other pool's target is <target> machines
+
+    Examples:
+      | fresh | target |
+      | 10    | 10     |
+      | 15    | 15     |
+
+  Scenario Outline: The scarcer resource decides how many machines a pool needs
+    Given tasks that take <cores> cores and <memory> MB of machines with 64 and 256000
+    Then memory is scarcer by a factor of <factor>
+
+    Examples:
+      | cores | memory | factor |
+      | 64    | 256000 | 1      |
+      | 64    | 512000 | 2      |
+      | 64    | 64000  | 1      |
