Log which part holds the event loop

Change: the timer service measures each callback and each socket event, and the dispatch driver names its parts (take-over, planning, report of a minion, stored progress). A part that runs for 0.25 s without a pause is logged as CW1008 and counted in clementinewood.event_loop.slow_turns. Nested parts count once, for the innermost.

Test: features/timer.feature.

--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -193,9 +193,10 @@
     def start(self, declared: ports.Declarations) -> None:
         """Takes over all unfinished jobs and starts polling every minion."""
         self.dispatcher.cursors.update(self._table.cursors)
-        for entry in self._table:
-            self.apply_job_entry(entry)
-            self._delete_blocks(entry)
+        with self._timers.measure_turn("take-over"):
+            for entry in self._table:
+                self.apply_job_entry(entry)
+                self._delete_blocks(entry)
         self._taken_over = True
         self.apply_declarations(declared)
         self._feed.start()
@@ -413,7 +414,8 @@
         self._observe_poll(view, outcome, sent, wait)
         pause = 0.0
         try:
-            pause = self._apply_poll_result(view, outcome, sent)
+            with self._timers.measure_turn("report of a minion"):
+                pause = self._apply_poll_result(view, outcome, sent)
         except Exception as error:
             # As without a response: the minion is polled again, and its leases
             # end if none of its reports can be applied.
@@ -521,8 +523,11 @@
         self._plan()
 
     def _plan(self) -> None:
-        if not self._active:
-            return
+        if self._active:
+            with self._timers.measure_turn("planning"):
+                self._plan_now()
+
+    def _plan_now(self) -> None:
         now = self._timers.clock()
         condition = self._response_times.judge(now)
         orders = self.dispatcher.plan(
@@ -770,10 +775,11 @@
 
     def _handle_stored(self, batch: dispatcher.Batch) -> None:
         now = self._timers.clock()
-        orders = self.dispatcher.handle_batch_stored(
-            batch, now, may_start=self._may_start()
-        )
-        for order in orders:
-            self._send(order)
+        with self._timers.measure_turn("stored progress"):
+            orders = self.dispatcher.handle_batch_stored(
+                batch, now, may_start=self._may_start()
+            )
+            for order in orders:
+                self._send(order)
         for minion_id in batch.cursors:
             self._resume_polling(minion_id)
--- a/clementinewood/entry.py
+++ b/clementinewood/entry.py
@@ -260,6 +260,9 @@
             metric.EJECTED_MINIONS, lambda: [({}, len(self._list_ejected()))]
         )
         observe(metric.HANDLER_FAILURES, lambda: [({}, self._count_failures())])
+        observe(
+            metric.SLOW_TURNS, lambda: [({}, float(self._timers.slow_turns))]
+        )
         observe(metric.RECORDS_REFUSED, self._count_refused_records)
 
     def _list_ejected(
--- a/clementinewood/event.py
+++ b/clementinewood/event.py
@@ -31,6 +31,7 @@
     DRAIN_FINISHED = (1005, "INFO", "graceful shutdown finished")
     HANDLER_FAILED = (1006, "ERROR", "a handler raised an exception")
     LOG_LINES_DROPPED = (1007, "WARNING", "log lines were dropped")
+    EVENT_LOOP_HELD = (1008, "WARNING", "a part held the event loop for long")
     BUNDLE_IN_FORCE = (1101, "INFO", "bundle is in force at this entry")
     BUNDLE_REFUSED = (1102, "WARNING", "bundle was refused")
     BUNDLE_APPENDED = (1103, "INFO", "bundle was appended to the log")
--- a/clementinewood/metric.py
+++ b/clementinewood/metric.py
@@ -110,6 +110,12 @@
     "1",
     "Exceptions caught in handlers; any makes the entry unready.",
 )
+SLOW_TURNS = Instrument(
+    "clementinewood.event_loop.slow_turns",
+    Kind.TOTAL,
+    "1",
+    "Times that a part held the event loop for a quarter of a second or more.",
+)
 CONFIGURATION_FRESH = Instrument(
     "clementinewood.configuration.fresh",
     Kind.GAUGE,
--- a/clementinewood/timer.py
+++ b/clementinewood/timer.py
@@ -1,10 +1,11 @@
 """Provides the timer service of the event loop."""
 
+import contextlib
 import heapq
 import itertools
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import circuits
 
@@ -18,6 +19,10 @@
 FAILURE_LINE_SECONDS = 1.0
 """Least time between two lines about failures of one part of the process."""
 
+SLOW_TURN_SECONDS = 0.25
+"""Time for which one part may hold the event loop before that is logged, a
+quarter of the shortest timeout between entries."""
+
 
 class Subscription:
     """Scheduled callback of the timer service; `cancel` is amortized O(1).
@@ -62,12 +67,16 @@
     Attributes:
         clock: As in `Args`.
         failures: Exceptions of callbacks so far.
+        slow_turns: How often a part has held the event loop for
+            `SLOW_TURN_SECONDS` or longer.
     """
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         super().__init__()
         self.clock = clock
         self.failures = 0
+        self.slow_turns = 0
+        self._attributed_seconds = 0.0
         self._logged_failures: dict[str, tuple[float, int]] = {}
         self._order = itertools.count()
         self._heap: list[tuple[float, int, Subscription]] = []
@@ -129,6 +138,31 @@
             unlogged=unlogged,
         )
 
+    @contextlib.contextmanager
+    def measure_turn(self, part: str) -> Iterator[None]:
+        """Logs that a part of the process has held the event loop for long.
+
+        The time of a part measured within another one counts for the inner one
+        only, if that is logged.
+
+        Args:
+            part: Name of the part.
+        """
+        started_at, attributed = self.clock(), self._attributed_seconds
+        try:
+            yield
+        finally:
+            within = self._attributed_seconds - attributed
+            seconds = self.clock() - started_at - within
+            if seconds >= SLOW_TURN_SECONDS:
+                self._attributed_seconds += seconds
+                self.slow_turns += 1
+                log_event.emit(
+                    log_event.Event.EVENT_LOOP_HELD,
+                    part=part,
+                    seconds=round(seconds, 3),
+                )
+
     def handle_cancellation(self) -> None:
         """Drops cancelled subscriptions once they are most of the heap.
 
@@ -164,7 +198,8 @@
                 subscription.due = now + subscription.period
             self._push(subscription)
         try:
-            callback()
+            with self.measure_turn("timer"):
+                callback()
         except Exception as error:
             self.record_failure(error, "timer")
 
--- a/clementinewood/transport.py
+++ b/clementinewood/transport.py
@@ -711,7 +711,8 @@
         self, target: "Connection | _Listener | _Writer", events: int
     ) -> None:
         try:
-            target.handle_events(events)
+            with self.timers.measure_turn("connection"):
+                target.handle_events(events)
         except Exception as error:
             self._record_failure(target, error)
 
--- a/features/steps/timer_steps.py
+++ b/features/steps/timer_steps.py
@@ -1,8 +1,10 @@
 """Steps for the timer service."""
 
+from unittest import mock
+
 import behave
 
-from clementinewood import timer
+from clementinewood import event, timer
 from features import clock
 
 
@@ -53,3 +55,30 @@
 @behave.then("the timer service counts {count:d} failures")
 def check_failures(context, count):
     assert context.timers.failures == count
+
+
+@behave.when('the part "{inner}" runs for {seconds:g} seconds within "{outer}"')
+def run_parts(context, inner, seconds, outer):
+    with (
+        mock.patch.object(event, "emit") as emit,
+        context.timers.measure_turn(outer),
+        context.timers.measure_turn(inner),
+    ):
+        context.clock.now += seconds
+    context.emitted = emit.call_args_list
+
+
+@behave.then("no part is logged")
+def check_not_logged(context):
+    assert context.emitted == [], context.emitted
+
+
+@behave.then('"{part}" is logged with {seconds:g} seconds, and nothing else')
+def check_logged(context, part, seconds):
+    held = event.Event.EVENT_LOOP_HELD
+    assert context.emitted == [mock.call(held, part=part, seconds=seconds)]
+
+
+@behave.then("the timer service counts {count:d} slow turns")
+def check_slow_turns(context, count):
+    assert context.timers.slow_turns == count
--- a/features/timer.feature
+++ b/features/timer.feature
@@ -34,3 +34,11 @@
     When time moves to 5
     Then the call happened 1 times
     And the timer service counts 1 failures
+
+  Scenario: A part that holds the event loop is named, the innermost one only
+    Given a timer service at time 0
+    When the part "planning" runs for 0.24 seconds within "timer"
+    Then no part is logged
+    When the part "planning" runs for 0.3 seconds within "timer"
+    Then "planning" is logged with 0.3 seconds, and nothing else
+    And the timer service counts 1 slow turns
