--- a/features/entry_timers.py
+++ b/features/entry_timers.py
@@ -50,6 +50,9 @@
     def record_failure(self, error, where):
         self._timers.record_failure(error, where)
 
+    def measure_turn(self, part):
+        return self._timers.measure_turn(part)
+
     def receive(self, on_result):
         """Returns `on_result` for responses, which wait during a pause."""
 
