Plan a gang at a cost in proportion to its tasks

Cause: members of one run of a gang share a number, and it was computed again for each member from the numbers of all: 9,000,000 look-ups in one turn of the event loop, while the leader timeout is 1 s. Each successor planned the same gang.

Change: the number is computed once a gang. On the same path, minions are chosen from a heap instead of by a scan for each task, whether a gang fits is decided from counts by minion before any member is placed, pending tasks are a dictionary, and a report looks once for orders that wait, not once for each run that it shows. The search also gave members different numbers where one had had more starts, [5, 5, 6, 6] in the test; they share one now.

--- a/bench/lookahead.py
+++ b/bench/lookahead.py
@@ -308,17 +308,12 @@
 
 
 def rank_by(key):
-    """Replaces the choice among minions with room by the least `key`."""
+    """Replaces the rank of minions with room by `key`, the least first."""
 
-    def choose(step, candidates, runs_by_minion, *, rack="", ends=-1e9):
-        fits = [
-            candidate
-            for candidate in candidates
-            if placement._has_room(step, candidate, ends)
-        ]
-        return min(fits, key=lambda item: key(step, item), default=None)
+    def rank(step, candidate, here):
+        return (key(step, candidate),)
 
-    return mock.patch.object(placement, "choose_minion", choose)
+    return mock.patch.object(placement, "rank_minion", rank)
 
 
 def measure_waste(step, candidate):
--- a/clementinewood/activejob.py
+++ b/clementinewood/activejob.py
@@ -14,14 +14,16 @@
         occurrence: Number of the occurrence.
         number: Number of the step.
         step: The step.
-        pending: Indices of tasks that neither run nor are done.
+        pending: Indices of tasks that neither run nor are done, in the order
+            in which they start; a dictionary without values, so that removing
+            one costs the same in a step of any size.
         runs_by_minion: Number of its runs on each minion.
     """
 
     occurrence: int
     number: int
     step: job.Step
-    pending: list[int]
+    pending: dict[int, None]
     runs_by_minion: dict[identifiers.MinionId, int] = dataclasses.field(
         default_factory=dict
     )
@@ -130,6 +132,17 @@
         self.last_numbers[task] = number
         return number
 
+    def next_gang_number(self, work: OpenStep) -> int:
+        """Returns the number that the next starts of a gang's members share.
+
+        It is above the numbers of all earlier starts of any member.
+        """
+        number = self.numbers_from
+        for position in range(work.step.count):
+            task = self._name_task(work, position)
+            number = max(number, self.last_numbers.get(task, 0))
+        return number + 1
+
     def add_run(self, item: run.Run) -> None:
         """Adds a run that may exist; its task is no longer pending."""
         self.live[item.task] = item
@@ -139,8 +152,7 @@
         work = self._find_work(item.task)
         if work is None:
             return
-        if item.task.position in work.pending:
-            work.pending.remove(item.task.position)
+        work.pending.pop(item.task.position, None)
         work.change_run_count(item.minion_id, 1)
 
     def remove_run(self, item: run.Run) -> None:
@@ -153,7 +165,7 @@
             return
         work.change_run_count(item.minion_id, -1)
         if not self.progress.is_done(item.task):
-            work.pending.append(item.task.position)
+            work.pending[item.task.position] = None
 
     def mark_done(self, task: job.TaskId) -> None:
         """Marks a task as done, or its whole step if it is a gang."""
@@ -162,11 +174,11 @@
         if step.gang:
             self.progress.set_step_done(task.occurrence, task.step, step.count)
             if work is not None:
-                work.pending = []
+                work.pending.clear()
         else:
             self.progress.set_done(task)
-            if work is not None and task.position in work.pending:
-                work.pending.remove(task.position)
+            if work is not None:
+                work.pending.pop(task.position, None)
         if work is not None and not work.pending and self._is_step_done(task):
             del self.work[task.occurrence, task.step]
         if self._is_step_done(task):
@@ -226,6 +238,11 @@
             left.append(max(before_left, default=0.0) + remaining)
         return max(whole, default=0.0), max(left, default=0.0)
 
+    def _name_task(self, work: OpenStep, position: int) -> job.TaskId:
+        return job.TaskId(
+            self.job.job_id, work.occurrence, work.number, position
+        )
+
     def _find_work(self, task: job.TaskId) -> OpenStep | None:
         return self.work.get((task.occurrence, task.step))
 
@@ -244,16 +261,17 @@
 
     def _open(self, occurrence: int, number: int, step: job.Step) -> None:
         self._opened.add((occurrence, number))
-        pending = []
+        pending = dict.fromkeys(range(step.count))
         runs_by_minion: dict[identifiers.MinionId, int] = {}
-        for index in range(step.count):
+        begun = bool(self.live) or (occurrence, number) in self.progress.done
+        for index in range(step.count) if begun else ():
             task = job.TaskId(self.job.job_id, occurrence, number, index)
             if self.progress.is_done(task):
+                del pending[index]
                 continue
             item = self.live.get(task)
-            if item is None:
-                pending.append(index)
-            else:
+            if item is not None:
+                del pending[index]
                 runs_by_minion[item.minion_id] = (
                     runs_by_minion.get(item.minion_id, 0) + 1
                 )
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -886,8 +886,11 @@
                 chosen = self._place_gang(active, work, allowed)
             else:
                 chosen = self._place_tasks(active, work, allowed)
+            number = None
+            if chosen and work.step.gang:
+                number = active.next_gang_number(work)
             for index, candidate in chosen:
-                self._plan_run(active, work, index, candidate)
+                self._plan_run(active, work, index, candidate, number=number)
             if chosen and not work.pending and queue.advice is None:
                 self._reserve_next_steps(active, work)
             if queue.advice is not None and work.pending:
@@ -953,14 +956,15 @@
             # `reservation` bounds these starts; one that waits would be lost.
             candidate.starts_left = max(1, candidate.starts_left)
         ends = self.lookahead.expect_end(active, step)
-        found = placement.choose_minion(
+        chooser = placement.MinionChooser(
             step, reserved_on, work.runs_by_minion, ends=ends
         )
+        found = chooser.find_best()
         if found is None or not self._fits_team_cap(active.job.team, step.need):
             return None
         if step.rack and step.rack not in found.view.minion.labels:
             return None
-        placement.take_room(found, step, ends)
+        chooser.take_best()
         self._count_usage(active.job.team, step.need, 1)
         item = self._create_run(
             active, reserved.task, reserved.number, reserved.minion_id
@@ -977,26 +981,21 @@
         options: list[placement.Candidate],
     ) -> list[tuple[int, placement.Candidate]]:
         chosen = []
-        ends = self.lookahead.expect_end(active, work.step)
-        runs_by_minion = dict(work.runs_by_minion)
-        found: placement.Candidate | None = None
-        for index in list(work.pending):
+        chooser = placement.MinionChooser(
+            work.step,
+            options,
+            work.runs_by_minion,
+            ends=self.lookahead.expect_end(active, work.step),
+        )
+        for index in work.pending:
             isolation = self._find_isolation(active, work, index)
             if isolation is not suspicion.Isolation.NONE:
                 continue
             if not self._fits_team_cap(active.job.team, work.step.need):
                 break
-            if found is None or not placement.is_still_best(
-                work.step, found, runs_by_minion, ends
-            ):
-                found = placement.choose_minion(
-                    work.step, options, runs_by_minion, ends=ends
-                )
+            found = chooser.take_best()
             if found is None:
                 break
-            placement.take_room(found, work.step, ends)
-            minion_id = found.view.minion_id
-            runs_by_minion[minion_id] = runs_by_minion.get(minion_id, 0) + 1
             self._count_usage(active.job.team, work.step.need, 1)
             chosen.append((index, found))
         return chosen
@@ -1019,9 +1018,7 @@
         )
         if not self._fits_team_cap(active.job.team, total):
             return []
-        found = placement.choose_gang(
-            step, step.count, options, work.runs_by_minion
-        )
+        found = placement.choose_gang(step, options, work.runs_by_minion)
         for candidate in found:
             placement.take_room(candidate, step)
             self._count_usage(active.job.team, need, 1)
@@ -1034,20 +1031,25 @@
         index: int,
         candidate: placement.Candidate,
         *,
+        number: int | None = None,
         isolation: suspicion.Isolation = suspicion.Isolation.NONE,
     ) -> None:
-        """Plans a run; it is ordered once its assignment is stored."""
-        step = work.step
+        """Plans a run; it is ordered once its assignment is stored.
+
+        Args:
+            active: The job.
+            work: The step.
+            index: Index of the task.
+            candidate: Minion to run it.
+            number: Number of the start that members of a gang share; None for
+                the next one of the task.
+            isolation: How a suspected task starts.
+        """
         task = job.TaskId(
             active.job.job_id, work.occurrence, work.number, index
         )
-        number = active.next_number(task)
-        if step.gang:
-            # Members of one run of a gang share a number.
-            number = max(
-                active.last_numbers.get(task._replace(position=member), 0)
-                for member in range(step.count)
-            )
+        if number is None:
+            number = active.next_number(task)
         item = self._create_run(active, task, number, candidate.view.minion_id)
         item.isolated = isolation is not suspicion.Isolation.NONE
         item.alone = isolation is suspicion.Isolation.ALONE
@@ -1393,6 +1395,7 @@
         now: float,
     ) -> None:
         listed: set[tuple[job.TaskId, int]] = set()
+        order_taken = False
         for row in report.running:
             listed.add((row.task, row.number))
             self._mark_begun(row.task, view.minion_id, now)
@@ -1404,7 +1407,7 @@
             if item.state is run.RunState.STARTING:
                 item.state = run.RunState.RUNNING
                 item.state_changed_at = now
-                view.note_order_taken(now)
+                order_taken = True
             view.starting.discard(item.key)
             item.unconfirmed = False
             item.awaits_report = False
@@ -1414,9 +1417,13 @@
             item.usage = row.usage
             if row.checkpoint:
                 self.jobs[row.task.job].checkpoints[row.task] = row.checkpoint
+        if order_taken:
+            # Once, since it looks at the runs of the minion.
+            view.note_order_taken(now)
         if report.truncated:
             return
         self._assess_unseen_runs(view, listed, sent)
+        stop_taken = False
         for item in list(view.runs.values()):
             if (item.task, item.number) in listed:
                 continue
@@ -1432,8 +1439,7 @@
                 item, sent
             ):
                 self._remove_run(view, item)
-                if not view.refuses_orders:
-                    view.note_order_taken(now)
+                stop_taken = stop_taken or not view.refuses_orders
             elif item.awaits_report and item.last_ordered_at < sent:
                 item.awaits_report = False
                 if not item.start_rejected:
@@ -1441,6 +1447,8 @@
                         view, now, "no response to start orders"
                     )
                 self._stop(item)
+        if stop_taken:
+            view.note_order_taken(now)
 
     def _adopt(
         self, view: run.MinionView, row: run.ReportedRun, now: float
@@ -1733,6 +1741,7 @@
 
         Where no minion is quiet, one is held for them until it is.
         """
+        without_minion: set[suspicion.Isolation] = set()
         for index in list(work.pending):
             isolation = self._find_isolation(active, work, index)
             task = job.TaskId(
@@ -1742,12 +1751,16 @@
                 continue
             if not self._fits_team_cap(active.job.team, work.step.need):
                 return
-            found = placement.choose_minion(
-                work.step,
-                self._list_quiet(options, isolation, now),
-                work.runs_by_minion,
-            )
+            found = None
+            if isolation not in without_minion:
+                found = placement.choose_minion(
+                    work.step,
+                    self._list_quiet(options, isolation, now),
+                    work.runs_by_minion,
+                )
             if found is None:
+                # Nothing becomes quiet within a pass.
+                without_minion.add(isolation)
                 self._hold_minion(work, options, now)
                 continue
             found.set_aside = True
--- a/clementinewood/placement.py
+++ b/clementinewood/placement.py
@@ -7,7 +7,9 @@
 where the fewest cores are free, which leaves room for larger tasks elsewhere.
 """
 
+import collections
 import dataclasses
+import heapq
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
@@ -134,75 +136,118 @@
     step: job.Step,
     candidates: Sequence[Candidate],
     runs_by_minion: Mapping[identifiers.MinionId, int],
-    *,
-    rack: str = "",
-    ends: float = -math.inf,
 ) -> Candidate | None:
     """Returns the best minion for one task of `step`, or None.
 
+    Holds do not limit it. To place several tasks, use `MinionChooser`.
+
     Args:
         step: The step.
         candidates: Minions of the queue's pool that may get new work.
         runs_by_minion: Runs of the step on each minion, compared with
             `step.max_per_minion`.
-        rack: Preferred rack; empty for the one that the step declares.
-        ends: Expected end of the run in monotonic seconds; by default, holds
-            do not limit it.
     """
-    best: Candidate | None = None
-    best_rank: tuple[float, ...] = ()
-    wanted = rack or step.rack
-    for candidate in candidates:
-        if not _has_room(step, candidate, ends):
-            continue
-        minion = candidate.view.minion
-        if step.label and step.label not in minion.labels:
-            continue
-        here = runs_by_minion.get(minion.minion_id, 0)
-        if step.max_per_minion and here >= step.max_per_minion:
-            continue
-        near = not wanted or wanted in minion.labels
-        rank: tuple[float, ...]
-        if step.long_running:
-            rank = (
-                near,
-                not candidate.view.maintenance_pending,
-                candidate.has_long_running and not step.fills,
-                -here,
-                -candidate.free.cpu if not step.fills else candidate.free.cpu,
-            )
-        else:
-            rank = (
-                near,
-                -round(candidate.view.failure_score),
-                candidate.has_long_running,
-                -candidate.free.cpu,
-            )
-        if best is None or rank > best_rank:
-            best, best_rank = candidate, rank
-    return best
+    return MinionChooser(step, candidates, runs_by_minion).find_best()
 
 
-def is_still_best(
-    step: job.Step,
-    candidate: Candidate,
-    runs_by_minion: Mapping[identifiers.MinionId, int],
-    ends: float = -math.inf,
-) -> bool:
-    """Whether the minion chosen for one task also suits the next one.
+def rank_minion(
+    step: job.Step, candidate: Candidate, here: int
+) -> tuple[float, ...]:
+    """Returns the sort key of a minion with room; the smallest goes first.
+
+    Consecutive short tasks of a step go to one minion until it is full.
+    Long-running tasks spread over the minions that have some already.
 
-    Consecutive short tasks of a step go to one minion until it is full; the
-    other minions don't change meanwhile. Long-running tasks choose anew.
+    Args:
+        step: The step.
+        candidate: The minion.
+        here: Runs of the step on it.
     """
-    limit = step.max_per_minion
-    here = runs_by_minion.get(candidate.view.minion_id, 0)
+    view = candidate.view
+    far = bool(step.rack) and step.rack not in view.minion.labels
+    if step.long_running:
+        return (
+            far,
+            view.maintenance_pending,
+            not candidate.has_long_running or step.fills,
+            here,
+            -candidate.free.cpu if step.fills else candidate.free.cpu,
+        )
     return (
-        not step.long_running
-        and _has_room(step, candidate, ends)
-        and not (limit and here >= limit)
+        far,
+        round(view.failure_score),
+        not candidate.has_long_running,
+        candidate.free.cpu,
     )
 
 
+class MinionChooser:
+    """Chooses minions for the tasks of one step, one task after the other.
+
+    A task changes the rank of its own minion only, so that a choice costs the
+    logarithm of the number of minions.
+
+    Args:
+        step: The step.
+        candidates: Minions of the queue's pool that may get new work; they must
+            not change otherwise while tasks are placed.
+        runs_by_minion: Runs of the step on each minion, compared with
+            `step.max_per_minion`.
+        ends: Expected end of the runs in monotonic seconds; by default, holds
+            do not limit them.
+    """
+
+    def __init__(
+        self,
+        step: job.Step,
+        candidates: Iterable[Candidate],
+        runs_by_minion: Mapping[identifiers.MinionId, int],
+        *,
+        ends: float = -math.inf,
+    ) -> None:
+        self._step = step
+        self._ends = ends
+        self._counts = dict(runs_by_minion)
+        self._ranked: list[tuple[tuple[float, ...], int, Candidate]] = []
+        for order, candidate in enumerate(candidates):
+            minion = candidate.view.minion
+            if step.label and step.label not in minion.labels:
+                continue
+            rank = self._rank(candidate)
+            if rank is not None:
+                self._ranked.append((rank, order, candidate))
+        heapq.heapify(self._ranked)
+
+    def find_best(self) -> Candidate | None:
+        """Returns the best minion for the next task, or None."""
+        return self._ranked[0][2] if self._ranked else None
+
+    def take_best(self) -> Candidate | None:
+        """Takes the room of one task on the best minion and returns it."""
+        if not self._ranked:
+            return None
+        _, order, candidate = self._ranked[0]
+        take_room(candidate, self._step, self._ends)
+        minion_id = candidate.view.minion_id
+        self._counts[minion_id] = self._counts.get(minion_id, 0) + 1
+        rank = self._rank(candidate)
+        if rank is None:
+            heapq.heappop(self._ranked)
+        else:
+            heapq.heapreplace(self._ranked, (rank, order, candidate))
+        return candidate
+
+    def _rank(self, candidate: Candidate) -> tuple[float, ...] | None:
+        """Returns the rank of a minion, or None if no task fits there."""
+        if not _has_room(self._step, candidate, self._ends):
+            return None
+        here = self._counts.get(candidate.view.minion_id, 0)
+        limit = self._step.max_per_minion
+        if limit and here >= limit:
+            return None
+        return rank_minion(self._step, candidate, here)
+
+
 def _has_room(step: job.Step, candidate: Candidate, ends: float) -> bool:
     """Whether a run of `step` that ends at `ends` may start now."""
     return (
@@ -226,51 +271,79 @@
         candidate.has_long_running = True
 
 
+def count_fits(step: job.Step, candidate: Candidate, *, here: int = 0) -> int:
+    """Returns how many tasks of `step` fit on a minion.
+
+    Args:
+        step: The step.
+        candidate: The minion.
+        here: Runs of the step on it.
+    """
+    if step.label and step.label not in candidate.view.minion.labels:
+        return 0
+    counts = [
+        free // need
+        for need, free in (
+            (step.room.cpu, candidate.free.cpu),
+            (step.room.memory, candidate.free.memory),
+            (step.room.gpu, candidate.free.gpu),
+        )
+        if need > 0
+    ]
+    if step.max_per_minion:
+        counts.append(step.max_per_minion - here)
+    return max(0, min(counts, default=step.count))
+
+
 def choose_gang(
     step: job.Step,
-    count: int,
     candidates: Sequence[Candidate],
     runs_by_minion: Mapping[identifiers.MinionId, int],
 ) -> list[Candidate]:
-    """Returns minions for all `count` tasks of a gang.
+    """Returns minions for all tasks of a gang.
 
     Prefers a single rack if the step asks for it. Returns an empty list if the
     gang does not fit.
     """
-    racks: list[str] = [""]
+    groups: dict[str, list[Candidate]] = {}
+    fits: collections.Counter[str] = collections.Counter()
+    for candidate in candidates:
+        here = runs_by_minion.get(candidate.view.minion_id, 0)
+        count = count_fits(step, candidate, here=here)
+        if count:
+            groups.setdefault(candidate.rack, []).append(candidate)
+            fits[candidate.rack] += count
     if step.same_rack:
-        racks = sorted({candidate.rack for candidate in candidates}) + [""]
-    for rack in racks:
-        chosen = _fit_gang(step, count, candidates, runs_by_minion, rack)
-        if chosen:
-            return chosen
+        for rack in sorted(groups):
+            if fits[rack] >= step.count:
+                return _place_gang(step, groups[rack], runs_by_minion)
+    if fits.total() >= step.count:
+        return _place_gang(step, candidates, runs_by_minion)
     return []
 
 
-def _fit_gang(
+def _place_gang(
     step: job.Step,
-    count: int,
     candidates: Sequence[Candidate],
     runs_by_minion: Mapping[identifiers.MinionId, int],
-    rack: str,
 ) -> list[Candidate]:
-    trial = [
-        # Its members can't wait for each other's starts.
-        dataclasses.replace(candidate, starts_left=count)
-        for candidate in candidates
-        if not rack or candidate.rack == rack
-    ]
+    """Returns the minions of each task of a gang that is known to fit."""
     originals = {item.view.minion_id: item for item in candidates}
-    counts = dict(runs_by_minion)
+    chooser = MinionChooser(
+        step,
+        [
+            # Its members can't wait for each other's starts.
+            dataclasses.replace(candidate, starts_left=step.count)
+            for candidate in candidates
+        ],
+        runs_by_minion,
+    )
     chosen = []
-    for _ in range(count):
-        found = choose_minion(step, trial, counts)
+    for _ in range(step.count):
+        found = chooser.take_best()
         if found is None:
             return []
-        take_room(found, step)
-        minion_id = found.view.minion_id
-        counts[minion_id] = counts.get(minion_id, 0) + 1
-        chosen.append(originals[minion_id])
+        chosen.append(originals[found.view.minion_id])
     return chosen
 
 
--- a/clementinewood/policycache.py
+++ b/clementinewood/policycache.py
@@ -151,10 +151,12 @@
             for candidate in candidates
             if self._is_unknown(key, candidate, now)
         ]
-        unknown.sort(key=lambda item: _count_fits(step, item), reverse=True)
+        unknown.sort(
+            key=lambda item: placement.count_fits(step, item), reverse=True
+        )
         needed = 0
         for candidate in unknown:
-            fits = _count_fits(step, candidate)
+            fits = placement.count_fits(step, candidate)
             if not fits or pending <= 0:
                 break
             pending -= fits
@@ -163,7 +165,7 @@
             return
         share = self._shares.get(queue.name, INITIAL_ALLOWED_SHARE)
         count = max(MIN_QUERY_MINIONS, math.ceil(needed / max(share, 0.05)))
-        named = [item for item in unknown if _count_fits(step, item)]
+        named = [item for item in unknown if placement.count_fits(step, item)]
         self._next_query = PolicyQuery(
             key,
             queue.name,
@@ -241,24 +243,5 @@
     return minion.minion_id, minion.incarnation
 
 
-def _count_fits(step: job.Step, candidate: placement.Candidate) -> int:
-    """Returns how many tasks of `step` fit on a minion."""
-    labels = candidate.view.minion.labels
-    if step.label and step.label not in labels:
-        return 0
-    counts = [
-        free // need
-        for need, free in (
-            (step.room.cpu, candidate.free.cpu),
-            (step.room.memory, candidate.free.memory),
-            (step.room.gpu, candidate.free.gpu),
-        )
-        if need > 0
-    ]
-    if step.max_per_minion:
-        counts.append(step.max_per_minion)
-    return max(0, min(counts, default=step.count))
-
-
 if __name__ == "__main__":
     print(StepKey(identifiers.JobId("5c0e7a21d94b36f8"), 0, 1).render())
