--- a/clementinewood/activejob.py
+++ b/clementinewood/activejob.py
@@ -1,9 +1,18 @@
 """Tracks which tasks of one job may start."""
 
 import dataclasses
+import math
 from collections.abc import Callable
 
-from clementinewood import catalog, identifiers, job, run
+from clementinewood import catalog, identifiers, job, pendingtasks, run
+
+MAX_WAITING_STEPS = job.MAX_STEPS
+"""Open steps with pending tasks from which no further occurrence is opened, as
+many as one occurrence may have. Those that are due later run after them, so
+that a pass looks at no more of a job that repeats than of any other one."""
+
+MIN_DROPPED_OCCURRENCES = 64
+"""Finished occurrences whose rows are dropped from the progress at a time."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -14,16 +23,14 @@
         occurrence: Number of the occurrence.
         number: Number of the step.
         step: The step.
-        pending: Indices of tasks that neither run nor are done, in the order
-            in which they start; a dictionary without values, so that removing
-            one costs the same in a step of any size.
+        pending: Tasks that neither run nor are done.
         runs_by_minion: Number of its runs on each minion.
     """
 
     occurrence: int
     number: int
     step: job.Step
-    pending: dict[int, None]
+    pending: pendingtasks.PendingTasks
     runs_by_minion: dict[identifiers.MinionId, int] = dataclasses.field(
         default_factory=dict
     )
@@ -48,11 +55,18 @@
         numbers_from: Runs of this dispatcher are numbered above this.
         arrived: When it was accepted or is due, in monotonic seconds.
         over_rate: Whether it arrived beyond its team's token bucket.
+
+    Attributes:
+        rank: Its place among waiting jobs, as last computed by the dispatcher.
+        ranked_at: Monotonic time in seconds at which that was.
     """
 
     __slots__ = (
-        "_opened",
-        "_no_steps_due",
+        "_early_runs",
+        "_finished",
+        "_next_occurrence",
+        "_ready",
+        "_unopened",
         "arrived",
         "cancelled",
         "checkpoints",
@@ -63,6 +77,8 @@
         "numbers_from",
         "progress",
         "queue",
+        "rank",
+        "ranked_at",
         "work",
     )
 
@@ -82,12 +98,22 @@
         self.numbers_from = numbers_from
         self.cancelled = False
         self.queue: catalog.Queue | None = None
+        self.rank: tuple[float, ...] = ()
+        self.ranked_at = -math.inf
         self.live: dict[job.TaskId, run.Run] = {}
         self.work: dict[tuple[int, int], OpenStep] = {}
         self.checkpoints: dict[job.TaskId, str] = {}
         self.last_numbers: dict[job.TaskId, int] = {}
-        self._opened: set[tuple[int, int]] = set()
-        self._no_steps_due = False
+        self._finished = progress.finished
+        # Runs of steps that are not open yet.
+        self._early_runs: dict[tuple[int, int], list[run.Run]] = {}
+        # Occurrences before this one are open or finished.
+        self._next_occurrence = progress.finished
+        # Steps that are not open yet, of each open occurrence.
+        self._unopened: dict[int, set[int]] = {}
+        # Open occurrences of which another step may be ready.
+        self._ready: set[int] = set()
+        self._count_finished()
 
     @property
     def begun(self) -> bool:
@@ -101,30 +127,40 @@
             wall: Unix time in seconds.
             early: Seconds before its due time at which a step may open.
         """
-        if self._no_steps_due:
+        ready, self._ready = self._ready, set()
+        for occurrence in sorted(ready):
+            self._open_ready(occurrence)
+        due = self.job.count_due(wall + early)
+        if self._next_occurrence >= due:
             return
-        # Without further due times, no step opens until another one is done.
-        self._no_steps_due = not self.job.start and self.job.occurrences == 1
-        for occurrence in range(self.job.occurrences):
-            due = self.job.due(occurrence)
-            if due > wall + early:
-                break
-            for number, step in enumerate(self.job.steps):
-                key = (occurrence, number)
-                if key not in self._opened and self._is_ready(occurrence, step):
-                    self._open(occurrence, number, step)
+        waiting = self._count_waiting_steps()
+        while self._next_occurrence < due and waiting < MAX_WAITING_STEPS:
+            occurrence = self._next_occurrence
+            self._next_occurrence += 1
+            if not self._is_finished(occurrence):
+                self._unopened[occurrence] = set(range(len(self.job.steps)))
+                waiting += self._open_ready(occurrence)
 
     def has_opened(self, occurrence: int, number: int) -> bool:
         """Whether the tasks of a step may start, or could before."""
-        return (occurrence, number) in self._opened
+        if occurrence >= self._next_occurrence:
+            return False
+        return number not in self._unopened.get(occurrence, ())
 
     def next_due(self, wall: float) -> float | None:
         """Returns the Unix time of the first occurrence due after `wall`."""
-        for occurrence in range(self.job.occurrences):
-            due = self.job.due(occurrence)
-            if due > wall:
-                return due
-        return None
+        number = self.job.count_due(wall)
+        return self.job.due(number) if number < self.job.occurrences else None
+
+    def may_open_steps(self, wall: float, early: float = 0.0) -> bool:
+        """Whether `open_steps` would open a step now; arguments as there."""
+        return bool(self._ready) or (
+            self._next_occurrence < self.job.count_due(wall + early)
+            and self._count_waiting_steps() < MAX_WAITING_STEPS
+        )
+
+    def _count_waiting_steps(self) -> int:
+        return sum(bool(work.pending) for work in self.work.values())
 
     def next_number(self, task: job.TaskId) -> int:
         """Returns the number of the next start of `task`."""
@@ -143,6 +179,10 @@
             number = max(number, self.last_numbers.get(task, 0))
         return number + 1
 
+    def find_live(self, work: OpenStep, position: int) -> run.Run | None:
+        """Returns the run of one task of an open step, or None."""
+        return self.live.get(self._name_task(work, position))
+
     def add_run(self, item: run.Run) -> None:
         """Adds a run that may exist; its task is no longer pending."""
         self.live[item.task] = item
@@ -151,8 +191,11 @@
         )
         work = self._find_work(item.task)
         if work is None:
+            key = (item.task.occurrence, item.task.step)
+            if not self.has_opened(*key):
+                self._early_runs.setdefault(key, []).append(item)
             return
-        work.pending.pop(item.task.position, None)
+        work.pending.take(item.task.position)
         work.change_run_count(item.minion_id, 1)
 
     def remove_run(self, item: run.Run) -> None:
@@ -165,7 +208,7 @@
             return
         work.change_run_count(item.minion_id, -1)
         if not self.progress.is_done(item.task):
-            work.pending[item.task.position] = None
+            work.pending.put_back(item.task.position)
 
     def mark_done(self, task: job.TaskId) -> None:
         """Marks a task as done, or its whole step if it is a gang."""
@@ -178,11 +221,11 @@
         else:
             self.progress.set_done(task)
             if work is not None:
-                work.pending.pop(task.position, None)
+                work.pending.take(task.position)
         if work is not None and not work.pending and self._is_step_done(task):
             del self.work[task.occurrence, task.step]
         if self._is_step_done(task):
-            self._no_steps_due = False
+            self._handle_step_done(task.occurrence, task.step)
 
     def complete_gangs(self) -> None:
         """Marks gangs as done of which some members are.
@@ -190,22 +233,18 @@
         The members may be in several blocks of stored progress, of which only
         some were stored.
         """
-        for number, step in enumerate(self.job.steps):
-            if not step.gang:
+        for occurrence, number in list(self.progress.done):
+            if number >= len(self.job.steps):
                 continue
-            for occurrence in range(self.job.occurrences):
-                key = (occurrence, number)
-                whole = self.progress.is_step_done(*key, step.count)
-                if self.progress.done.get(key) and not whole:
-                    self.progress.set_step_done(*key, step.count)
+            step = self.job.steps[number]
+            whole = self.progress.is_step_done(occurrence, number, step.count)
+            if step.gang and not whole:
+                self.progress.set_step_done(occurrence, number, step.count)
+        self._count_finished()
 
     def is_complete(self) -> bool:
         """Whether every task of every occurrence is done."""
-        return all(
-            self.progress.is_step_done(occurrence, number, step.count)
-            for occurrence in range(self.job.occurrences)
-            for number, step in enumerate(self.job.steps)
-        )
+        return self._finished >= self.job.occurrences
 
     def has_task(self, task: job.TaskId) -> bool:
         """Whether `task` is one of the job's tasks."""
@@ -227,7 +266,9 @@
         whole: list[float] = []
         left: list[float] = []
         for number, step in enumerate(self.job.steps):
-            undone = step.count - self.progress.count_done(0, number)
+            undone = 0
+            if not self.progress.is_step_done(0, number, step.count):
+                undone = step.count - self.progress.count_done(0, number)
             expected = expect(step, step.count)
             remaining = expected
             if undone < step.count:
@@ -259,23 +300,70 @@
             for earlier in step.after
         )
 
-    def _open(self, occurrence: int, number: int, step: job.Step) -> None:
-        self._opened.add((occurrence, number))
-        pending = dict.fromkeys(range(step.count))
-        runs_by_minion: dict[identifiers.MinionId, int] = {}
-        begun = bool(self.live) or (occurrence, number) in self.progress.done
-        for index in range(step.count) if begun else ():
-            task = job.TaskId(self.job.job_id, occurrence, number, index)
-            if self.progress.is_done(task):
-                del pending[index]
-                continue
-            item = self.live.get(task)
-            if item is not None:
-                del pending[index]
-                runs_by_minion[item.minion_id] = (
-                    runs_by_minion.get(item.minion_id, 0) + 1
-                )
-        if pending or runs_by_minion:
-            self.work[occurrence, number] = OpenStep(
-                occurrence, number, step, pending, runs_by_minion
-            )
+    def _is_finished(self, occurrence: int) -> bool:
+        return all(
+            self.progress.is_step_done(occurrence, number, step.count)
+            for number, step in enumerate(self.job.steps)
+        )
+
+    def _count_finished(self) -> None:
+        """Counts the occurrences from the first on that are finished."""
+        while self._finished < self.job.occurrences and self._is_finished(
+            self._finished
+        ):
+            self._finished += 1
+        dropped = self._finished - self.progress.finished
+        if dropped >= MIN_DROPPED_OCCURRENCES:
+            self.progress.drop_finished(self._finished)
+
+    def _handle_step_done(self, occurrence: int, number: int) -> None:
+        if self.job.occurrences > 1:
+            self._forget_starts(occurrence, number)
+        if occurrence in self._unopened:
+            self._ready.add(occurrence)
+            if self._is_finished(occurrence):
+                del self._unopened[occurrence]
+                self._ready.remove(occurrence)
+        self._count_finished()
+
+    def _forget_starts(self, occurrence: int, number: int) -> None:
+        """Forgets the starts of a step that never starts again."""
+        for position in range(self.job.steps[number].count):
+            task = job.TaskId(self.job.job_id, occurrence, number, position)
+            self.last_numbers.pop(task, None)
+            self.checkpoints.pop(task, None)
+
+    def _open_ready(self, occurrence: int) -> int:
+        """Opens the ready steps of an open occurrence.
+
+        Returns:
+            The number of these that have pending tasks.
+        """
+        unopened = self._unopened.get(occurrence, set())
+        waiting = 0
+        for number in sorted(unopened):
+            step = self.job.steps[number]
+            if self._is_ready(occurrence, step):
+                unopened.remove(number)
+                waiting += self._open(occurrence, number, step)
+        return waiting
+
+    def _open(self, occurrence: int, number: int, step: job.Step) -> bool:
+        """Opens a step; returns whether it has pending tasks."""
+        key = (occurrence, number)
+        work = OpenStep(
+            occurrence, number, step, pendingtasks.PendingTasks(step.count)
+        )
+        for item in self._early_runs.pop(key, ()):
+            known = self.live.get(item.task) is item
+            if known and not self.progress.is_done(item.task):
+                work.pending.take(item.task.position)
+                work.change_run_count(item.minion_id, 1)
+        done = self.progress.done.get(key, 0)
+        while done:
+            position = done.bit_length() - 1
+            work.pending.take(position)
+            done ^= 1 << position
+        if work.pending or work.runs_by_minion:
+            self.work[key] = work
+        return bool(work.pending)
--- a/clementinewood/dispatchdriver.py
+++ b/clementinewood/dispatchdriver.py
@@ -2,7 +2,7 @@
 
 import json
 import math
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 from clementinewood import (
     catalog,
@@ -70,6 +70,10 @@
 """Age of the last stored append from which no machine order is sent: another
 entry may become a candidate one second after the last renewal it has read."""
 
+TAKE_OVER_TASKS = 4096
+"""Tasks whose progress is taken over in one turn of the event loop, so that
+the leadership is renewed in between; a job or a block counts as one or more."""
+
 MINION_EVICTION_INTERVAL_SECONDS = 1.0
 """Period of evicting minions that no longer exist."""
 
@@ -153,6 +157,7 @@
         self._active = True
         self._plan_pending = False
         self._taken_over = False
+        self._declared: ports.Declarations | None = None
         self._leadership_confirmed_at = log.first_sent
         self._queued_records: dict[str, bytes] = {}
         self._on_records_stored: list[Callable[[], None]] = []
@@ -193,18 +198,74 @@
     def start(self, declared: ports.Declarations) -> None:
         """Takes over all unfinished jobs and starts polling every minion."""
         self.dispatcher.cursors.update(self._table.cursors)
+        self._declared = declared
+        left = self._take_over_jobs(list(self._table))
+        if self._take_over_some(left):
+            self._finish_take_over()
+        else:
+            self._continue_take_over(left)
+        self._subscriptions.append(
+            self._timers.subscribe_every(
+                election.LEADER_RENEWAL_INTERVAL_SECONDS, self._renew
+            )
+        )
+
+    def _take_over_some(self, left: Iterator[int]) -> bool:
+        """Takes over jobs up to `TAKE_OVER_TASKS`; returns whether it is all.
+
+        Args:
+            left: Takes over a piece and yields its tasks, piece by piece.
+        """
+        tasks = 0
         with self._timers.measure_turn("take-over"):
-            for entry in self._table:
-                self.apply_job_entry(entry)
+            for count in left:
+                tasks += count
+                if tasks >= TAKE_OVER_TASKS:
+                    return False
+        return True
+
+    def _continue_take_over(self, left: Iterator[int]) -> None:
+        """Takes over the other jobs in later turns of the event loop."""
+
+        def take_over() -> None:
+            if not self._active:
+                return
+            if self._take_over_some(left):
+                self._finish_take_over()
+            else:
+                self._continue_take_over(left)
+
+        self._timers.subscribe_once(0.0, take_over)
+
+    def _take_over_jobs(
+        self, entries: Sequence[jobtable.JobEntry]
+    ) -> Iterator[int]:
+        """Takes over unfinished jobs; yields the tasks of each piece."""
+        for entry in entries:
+            yield 1
+            accepted = entry.accepted
+            if accepted is None:
+                continue
+            if entry.progress.state in job.TERMINAL:
                 self._delete_blocks(entry)
+                continue
+            progress = entry.progress.copy()
+            yield from entry.read_blocks(progress)
+            # It may have been cancelled between two pieces.
+            if not entry.cancelled:
+                self._add_job(accepted, entry, progress)
+                yield len(progress.assignments)
+
+    def _finish_take_over(self) -> None:
+        """Starts to plan and to poll minions; their reports need all jobs."""
         self._taken_over = True
-        self.apply_declarations(declared)
+        if self._declared is not None:
+            self.apply_declarations(self._declared)
         self._feed.start()
         self.machine_control.start()
         every = self._timers.subscribe_every
         self._subscriptions += [
             every(PLAN_INTERVAL_SECONDS, self._plan),
-            every(election.LEADER_RENEWAL_INTERVAL_SECONDS, self._renew),
             every(MINION_EVICTION_INTERVAL_SECONDS, self._evict_gone_minions),
         ]
         event.emit(event.Event.LEADERSHIP_ACQUIRED, term=self.term)
@@ -245,27 +306,38 @@
         if entry.cancelled:
             self.dispatcher.cancel_job(accepted.job_id)
         elif entry.progress.state not in job.TERMINAL:
-            if not self.dispatcher.knows_job(accepted.job_id):
-                self._take_over_job(accepted, entry)
-            if entry.completion_stored:
-                self.dispatcher.complete_job(accepted.job_id)
+            self._add_job(accepted, entry)
         else:
             return
         self._schedule_plan()
 
+    def _add_job(
+        self,
+        accepted: job.Job,
+        entry: jobtable.JobEntry,
+        progress: job.Progress | None = None,
+    ) -> None:
+        """Adds an unfinished job to the dispatcher, if it is new there.
+
+        Args:
+            accepted: The job.
+            entry: Its entry in the job table.
+            progress: Its stored progress; None to read it.
+        """
+        if not self.dispatcher.knows_job(accepted.job_id):
+            if progress is None:
+                progress = entry.read_progress()
+            self._encoder.restore(accepted, progress.block_tasks, entry.blocks)
+            self.dispatcher.add_job(
+                accepted, progress, self._compute_arrival_time(accepted)
+            )
+        if entry.completion_stored:
+            self.dispatcher.complete_job(accepted.job_id)
+
     def _find_job(self, job_id: identifiers.JobId) -> job.Job | None:
         entry = self._table.find(job_id)
         return entry.accepted if entry is not None else None
 
-    def _take_over_job(
-        self, accepted: job.Job, entry: jobtable.JobEntry
-    ) -> None:
-        progress = entry.read_progress()
-        self._encoder.restore(accepted, progress.block_tasks, entry.blocks)
-        self.dispatcher.add_job(
-            accepted, progress, self._compute_arrival_time(accepted)
-        )
-
     def _compute_arrival_time(self, accepted: job.Job) -> float:
         """Returns when a job was accepted or is due, in monotonic seconds.
 
@@ -278,7 +350,10 @@
         return now - self._wall() + max(accepted.accepted, accepted.start)
 
     def apply_declarations(self, declared: ports.Declarations) -> None:
-        """Applies the operators' current declarations."""
+        """Applies the operators' current declarations, after the take-over."""
+        self._declared = declared
+        if not self._taken_over:
+            return
         self.dispatcher.config = declared.configuration
         self.dispatcher.evacuated = declared.evacuated
         self.machine_control.set_waves(declared.waves)
@@ -513,7 +588,7 @@
     # Planning.
 
     def _schedule_plan(self) -> None:
-        if self._plan_pending or not self._active:
+        if self._plan_pending or not self._active or not self._taken_over:
             return
         self._plan_pending = True
         self._timers.subscribe_once(PLAN_DEBOUNCE_SECONDS, self._plan_scheduled)
@@ -523,7 +598,7 @@
         self._plan()
 
     def _plan(self) -> None:
-        if self._active:
+        if self._active and self._taken_over:
             with self._timers.measure_turn("planning"):
                 self._plan_now()
 
@@ -628,7 +703,8 @@
         self.dispatcher.handle_start_outcome(
             order, outcome, self._timers.clock()
         )
-        if outcome is not dispatcher.StartOutcome.STARTED:
+        failed = outcome is not dispatcher.StartOutcome.STARTED
+        if failed or self.dispatcher.has_starts():
             self._schedule_plan()
 
     def _on_stop(self, order: dispatcher.StopRun, confirmed: bool) -> None:
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import enum
+import heapq
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 
@@ -24,6 +25,7 @@
     lookahead,
     pacing,
     placement,
+    planqueue,
     policycache,
     quorum,
     reservation,
@@ -56,6 +58,18 @@
 MAX_HELD_RATIO = 3
 """At most one of this many minions of a pool is held for suspected tasks."""
 
+MAX_GANG_STARTS_IN_FLIGHT = 48
+"""Start orders of gangs to one minion that are in flight at a time. Orders that
+wait for a connection expire after 0.6 s, and on slow links each takes 11 ms."""
+
+MAX_RANKED_JOBS = 1024
+"""Waiting jobs ranked in one planning pass. If more wait, those ranked longest
+ago come first, and the others keep their ranks."""
+
+MAX_PLANNED_RUNS = 4096
+"""Runs planned in one pass after which no further job is placed; the next pass
+follows at once. A gang is always placed whole."""
+
 START_PERMISSION_SECONDS = 2.8
 """Age of the last stored append from which starts and leases need a majority of
 the minions."""
@@ -118,6 +132,7 @@
         checkpoint: Saved progress to resume from; empty for none.
         deadline: End of the lease on the minion's clock, in seconds.
         ticket: Ticket of the policy service; empty if none is needed.
+        gang: Whether the task is a member of a gang.
     """
 
     minion_id: identifiers.MinionId
@@ -127,6 +142,7 @@
     checkpoint: str
     deadline: float
     ticket: str = ""
+    gang: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -228,6 +244,10 @@
         self._departing: frozenset[identifiers.MinionId] = frozenset()
         self._started_at = now
         self._former_leaders_excluded_at = math.inf
+        self._plan_queue = planqueue.PlanQueue()
+        self._planned_config: catalog.Configuration | None = None
+        self._plans_more = False
+        self._free_room: dict[identifiers.PoolId, job.Resources] = {}
         self._dirty: set[identifiers.JobId] = set()
         self._newly_begun: set[identifiers.JobId] = set()
         self._ended: dict[identifiers.JobId, job.JobState] = {}
@@ -268,6 +288,7 @@
             over_rate=self._is_over_rate(accepted, arrived),
         )
         self.jobs[accepted.job_id] = active
+        self._plan_queue.add(accepted.job_id)
         active.complete_gangs()
         if active.is_complete():
             self._finish(active, job.JobState.COMPLETED)
@@ -316,6 +337,7 @@
             return
         active.cancelled = True
         active.work.clear()
+        self._plan_queue.remove(job_id)
         for item in list(active.live.values()):
             self._stop(item)
         self._drop_if_idle(active)
@@ -390,6 +412,7 @@
         view.ended = False
         view.token_accepted = False
         view.token_confirmed_at = -math.inf
+        view.gang_orders_in_flight = 0
         view.clock_offset = None
         view.applied_sequence = view.stored_sequence = 0
         view.failed_polls = 0
@@ -543,11 +566,15 @@
         view = self.views.get(order.minion_id)
         if view is None:
             return
+        if order.gang:
+            in_flight = view.gang_orders_in_flight - 1
+            view.gang_orders_in_flight = max(0, in_flight)
         if item is not None:
             item.attempts_in_flight -= 1
             self._apply_start_outcome(view, item, outcome, now)
         if outcome not in _ORDER_NOT_TAKEN:
             view.note_order_taken(now)
+        self._order_next_members(view, now)
 
     def _apply_start_outcome(
         self,
@@ -739,7 +766,8 @@
         item.tries += 1
         item.attempts_in_flight += 1
         item.last_ordered_at = now
-        view.note_order_sent(now)
+        view.gang_orders_in_flight += item.gang
+        view.note_order_sent(item.key, now)
         return self._create_start(view, item, now)
 
     def _plan_stops(self, now: float) -> list[Order]:
@@ -754,7 +782,7 @@
                 continue
             item.tries += 1
             item.state_changed_at = now
-            self.views[item.minion_id].note_order_sent(now)
+            self.views[item.minion_id].note_order_sent(item.key, now)
             orders.append(StopRun(item.minion_id, item.task, item.number))
         return orders
 
@@ -765,21 +793,16 @@
         config = self.config
         if config is None:
             return []
-        waiting = []
-        for active in self.jobs.values():
-            if active.cancelled or active.progress.state in job.TERMINAL:
-                continue
-            queue = config.queues.get(active.job.queue)
-            active.queue = queue
-            active.open_steps(wall, self.early)
-            if queue is None:
-                continue
-            if active.progress.has_failed(queue.max_attempts):
-                # Counted while no configuration had this queue.
-                self._finish(active, job.JobState.FAILED)
-                continue
-            if any(work.pending for work in active.work.values()):
-                waiting.append(active)
+        if config is not self._planned_config:
+            # Queues may have come, gone or changed.
+            self._planned_config = config
+            self._plan_queue.wake_all()
+        waiting = [
+            active
+            for job_id in self._plan_queue.take_awake(wall + self.early)
+            if self._open_steps(active := self.jobs[job_id], config, wall)
+        ]
+        self._plans_more = False
         orders: list[StartRun] = []
         if not waiting:
             return orders
@@ -795,10 +818,19 @@
                 config.teams,
                 self._usage,
             )
+        self._rank_jobs(waiting, order, now)
         ranked = [
-            (self._rank(active, order, now), active) for active in waiting
+            (self._create_sort_key(active, order), active)
+            for active in waiting
+            if active.rank
         ]
+        self._plans_more = len(ranked) < len(waiting)
+        self._free_room.clear()
+        most = len(self._planned) + MAX_PLANNED_RUNS
         for rank, active in sorted(ranked, key=lambda pair: pair[0]):
+            if len(self._planned) >= most:
+                self._plans_more = True
+                break
             assert active.queue is not None
             options = candidates.get(active.queue.pool)
             if not options:
@@ -810,8 +842,66 @@
                 orders += self._use_reservations(active, unreserved, now)
             self._place_job(active, options, now)
             self.lookahead.hold_room(active, rank, options, self._fits_team_cap)
+        self._plans_more = self._plans_more or any(
+            active.may_open_steps(wall, self.early) for active in waiting
+        )
         return orders
 
+    def _open_steps(
+        self,
+        active: activejob.ActiveJob,
+        config: catalog.Configuration,
+        wall: float,
+    ) -> bool:
+        """Opens the steps of a job that is awake.
+
+        Returns:
+            Whether it has pending tasks that may be placed.
+        """
+        job_id = active.job.job_id
+        queue = config.queues.get(active.job.queue)
+        changed = queue is not active.queue
+        active.queue = queue
+        active.open_steps(wall, self.early)
+        due = active.next_due(wall + self.early)
+        if due is not None:
+            self._plan_queue.schedule(job_id, due)
+        if queue is None:
+            self._plan_queue.sleep(job_id)
+            return False
+        if changed and active.progress.has_failed(queue.max_attempts):
+            # Counted while no configuration had this queue.
+            self._finish(active, job.JobState.FAILED)
+            return False
+        if any(work.pending for work in active.work.values()):
+            return True
+        self._plan_queue.sleep(job_id)
+        return False
+
+    def _rank_jobs(
+        self,
+        waiting: Sequence[activejob.ActiveJob],
+        order: fairshare.Order | None,
+        now: float,
+    ) -> None:
+        """Ranks waiting jobs anew, at most `MAX_RANKED_JOBS` of them."""
+        if len(waiting) > MAX_RANKED_JOBS:
+            waiting = heapq.nsmallest(
+                MAX_RANKED_JOBS, waiting, key=lambda active: active.ranked_at
+            )
+        for active in waiting:
+            active.rank = self._rank(active, order, now)
+            active.ranked_at = now
+
+    def _create_sort_key(
+        self, active: activejob.ActiveJob, order: fairshare.Order | None
+    ) -> tuple[float, ...]:
+        """Returns the sort key of a ranked job; the smallest goes first."""
+        if order is None or active.job.long_running:
+            return active.rank
+        assert active.queue is not None
+        return order.create_key(active.queue.pool, active.job.team, active.rank)
+
     def _rank(
         self,
         active: activejob.ActiveJob,
@@ -830,7 +920,7 @@
             )
         )
         load = self._team_load(accepted.team) if order is None else 0.0
-        rank = joborder.rank(
+        return joborder.rank(
             joborder.WaitingJob(
                 queue=queue,
                 arrived=active.arrived,
@@ -843,9 +933,6 @@
             ),
             now,
         )
-        if order is None or accepted.long_running:
-            return rank
-        return order.create_key(queue.pool, accepted.team, rank)
 
     def _is_over_rate(self, accepted: job.Job, arrived: float) -> bool:
         if self.config is None or accepted.long_running:
@@ -875,6 +962,9 @@
         for work in list(active.work.values()):
             if not work.pending:
                 continue
+            free = self._free_room.get(queue.pool)
+            if free is not None and not work.step.room.fits(free):
+                continue
             allowed = options
             key = _get_step_key(active, work)
             if queue.advice is not None:
@@ -891,6 +981,11 @@
                 number = active.next_gang_number(work)
             for index, candidate in chosen:
                 self._plan_run(active, work, index, candidate, number=number)
+            if chosen:
+                self._free_room.pop(queue.pool, None)
+            if work.pending and queue.pool not in self._free_room:
+                # Later jobs that need more are not compared with each minion.
+                self._free_room[queue.pool] = placement.bound_free_room(options)
             if chosen and not work.pending and queue.advice is None:
                 self._reserve_next_steps(active, work)
             if queue.advice is not None and work.pending:
@@ -1019,6 +1114,8 @@
         if not self._fits_team_cap(active.job.team, total):
             return []
         found = placement.choose_gang(step, options, work.runs_by_minion)
+        if not found:
+            return []
         for candidate in found:
             placement.take_room(candidate, step)
             self._count_usage(active.job.team, need, 1)
@@ -1107,6 +1204,7 @@
             self.policy_cache.find_ticket(
                 key, view.minion_id, view.minion.incarnation
             ),
+            gang=step.gang,
         )
 
     def _create_run(
@@ -1189,10 +1287,27 @@
         if not may_start:
             self._planned.extend(batch.planned)
             return []
-        orders = [
-            self._order_planned(planned, now) for planned in batch.planned
-        ]
-        return [order for order in orders if order is not None]
+        orders: list[StartRun] = []
+        for planned in batch.planned:
+            view = self.views.get(planned.minion_id)
+            if view is not None and planned.gang and _is_busy(view):
+                view.unordered.append(planned)
+                continue
+            order = self._order_planned(planned, now)
+            if order is not None:
+                orders.append(order)
+        return orders
+
+    def has_starts(self) -> bool:
+        """Whether start orders wait for the next planning pass."""
+        return bool(self._starts)
+
+    def _order_next_members(self, view: run.MinionView, now: float) -> None:
+        """Orders members of gangs that have waited for other orders."""
+        while view.unordered and not _is_busy(view):
+            order = self._order_planned(view.unordered.popleft(), now)
+            if order is not None:
+                self._starts.append(order)
 
     def has_changes(self) -> bool:
         """Whether anything has to be stored or acknowledged at once."""
@@ -1275,31 +1390,27 @@
         for active in self.jobs.values():
             if active.cancelled or not active.job.long_running:
                 continue
+            working = collections.Counter(
+                item.task.step
+                for item in active.live.values()
+                if item.at_work and item.minion_id not in unresponsive
+            )
             for number, step in enumerate(active.job.steps):
-                if step.max_unavailable is None:
-                    continue
-                working = sum(
-                    1
-                    for item in active.live.values()
-                    if item.task.step == number
-                    and item.at_work
-                    and item.minion_id not in unresponsive
-                )
-                counts[active.job.job_id, number] = step.count - working
+                if step.max_unavailable is not None:
+                    key = (active.job.job_id, number)
+                    counts[key] = step.count - working[number]
         return counts
 
     def next_wake(self, wall: float) -> float:
-        """Returns the seconds until the next timed job may start.
+        """Returns the seconds until the next occurrence may start.
 
         Returns infinity if there is none.
         """
-        soonest = math.inf
-        for active in self.jobs.values():
-            if active.job.start and not active.cancelled:
-                due = active.next_due(wall + self.early)
-                if due is not None:
-                    soonest = min(soonest, due - self.early - wall)
-        return soonest
+        if self.config is None:
+            return math.inf
+        if self._plans_more:
+            return 0.0
+        return self._plan_queue.find_next_time() - self.early - wall
 
     # Helpers.
 
@@ -1323,6 +1434,15 @@
         if row.outcome is run.RunOutcome.DONE and not step.long_running:
             if not active.progress.is_done(task):
                 active.mark_done(task)
+                if active.progress.is_step_done(
+                    task.occurrence, task.step, step.count
+                ):
+                    self.policy_cache.forget_step(
+                        policycache.StepKey(
+                            task.job, task.occurrence, task.step
+                        )
+                    )
+                self._plan_queue.wake(task.job)
                 self._dirty.add(task.job)
             placement.record_success(view)
             if item is not None and known and item.state_changed_at:
@@ -1370,6 +1490,7 @@
         self._ended[active.job.job_id] = state
         self._dirty.add(active.job.job_id)
         active.work.clear()
+        self._plan_queue.remove(active.job.job_id)
         for item in list(active.live.values()):
             self._stop(item)
         event.emit(
@@ -1384,6 +1505,7 @@
         stored = active.job.job_id not in self._dirty
         if not active.live and (stored or active.cancelled):
             self.jobs.pop(active.job.job_id, None)
+            self._plan_queue.remove(active.job.job_id)
             self.policy_cache.forget_job(active.job.job_id)
             self._reservations.pop(active.job.job_id, None)
 
@@ -1545,6 +1667,7 @@
             return
         self._count_usage(item.team, item.need, -1)
         active.remove_run(item)
+        self._plan_queue.wake(item.task.job)
         if active.cancelled or active.progress.state in job.TERMINAL:
             self._drop_if_idle(active)
 
@@ -1885,6 +2008,11 @@
     return ordered > 0.0 and ordered + run.MAX_LEASE_SECONDS < sent
 
 
+def _is_busy(view: run.MinionView) -> bool:
+    """Whether a minion takes no further order of a gang for the moment."""
+    return view.gang_orders_in_flight >= MAX_GANG_STARTS_IN_FLIGHT
+
+
 def _find_crash_place(item: run.Run) -> tuple[int, int, int]:
     """Returns the key of a task's crashes; members of a gang share one."""
     task = item.task
--- a/clementinewood/job.py
+++ b/clementinewood/job.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import json
+import math
 import re
 from typing import Any, NamedTuple
 
@@ -111,7 +112,7 @@
         count: Number of tasks.
         need: Resources of one task.
         estimate: Declared run time in seconds; often inaccurate.
-        after: Earlier steps whose tasks must all be done first.
+        after: Earlier steps whose tasks must all be done first, once each.
         checkpoints: Whether runs save their progress.
         gang: Whether the tasks can only run all at the same time.
         same_rack: Whether the tasks are slower on more than one rack.
@@ -192,16 +193,36 @@
         """Returns the Unix time in seconds at which `occurrence` is due."""
         return self.start + occurrence * self.interval
 
+    def count_due(self, time: float) -> int:
+        """Returns the number of occurrences due at a Unix time in seconds."""
+        if time < self.start:
+            return 0
+        if self.interval <= 0.0:
+            return self.occurrences
+        passed = min((time - self.start) / self.interval, self.occurrences)
+        count = min(int(passed) + 1, self.occurrences)
+        # The quotient and the product of `due` may be rounded differently.
+        while count < self.occurrences and self.due(count) <= time:
+            count += 1
+        while count and self.due(count - 1) > time:
+            count -= 1
+        return count
+
 
 def is_job_id(text: str) -> bool:
     """Whether `text` is a well-formed job id."""
     return _JOB_ID.fullmatch(text) is not None
 
 
+def describe_step_limit() -> str:
+    """Returns the error for a job with too few or too many steps."""
+    return f"a job has 1 to {MAX_STEPS} steps"
+
+
 def check_steps(steps: tuple[Step, ...]) -> str:
     """Returns why `steps` are invalid, or an empty string."""
     if not 1 <= len(steps) <= MAX_STEPS:
-        return f"a job has 1 to {MAX_STEPS} steps"
+        return describe_step_limit()
     for number, step in enumerate(steps):
         if not 1 <= step.count <= MAX_TASKS:
             return f"step {number} must have 1 to {MAX_TASKS} tasks"
@@ -267,22 +288,27 @@
                 **{
                     **fields,
                     "need": Resources(*fields["need"]),
-                    "after": tuple(fields.get("after", ())),
+                    "after": tuple(dict.fromkeys(fields.get("after", ()))),
                 }
             )
             for fields in document["steps"]
         )
+        queue = document["queue"]
+        if not isinstance(queue, str):
+            raise TypeError("the queue is not a string")
         start, interval, occurrences = document.get("times", (0.0, 0.0, 1))
+        if not math.isfinite(start) or not math.isfinite(interval):
+            raise ValueError("a time is not finite")
         job = Job(
             job_id=job_id,
-            queue=identifiers.QueueId(document["queue"]),
+            queue=identifiers.QueueId(queue),
             team=identifiers.TeamId(document["team"]),
             spec=document["spec"],
             steps=steps,
             accepted=float(document["accepted"]),
-            start=start,
-            interval=interval,
-            occurrences=occurrences,
+            start=float(start),
+            interval=float(interval),
+            occurrences=max(1, int(occurrences)),
         )
     except decoding.ERRORS as error:
         return result.Failure(f"stored job {job_id} is malformed: {error!r}")
@@ -320,7 +346,8 @@
 
     Attributes:
         state: State reported to callers.
-        done: Bit set of the tasks that are done, by occurrence and step.
+        done: Bit set of the tasks that are done, by occurrence and step;
+            without the occurrences counted in `finished`.
         failed: Number of failed runs of each task that is not done.
         failed_runs: Start numbers of these runs, so that one whose end is
             listed again is not counted twice; without those that an entry of
@@ -331,6 +358,9 @@
         crashed: Crashes under each task that is not done.
         block_tasks: Tasks in each block that holds these rows in their place;
             0 if they are stored whole.
+        finished: Number of occurrences from the first on of which all tasks
+            are done. They have no rows, so that a job that has run for long
+            has no more of them than one that has just begun.
         changed: Tasks whose rows have changed since they were last stored.
     """
 
@@ -345,6 +375,7 @@
     )
     crashed: dict[Place, CrashRecord] = dataclasses.field(default_factory=dict)
     block_tasks: int = 0
+    finished: int = 0
     changed: set[Place] = dataclasses.field(default_factory=set, compare=False)
 
     def copy(self) -> "Progress":
@@ -357,6 +388,7 @@
             dict(self.assignments),
             dict(self.crashed),
             self.block_tasks,
+            self.finished,
             set(self.changed),
         )
 
@@ -369,6 +401,20 @@
         self.assignments.update(part.assignments)
         self.crashed.update(part.crashed)
 
+    def drop_finished(self, count: int) -> None:
+        """Drops the rows of the first `count` occurrences, which are done."""
+        self.finished = count
+        for rows in (
+            self.failed,
+            self.failed_runs,
+            self.assignments,
+            self.crashed,
+        ):
+            for place in [place for place in rows if place[0] < count]:
+                del rows[place]
+        for key in [key for key in self.done if key[0] < count]:
+            del self.done[key]
+
     def list_places(self) -> set[Place]:
         """Returns the tasks that have a row or are done."""
         places = {
@@ -398,6 +444,8 @@
 
     def is_done(self, task: TaskId) -> bool:
         """Whether `task` is done."""
+        if task.occurrence < self.finished:
+            return True
         bits = self.done.get((task.occurrence, task.step), 0)
         return bool(bits >> task.position & 1)
 
@@ -426,7 +474,10 @@
 
     def is_step_done(self, occurrence: int, step: int, count: int) -> bool:
         """Whether all `count` tasks of a step are done."""
-        return self.done.get((occurrence, step), 0) == (1 << count) - 1
+        return (
+            occurrence < self.finished
+            or self.done.get((occurrence, step), 0) == (1 << count) - 1
+        )
 
     def add_failure(self, task: TaskId, number: int) -> int:
         """Counts a failed run of `task` once.
@@ -457,6 +508,8 @@
     if progress.state not in TERMINAL:
         if progress.block_tasks:
             document["block_tasks"] = progress.block_tasks
+        if progress.finished:
+            document["finished"] = progress.finished
         fields = {
             "done": [
                 [*key, f"{bits:x}"] for key, bits in progress.done.items()
@@ -491,22 +544,24 @@
         progress = Progress(
             JobState(document["state"]),
             {
-                (occurrence, step): int(bits, 16)
+                (int(occurrence), int(step)): int(bits, 16)
                 for occurrence, step, bits in document.get("done", ())
             },
             {
-                (occurrence, step, index): count
+                (int(occurrence), int(step), int(index)): int(count)
                 for occurrence, step, index, count in document.get("failed", ())
             },
             {
-                (occurrence, step, index): tuple(map(int, numbers))
+                (int(occurrence), int(step), int(index)): tuple(
+                    map(int, numbers)
+                )
                 for occurrence, step, index, *numbers in document.get(
                     "failed_runs", ()
                 )
             },
             {
-                (occurrence, step, index): (
-                    number,
+                (int(occurrence), int(step), int(index)): (
+                    int(number),
                     identifiers.MinionId(minion),
                 )
                 for occurrence, step, index, number, minion in document.get(
@@ -514,7 +569,7 @@
                 )
             },
             {
-                (occurrence, step, index): CrashRecord(
+                (int(occurrence), int(step), int(index)): CrashRecord(
                     int(crashes), int(suspected), int(number), tuple(minions)
                 )
                 for (
@@ -528,6 +583,7 @@
                 ) in document.get("crashed", ())
             },
             int(document.get("block_tasks", 0)),
+            int(document.get("finished", 0)),
         )
     except decoding.ERRORS as error:
         return result.Failure(f"stored progress is malformed: {error!r}")
--- a/clementinewood/jobservice.py
+++ b/clementinewood/jobservice.py
@@ -4,7 +4,6 @@
 is the dispatcher.
 """
 
-import collections
 import dataclasses
 import enum
 import functools
@@ -852,9 +851,7 @@
         self._dispatch_feed.min_read_interval = (
             DISPATCHER_DISPATCH_READ_INTERVAL_SECONDS
         )
-        states = collections.Counter(
-            entry.state for entry in self.table if entry.accepted is not None
-        )
+        states = self.table.count_states()
         event.emit(
             event.Event.JOBS_TAKEN_OVER,
             term=driver.term,
--- a/clementinewood/jobtable.py
+++ b/clementinewood/jobtable.py
@@ -1,5 +1,6 @@
 """Builds the job table of each entry by replaying the job log."""
 
+import collections
 import dataclasses
 import enum
 import json
@@ -252,18 +253,33 @@
     def read_progress(self) -> job.Progress:
         """Returns a copy of the stored progress, with that in blocks."""
         whole = self.progress.copy()
-        # A leader of an earlier version stores all rows in one record.
-        whole.changed = whole.list_places()
+        for _ in self.read_blocks(whole):
+            pass
+        return whole
+
+    def read_blocks(self, whole: job.Progress) -> Iterator[int]:
+        """Adds the progress in blocks to a copy of the other one.
+
+        Args:
+            whole: Copy of `progress`; changed in place.
+
+        Yields:
+            The number of tasks that each block is about.
+        """
         if not whole.block_tasks:
             # Blocks beside it are left over from a division that was cut off.
-            return whole
-        for record in self.blocks.values():
+            return
+        # A leader of an earlier version stores all rows in one record.
+        whole.changed = whole.list_places()
+        for record in list(self.blocks.values()):
             match job.decode_progress(record.value):
                 case result.Success(part):
                     whole.add(part)
                 case result.Failure(reason):
                     _drop(record, reason)
-        return whole
+            yield whole.block_tasks
+        # Blocks keep rows of finished occurrences until they are deleted.
+        whole.drop_finished(whole.finished)
 
 
 class JobTable:
@@ -295,6 +311,9 @@
             tuple[RecordKind, identifiers.MachineId], StoredOrder
         ] = {}
         self._entries: dict[identifiers.JobId, JobEntry] = {}
+        self._counts: collections.Counter[
+            tuple[identifiers.QueueId, job.JobState]
+        ] = collections.Counter()
         self._offsets: dict[str, int] = {}
 
     def __iter__(self) -> Iterator[JobEntry]:
@@ -360,6 +379,7 @@
         if block:
             _apply_block(entry, block, record)
             return None
+        before = _classify(entry)
         match kind:
             case RecordKind.JOB:
                 if entry.accepted is None:
@@ -370,6 +390,12 @@
                 entry.completion_stored = True
             case RecordKind.PROGRESS:
                 self._apply_progress(entry, record)
+        after = _classify(entry)
+        if after != before:
+            if before is not None:
+                self._counts[before] -= 1
+            if after is not None:
+                self._counts[after] += 1
         return entry if entry.accepted is not None else None
 
     def count_pending(self, queue: identifiers.QueueId) -> int:
@@ -377,13 +403,14 @@
 
         These are the jobs whose state is shown as queued.
         """
-        return sum(
-            1
-            for entry in self._entries.values()
-            if entry.accepted is not None
-            and entry.accepted.queue == queue
-            and entry.state is job.JobState.QUEUED
-        )
+        return self._counts[queue, job.JobState.QUEUED]
+
+    def count_states(self) -> collections.Counter[job.JobState]:
+        """Returns the number of accepted jobs in each state."""
+        states: collections.Counter[job.JobState] = collections.Counter()
+        for (_, state), count in self._counts.items():
+            states[state] += count
+        return states
 
     def _apply_leader(self, record: StoredRecord) -> LeaderRecord | None:
         match decode_leader_record(record.value):
@@ -493,6 +520,15 @@
                 _drop(record, reason)
 
 
+def _classify(
+    entry: JobEntry,
+) -> tuple[identifiers.QueueId, job.JobState] | None:
+    """Returns the queue and state of an accepted job."""
+    if entry.accepted is None:
+        return None
+    return entry.accepted.queue, entry.state
+
+
 def _apply_block(entry: JobEntry, block: str, record: StoredRecord) -> None:
     if not block.isdecimal():
         _drop(record, f"unknown part {block!r} of a job")
--- a/clementinewood/placement.py
+++ b/clementinewood/placement.py
@@ -132,6 +132,19 @@
     return found
 
 
+def bound_free_room(candidates: Iterable[Candidate]) -> job.Resources:
+    """Returns the most of each resource that is free on any minion.
+
+    No task that needs more fits before something ends.
+    """
+    cpu = memory = gpu = 0
+    for candidate in candidates:
+        cpu = max(cpu, candidate.free.cpu)
+        memory = max(memory, candidate.free.memory)
+        gpu = max(gpu, candidate.free.gpu)
+    return job.Resources(cpu, memory, gpu)
+
+
 def choose_minion(
     step: job.Step,
     candidates: Sequence[Candidate],
--- a/clementinewood/policycache.py
+++ b/clementinewood/policycache.py
@@ -85,6 +85,7 @@
 
     def __init__(self) -> None:
         self._tickets: dict[StepKey, dict[_MinionStart, Ticket | None]] = {}
+        self._steps: dict[identifiers.JobId, set[StepKey]] = {}
         self._shares: dict[identifiers.QueueId, float] = {}
         self._query_in_flight: PolicyQuery | None = None
         self._next_query: PolicyQuery | None = None
@@ -118,9 +119,18 @@
 
     def forget_job(self, job_id: identifiers.JobId) -> None:
         """Removes all tickets of a job."""
-        for key in [key for key in self._tickets if key.job == job_id]:
+        for key in self._steps.pop(job_id, ()):
             del self._tickets[key]
 
+    def forget_step(self, key: StepKey) -> None:
+        """Removes all tickets of a step."""
+        if self._tickets.pop(key, None) is None:
+            return
+        steps = self._steps[key.job]
+        steps.remove(key)
+        if not steps:
+            del self._steps[key.job]
+
     def prepare_query(
         self,
         key: StepKey,
@@ -202,6 +212,7 @@
             self._not_before = now + RETRY_SECONDS
             return
         known = self._tickets.setdefault(query.key, {})
+        self._steps.setdefault(query.key.job, set()).add(query.key)
         # The service counts validity from its response. Counting from the
         # earlier query never uses a ticket too long.
         expires = query.sent + query.policy.valid - EXPIRY_MARGIN_SECONDS
--- a/clementinewood/progressrecord.py
+++ b/clementinewood/progressrecord.py
@@ -66,6 +66,14 @@
         number = occurrence * self._occurrence_tasks + self._firsts[step]
         return (number + position) // self._block_tasks
 
+    def find_first_block(self, finished: int) -> int:
+        """Returns the first block with tasks of unfinished occurrences.
+
+        Args:
+            finished: Number of occurrences from the first on that are finished.
+        """
+        return finished * self._occurrence_tasks // self._block_tasks
+
     def list_segments(self, block: int) -> Iterator[Segment]:
         """Returns the tasks of a block, by step."""
         number = block * self._block_tasks
@@ -120,8 +128,10 @@
     """Encodes progress whole, or in blocks once it does not fit any more.
 
     A job whose progress is stored in blocks stays so until it ends: then its
-    blocks are deleted. The record that refers to the blocks comes after them,
-    so that they count only once the division is stored as a whole.
+    blocks are deleted. The record that refers to the blocks comes after them
+    when progress is divided, so that they count only once the division is
+    stored as a whole. Afterwards it comes first: it counts the occurrences that
+    are finished, whose rows are missing in the blocks stored from then on.
 
     Args:
         limits: Limits of the store.
@@ -132,6 +142,7 @@
         self._layouts: dict[identifiers.JobId, BlockLayout] = {}
         self._block_tasks: dict[identifiers.JobId, int] = {}
         self._blocks: dict[identifiers.JobId, set[int]] = {}
+        self._first_blocks: dict[identifiers.JobId, int] = {}
 
     def restore(
         self, accepted: job.Job, block_tasks: int, blocks: Collection[int]
@@ -161,7 +172,8 @@
                 *self._delete_blocks(job_id),
             ]
         leftover: set[int] = set()
-        if job_id not in self._layouts:
+        divided = job_id in self._layouts
+        if not divided:
             whole = _create_record(job_id, job.encode_progress(progress))
             if whole.size <= self._limits.record_bytes:
                 return [whole]
@@ -172,19 +184,32 @@
             leftover = self._blocks.pop(job_id, leftover)
             changed = progress.list_places()
         head = job.Progress(
-            progress.state, block_tasks=self._block_tasks[job_id]
+            progress.state,
+            block_tasks=self._block_tasks[job_id],
+            finished=progress.finished,
         )
+        record = _create_record(job_id, job.encode_progress(head))
         layout = self._layouts[job_id]
-        blocks = {layout.find_block(place) for place in changed}
-        self._blocks.setdefault(job_id, set()).update(blocks)
-        return [
+        first = layout.find_first_block(progress.finished)
+        blocks = {
+            block for block in map(layout.find_block, changed) if block >= first
+        }
+        stored = self._blocks.setdefault(job_id, set())
+        stored.update(blocks)
+        items = [
             *self.delete_blocks(job_id, leftover - blocks),
             *(
                 self._encode_block(job_id, progress, block)
                 for block in sorted(blocks)
             ),
-            _create_record(job_id, job.encode_progress(head)),
         ]
+        items.insert(0 if divided else len(items), record)
+        if self._first_blocks.get(job_id, 0) < first:
+            self._first_blocks[job_id] = first
+            ended = {block for block in stored if block < first}
+            stored -= ended
+            items += self.delete_blocks(job_id, ended)
+        return items
 
     def delete_blocks(
         self, job_id: identifiers.JobId, blocks: Iterable[int]
@@ -204,6 +229,7 @@
     ) -> list[ports.KeyedRecord]:
         self._layouts.pop(job_id, None)
         self._block_tasks.pop(job_id, None)
+        self._first_blocks.pop(job_id, None)
         return self.delete_blocks(job_id, self._blocks.pop(job_id, ()))
 
     def _encode_block(
--- a/clementinewood/reservation.py
+++ b/clementinewood/reservation.py
@@ -49,9 +49,8 @@
     """
     minions = [
         item.minion_id
-        for item in active.live.values()
-        if (item.task.occurrence, item.task.step)
-        == (work.occurrence, work.number)
+        for position in range(work.step.count)
+        if (item := active.find_live(work, position)) is not None
     ]
     if not minions:
         return []
--- a/clementinewood/run.py
+++ b/clementinewood/run.py
@@ -1,5 +1,6 @@
 """Defines runs of tasks and the dispatcher's view of minions."""
 
+import collections
 import dataclasses
 import enum
 import math
@@ -251,6 +252,10 @@
             may start on it.
         isolated: The suspected runs on probation here.
         starting: Runs of this leader whose start is planned or not confirmed.
+        gang_orders_in_flight: Start orders of members of gangs whose outcome
+            is not known.
+        unordered: Members of gangs whose starts are stored, but not ordered
+            yet, since enough other orders are in flight.
         orders_unanswered_since: Monotonic time in seconds since which it has
             taken no order although some were sent; infinity if none waits.
         refuses_orders: Whether that has lasted for so long that its leases are
@@ -282,8 +287,13 @@
     held_until: float = 0.0
     isolated: list[Run] = dataclasses.field(default_factory=list)
     starting: set[RunKey] = dataclasses.field(default_factory=set)
+    gang_orders_in_flight: int = 0
+    unordered: collections.deque[Run] = dataclasses.field(
+        default_factory=collections.deque
+    )
     orders_unanswered_since: float = math.inf
     refuses_orders: bool = False
+    _ordered: dict[RunKey, None] = dataclasses.field(default_factory=dict)
 
     @property
     def minion_id(self) -> identifiers.MinionId:
@@ -351,16 +361,31 @@
             self.leases_expire_at, now + MAX_LEASE_SECONDS
         )
 
-    def note_order_sent(self, now: float) -> None:
-        """Records that an order was sent."""
+    def note_order_sent(self, key: RunKey, now: float) -> None:
+        """Records that an order about a run was sent."""
+        self._ordered[key] = None
         self.orders_unanswered_since = min(self.orders_unanswered_since, now)
 
     def note_order_taken(self, now: float) -> None:
         """Records that an answer or report shows that an order was taken."""
-        waits = any(item.awaits_order for item in self.runs.values())
+        waits = self._awaits_order()
         self.orders_unanswered_since = now if waits else math.inf
         self.refuses_orders = False
 
+    def _awaits_order(self) -> bool:
+        """Whether an order waits to be taken.
+
+        A run whose last order was taken is not looked at again until the next
+        one is sent.
+        """
+        while self._ordered:
+            key = next(iter(self._ordered))
+            item = self.runs.get(key)
+            if item is not None and item.awaits_order:
+                return True
+            del self._ordered[key]
+        return False
+
     def update_order_refusal(
         self, now: float, longest: float, *, late: bool
     ) -> None:
@@ -374,7 +399,7 @@
         """
         if now - self.orders_unanswered_since < longest:
             return
-        waits = any(item.awaits_order for item in self.runs.values())
+        waits = self._awaits_order()
         if late or not waits:
             self.orders_unanswered_since = now if waits else math.inf
         self.refuses_orders = waits and not late
--- a/features/power_loss_mutants.py
+++ b/features/power_loss_mutants.py
@@ -39,14 +39,14 @@
 
 def forget_jobs():
     """Starts nothing of jobs that were accepted before the term."""
-    take_over = dispatchdriver.DispatchDriver._take_over_job
+    add_job = dispatchdriver.DispatchDriver._add_job
 
-    def take_over_job(self, accepted, entry):
+    def add_new_job(self, *arguments):
         if self._taken_over:
-            take_over(self, accepted, entry)
+            add_job(self, *arguments)
 
     return mock.patch.object(
-        dispatchdriver.DispatchDriver, "_take_over_job", take_over_job
+        dispatchdriver.DispatchDriver, "_add_job", add_new_job
     )
 
 
--- a/features/steps/turn_cost_steps.py
+++ b/features/steps/turn_cost_steps.py
@@ -1,6 +1,13 @@
 """Steps for the cost of one turn of the event loop."""
 
+import collections
+import dataclasses
+import json
+import random
+from unittest import mock
+
 import behave
+from returns import result
 
 from clementinewood import (
     activejob,
@@ -8,8 +15,11 @@
     dispatcher,
     identifiers,
     job,
+    jobtable,
+    policycache,
     run,
 )
+from clementinewood_platform import wire
 from features import linecount
 
 QUEUE = catalog.Queue(
@@ -65,10 +75,21 @@
     return dispatch
 
 
-def plan_and_store(dispatch, now=0.0):
-    """Plans once and stores it; returns the orders to start runs."""
-    dispatch.plan(now, now)
-    return dispatch.handle_batch_stored(dispatch.take_batch(), now)
+def plan_and_store(dispatch, now=0.0, wall=0.0):
+    """Plans and starts all that fits; returns the orders to start runs."""
+    dispatch.plan(now, wall)
+    orders = dispatch.handle_batch_stored(dispatch.take_batch(), now)
+    following = orders
+    while following:
+        for order in following:
+            started = dispatcher.StartOutcome.STARTED
+            dispatch.handle_start_outcome(order, started, now)
+        planned = dispatch.plan(now, wall)
+        following = [
+            order for order in planned if isinstance(order, dispatcher.StartRun)
+        ]
+        orders += following
+    return orders
 
 
 @behave.given("a pool of {minions:d} minions with room for everything")
@@ -208,3 +229,314 @@
 def check_numbers(context, number):
     numbers = [order.number for order in context.orders]
     assert numbers == [number] * 4, numbers
+
+
+@behave.when("a gang of {count:d} tasks is planned, and each order is answered")
+def answer_gang(context, count):
+    dispatch = create_dispatcher(context.minions)
+    step = job.Step(count=count, need=job.Resources(1, 1), gang=True)
+    dispatch.add_job(create_job([step]), job.Progress(), 0.0)
+    dispatch.plan(0.0, 0.0)
+    in_flight = dispatch.handle_batch_stored(dispatch.take_batch(), 0.0)
+    context.orders = list(in_flight)
+    context.most = len(in_flight)
+    while in_flight:
+        started = dispatcher.StartOutcome.STARTED
+        dispatch.handle_start_outcome(in_flight.pop(0), started, 0.0)
+        following = dispatch.plan(0.0, 0.0)
+        in_flight += following
+        context.orders += following
+        context.most = max(context.most, len(in_flight))
+
+
+@behave.then("at most {most:d} of its start orders were in flight")
+def check_in_flight(context, most):
+    assert context.most == most, context.most
+
+
+@behave.then("each of its tasks was ordered once, with the same number")
+def check_gang_orders(context):
+    positions = [order.task.position for order in context.orders]
+    assert sorted(positions) == list(range(200)), len(positions)
+    assert {order.number for order in context.orders} == {1}
+
+
+@behave.when("{count:d} gangs of {tasks:d} tasks wait")
+def add_gangs(context, count, tasks):
+    context.dispatch = create_dispatcher(context.minions)
+    step = job.Step(count=tasks, need=job.Resources(1, 1), gang=True)
+    for number in range(count):
+        accepted = create_job([step], number)
+        context.dispatch.add_job(accepted, job.Progress(), 0.0)
+
+
+@behave.then(
+    "each pass plans at most {most:d} runs, and the next one follows at once"
+)
+def check_planned(context, most):
+    dispatch = context.dispatch
+    context.passes = 0
+    while dispatch.next_wake(0.0) == 0.0 or not context.passes:
+        dispatch.plan(0.0, 0.0)
+        planned = dispatch.take_batch().planned
+        assert 0 < len(planned) <= most, len(planned)
+        context.passes += 1
+
+
+@behave.then("all of them are planned after {passes:d} passes")
+def check_passes(context, passes):
+    assert context.passes == passes, context.passes
+    pending = [
+        work.pending
+        for active in context.dispatch.jobs.values()
+        for work in active.work.values()
+    ]
+    assert len(pending) == 5 and not any(pending), pending
+
+
+@behave.when(
+    "a pass is planned beside {few:d} and beside {many:d} jobs that are due"
+    " later"
+)
+def plan_beside_timed(context, few, many):
+    context.lines = []
+    for count in (few, many):
+        dispatch = create_dispatcher(context.minions)
+        for number in range(count):
+            accepted = create_job(
+                [job.Step(count=1)], number, start=1e6 + number
+            )
+            dispatch.add_job(accepted, job.Progress(), 0.0)
+        plan_and_store(dispatch)
+        assert dispatch.next_wake(0.0) == 1e6, dispatch.next_wake(0.0)
+
+        def plan(dispatch=dispatch):
+            plan_and_store(dispatch)
+            dispatch.next_wake(0.0)
+
+        context.lines.append(linecount.count_lines(plan))
+
+
+@behave.when("{count:d} jobs wait for a full pool")
+def fill_pool(context, count):
+    context.dispatch = create_dispatcher(context.minions)
+    step = job.Step(count=1, need=ROOMY)
+    for number in range(count + 1):
+        accepted = create_job([step], number)
+        context.dispatch.add_job(accepted, job.Progress(), 0.0)
+    assert len(plan_and_store(context.dispatch)) == 1
+    for active in context.dispatch.jobs.values():
+        active.rank, active.ranked_at = (), float("-inf")
+
+
+@behave.then("each of {passes:d} passes ranks {count:d} jobs")
+def check_ranked(context, passes, count):
+    rank = dispatcher.Dispatcher._rank
+    context.ranked = collections.Counter()
+
+    def count_rank(self, active, order, now):
+        context.ranked[active.job.job_id] += 1
+        return rank(self, active, order, now)
+
+    with mock.patch.object(dispatcher.Dispatcher, "_rank", count_rank):
+        for number in range(1, passes + 1):
+            context.dispatch.plan(0.1 * number, 0.1 * number)
+            assert context.ranked.total() == number * count, context.ranked
+
+
+@behave.then("each of the jobs was ranked twice")
+def check_ranked_twice(context):
+    waiting = [
+        active.job.job_id
+        for active in context.dispatch.jobs.values()
+        if not active.live
+    ]
+    counts = {context.ranked[job_id] for job_id in waiting}
+    assert len(waiting) == 3000 and counts <= {2, 3}, counts
+
+
+@behave.when("the first of two jobs that are due later is cancelled")
+def cancel_timed(context):
+    context.dispatch = create_dispatcher(context.minions)
+    for number in (1, 2):
+        accepted = create_job([job.Step(count=1)], number, start=100.0 * number)
+        context.dispatch.add_job(accepted, job.Progress(), 0.0)
+    plan_and_store(context.dispatch)
+    assert context.dispatch.next_wake(0.0) == 100.0
+    context.dispatch.cancel_job(identifiers.JobId(f"{1:016x}"))
+
+
+@behave.then("the next wake-up is that of the second one")
+def check_wake(context):
+    assert context.dispatch.next_wake(0.0) == 200.0
+    assert plan_and_store(context.dispatch, wall=150.0) == []
+    (order,) = plan_and_store(context.dispatch, wall=200.0)
+    assert order.task.job == f"{2:016x}"
+
+
+@behave.when(
+    "the pending jobs are counted beside {few:d} and {many:d} that have ended"
+)
+def count_pending(context, few, many):
+    context.lines = []
+    for count in (few, many):
+        table = jobtable.JobTable()
+        ended = job.encode_progress(job.Progress(job.JobState.COMPLETED))
+        for number in range(count):
+            accepted = create_job([job.Step(count=1)], number)
+            records = [("j", job.encode_job(accepted))]
+            if number >= 3:
+                records.append(("p", ended))
+            for prefix, value in records:
+                key = f"{prefix}/{accepted.job_id}"
+                table.apply(jobtable.StoredRecord(key, value, number))
+        assert table.count_pending(QUEUE.name) == 3
+        context.lines.append(
+            linecount.count_lines(
+                lambda table=table: table.count_pending(QUEUE.name)
+            )
+        )
+
+
+@behave.given("{count:d} random records of {jobs:d} jobs in 2 queues")
+def draw_records(context, count, jobs):
+    rng = random.Random(3)
+    states = list(job.JobState)
+    context.records = []
+    for offset in range(count):
+        number = rng.randrange(jobs)
+        accepted = dataclasses.replace(
+            create_job([job.Step(count=1)], number),
+            queue=identifiers.QueueId(f"queue-{number % 2}"),
+        )
+        progress = job.Progress(rng.choice(states))
+        prefix, value = rng.choice(
+            (
+                ("j", job.encode_job(accepted)),
+                ("p", job.encode_progress(progress)),
+                ("c", b"1"),
+                ("e", b"1"),
+            )
+        )
+        # Some records are read again.
+        at = rng.choice((offset, offset, rng.randrange(offset + 1)))
+        key = f"{prefix}/{accepted.job_id}"
+        context.records.append(jobtable.StoredRecord(key, value, at))
+
+
+@behave.then("after each record the counts are those of the states of all jobs")
+def check_counts(context):
+    table = jobtable.JobTable()
+    for record in context.records:
+        table.apply(record)
+        accepted = [entry for entry in table if entry.accepted is not None]
+        states = collections.Counter(entry.state for entry in accepted)
+        assert +table.count_states() == states, (table.count_states(), states)
+        for name in ("queue-0", "queue-1"):
+            pending = sum(
+                entry.accepted.queue == name
+                and entry.state is job.JobState.QUEUED
+                for entry in accepted
+            )
+            found = table.count_pending(identifiers.QueueId(name))
+            assert found == pending, (found, pending)
+    assert len(table.count_states()) > 2
+
+
+def decode_steps(steps):
+    """Decodes a submitted job with `steps`."""
+    return wire.decode_job(
+        identifiers.JobId("a" * 16),
+        QUEUE.name,
+        identifiers.TeamId(""),
+        json.dumps({"spec": "", "steps": steps}).encode(),
+        0.0,
+    )
+
+
+@behave.when(
+    "a job is submitted whose second step names the first one {count:d} times"
+)
+def submit_repeated_names(context, count):
+    steps = [{"count": 1}, {"count": 1, "after": [0] * count}]
+    context.accepted = decode_steps(steps).unwrap()
+
+
+@behave.then(
+    "its second step comes after the first one only, also once it is stored"
+)
+def check_names(context):
+    accepted = context.accepted
+    assert accepted.steps[1].after == (0,), accepted.steps[1].after
+    stored = json.loads(job.encode_job(accepted))
+    stored["steps"][1]["after"] = [0] * 100
+    read = job.decode_job(accepted.job_id, json.dumps(stored).encode())
+    assert read.unwrap() == accepted, read
+
+
+@behave.when("jobs of {few:d} and of {many:d} steps are submitted")
+def submit_many_steps(context, few, many):
+    context.lines = []
+    context.outcomes = []
+    for count in (few, many):
+        steps = [{"count": 1}] * count
+        context.lines.append(
+            linecount.count_lines(
+                lambda steps=steps: context.outcomes.append(decode_steps(steps))
+            )
+        )
+
+
+@behave.then("both are refused, and the detail names {limit:d} steps")
+def check_refused_steps(context, limit):
+    for outcome in context.outcomes:
+        assert isinstance(outcome, result.Failure), outcome
+        assert f"{limit} steps" in outcome.failure(), outcome
+
+
+@behave.given("tickets for steps of {few:d} and of {many:d} other jobs")
+def create_tickets(context, few, many):
+    policy = catalog.PolicySettings(decide=0.05, per_minion=0.002, valid=60.0)
+    minion_id = identifiers.MinionId("m0")
+    context.caches = []
+    for others in (few, many):
+        cache = policycache.PolicyCache()
+        keys = [
+            policycache.StepKey(identifiers.JobId("a" * 16), 0, 0),
+            policycache.StepKey(identifiers.JobId("a" * 16), 1, 0),
+            policycache.StepKey(identifiers.JobId("b" * 16), 0, 0),
+        ]
+        for number in range(others):
+            job_id = identifiers.JobId(f"{number:016x}")
+            keys.append(policycache.StepKey(job_id, 0, 0))
+        for key in keys:
+            query = policycache.PolicyQuery(
+                key, QUEUE.name, {minion_id: 1}, 0.0, policy
+            )
+            cache.handle_response(query, {minion_id: "ticket"}, 0.0)
+        context.caches.append((cache, keys))
+
+
+@behave.when("a step and a job are forgotten")
+def forget_tickets(context):
+    context.lines = []
+    for cache, keys in context.caches:
+
+        def forget(cache=cache, keys=keys):
+            cache.forget_step(keys[2])
+            cache.forget_step(keys[2])
+            cache.forget_step(keys[0])
+            cache.forget_job(keys[0].job)
+            cache.forget_job(keys[2].job)
+
+        context.lines.append(linecount.count_lines(forget))
+
+
+@behave.then("only the tickets of the other jobs are left")
+def check_tickets_left(context):
+    for cache, keys in context.caches:
+        left = [
+            cache.find_ticket(key, identifiers.MinionId("m0"), 1)
+            for key in keys
+        ]
+        assert left == [""] * 3 + ["ticket"] * (len(keys) - 3), left
