--- a/bench/planning_pass.py
+++ b/bench/planning_pass.py
@@ -113,7 +113,7 @@
     orders = dispatch.handle_batch_stored(dispatch.take_batch(), 0.0)
     for order in orders:
         started = dispatcher.StartOutcome.STARTED
-        dispatch.handle_start_outcome(order, started, 0.0, 0.0)
+        dispatch.handle_start_outcome(order, started, 0.0)
     assert len(orders) == MINIONS * RUNS_PER_MINION
     for number in range(WAITING):
         accepted = create_job(1000 + number, 1 + number % 32, number % TEAMS)
