Measure demand and rank jobs in turns of a bounded number of steps

Callers would see: with some 10,000 waiting jobs of 64 steps, which an entry accepts, no leader of a site with spare machines keeps its leadership.

Before each move of machines, every 0.1 s, the demand of all unfinished jobs was measured in one turn, with the critical path of each; a planning pass ranked up to 1,024 jobs, whatever their number of steps.

Change: demand is measured piece by piece, 16,384 steps in a turn, and machines are moved once all is measured; a pass ranks 16,384 steps. On fewer jobs nothing changes: all is measured in the turn of the round.

--- a/bench/turns.py
+++ b/bench/turns.py
@@ -22,6 +22,8 @@
     identifiers,
     job,
     jobtable,
+    machinecontrol,
+    pooldemand,
     run,
 )
 
@@ -257,15 +259,52 @@
     plan(turns, dispatch)
 
 
-def measure_waiting_jobs(turns, jobs):
-    """Plans many jobs that wait for a full pool."""
+def fill_pool(jobs, steps):
+    """Returns a dispatcher of jobs that wait for a full pool."""
     dispatch = create_dispatcher(100, job.Resources(1000, 100_000))
+    chain = [
+        job.Step(
+            count=1,
+            need=job.Resources(1000, 1),
+            after=(number - 1,) if number else (),
+        )
+        for number in range(steps)
+    ]
     for number in range(jobs + 100):
-        step = job.Step(count=1, need=job.Resources(1000, 1))
-        dispatch.add_job(create_job([step], number), job.Progress(), 0.0)
+        dispatch.add_job(create_job(chain, number), job.Progress(), 0.0)
     dispatch.plan(0.0, NOW)
     dispatch.handle_batch_stored(dispatch.take_batch(), 0.0)
-    plan(turns, dispatch)
+    return dispatch
+
+
+def measure_waiting_jobs(turns, jobs, *, steps):
+    """Plans beside many jobs that wait for a full pool."""
+    plan(turns, fill_pool(jobs, steps))
+
+
+def measure_demand(turns, jobs, *, steps):
+    """Measures the demand of many jobs, as before each move of machines."""
+    dispatch = fill_pool(jobs, steps)
+    demands = {}
+    pieces = pooldemand.measure_pieces(
+        list(dispatch.jobs.values()),
+        dispatch.config,
+        dispatch.times,
+        0.0,
+        None,
+        demands,
+    )
+
+    def measure_some():
+        measured = 0
+        for count in pieces:
+            measured += count
+            if measured >= machinecontrol.MAX_MEASURED_STEPS:
+                return False
+        return True
+
+    while not turns.run(measure_some):
+        pass
 
 
 def measure_pending_count(turns, jobs):
@@ -316,7 +355,21 @@
     ),
     "one more end, past occurrences": (measure_past, 100_000, {}),
     "jobs not due, jobs": (measure_timed_jobs, 20_000, {}),
-    "jobs waiting for a full pool, jobs": (measure_waiting_jobs, 5_000, {}),
+    "jobs waiting for a full pool, jobs": (
+        measure_waiting_jobs,
+        5_000,
+        {"steps": 1},
+    ),
+    "waiting jobs of 64 steps, jobs": (
+        measure_waiting_jobs,
+        5_000,
+        {"steps": 64},
+    ),
+    "demand of jobs of 64 steps, jobs": (
+        measure_demand,
+        5_000,
+        {"steps": 64},
+    ),
     "pending count, ended jobs": (measure_pending_count, 100_000, {}),
 }
 
--- a/clementinewood/dispatcher.py
+++ b/clementinewood/dispatcher.py
@@ -66,6 +66,9 @@
 """Waiting jobs ranked in one planning pass. If more wait, those ranked longest
 ago come first, and the others keep their ranks."""
 
+MAX_RANKED_STEPS = 16_384
+"""Steps of these jobs, whose critical paths their ranks are computed from."""
+
 MAX_PLANNED_RUNS = 4096
 """Runs planned in one pass after which no further job is placed; the next pass
 follows at once. A gang is always placed whole."""
@@ -884,12 +887,15 @@
         order: fairshare.Order | None,
         now: float,
     ) -> None:
-        """Ranks waiting jobs anew, at most `MAX_RANKED_JOBS` of them."""
-        if len(waiting) > MAX_RANKED_JOBS:
-            waiting = heapq.nsmallest(
-                MAX_RANKED_JOBS, waiting, key=lambda active: active.ranked_at
-            )
-        for active in waiting:
+        """Ranks waiting jobs anew, or a bounded number of them."""
+        oldest = heapq.nsmallest(
+            MAX_RANKED_JOBS, waiting, key=lambda active: active.ranked_at
+        )
+        steps = 0
+        for active in oldest:
+            if steps >= MAX_RANKED_STEPS:
+                break
+            steps += len(active.job.steps)
             active.rank = self._rank(active, order, now)
             active.ranked_at = now
 
--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -1,8 +1,9 @@
 """Orders maintenance and moves of machines while this entry leads."""
 
 import collections
+import itertools
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Protocol
 
 from clementinewood import (
@@ -45,6 +46,9 @@
 """Upper limit of the moves ordered in one round of planning. It bounds the cost
 of one wrong measurement of demand."""
 
+MAX_MEASURED_STEPS = 16_384
+"""Steps whose demand is measured in one turn of the event loop."""
+
 
 class QueueRecord(Protocol):
     """Queues a record to be appended to the dispatcher's log."""
@@ -134,6 +138,7 @@
         self._invalid_moves: set[tuple[str, str]] = set()
         self._autoscaler = autoscaler.Autoscaler()
         self._job_sizes = pooldemand.JobSizes()
+        self._measuring = False
         self._listed_at = float("-inf")
         self._surplus: dict[identifiers.PoolId, int] = {}
         self._max_moves = MAX_MOVES_PER_ROUND
@@ -709,14 +714,65 @@
     # Moves.
 
     def _plan_moves(self, now: float) -> None:
+        """Measures the demand of all pools, and orders moves that it needs."""
         config = self._decisions.config
-        if config is None:
+        if config is None or self._measuring:
+            return
+        if not any(pool.spare for pool in config.pools.values()):
             return
+        jobs = list(self._decisions.jobs.values())
+        demands: dict[identifiers.PoolId, pooldemand.Demand] = {}
+        pieces = itertools.chain(
+            self._job_sizes.observe_pieces(jobs, self._decisions.times),
+            pooldemand.measure_pieces(
+                jobs,
+                config,
+                self._decisions.times,
+                now,
+                self._job_sizes
+                if self._decisions.scheduling.stable_demand
+                else None,
+                demands,
+            ),
+        )
+        self._measuring = True
+        self._measure_some(
+            pieces, lambda: self._order_moves(config, demands, now)
+        )
+
+    def _measure_some(
+        self, pieces: Iterator[int], on_measured: Callable[[], None]
+    ) -> None:
+        """Measures up to `MAX_MEASURED_STEPS`, and the others in later turns.
+
+        Args:
+            pieces: Measures a piece and yields its steps, piece by piece.
+            on_measured: Called once all is measured.
+        """
+
+        def measure_next() -> None:
+            if self._active:
+                with self._timers.measure_turn("demand"):
+                    self._measure_some(pieces, on_measured)
+
+        steps = 0
+        for count in pieces:
+            steps += count
+            if steps >= MAX_MEASURED_STEPS:
+                self._timers.subscribe_once(0.0, measure_next)
+                return
+        self._measuring = False
+        on_measured()
+
+    def _order_moves(
+        self,
+        config: catalog.Configuration,
+        demands: Mapping[identifiers.PoolId, pooldemand.Demand],
+        now: float,
+    ) -> None:
         spare_pools = [
             pool.name for pool in config.pools.values() if pool.spare
         ]
-        if not spare_pools:
-            return
         due = {
             machine_id
             for state in self._waves.values()
@@ -732,18 +788,6 @@
             and machine.machine_id not in self._orders_from
             and machine.zone not in self._decisions.evacuated
         ]
-        self._job_sizes.observe(
-            self._decisions.jobs.values(), self._decisions.times
-        )
-        demands = pooldemand.measure_demand(
-            self._decisions.jobs.values(),
-            config,
-            self._decisions.times,
-            now,
-            self._job_sizes
-            if self._decisions.scheduling.stable_demand
-            else None,
-        )
         out_of_service = servingmachines.list_out_of_service(
             self._machines.values(), self._find_view, due, now
         )
--- a/clementinewood/pooldemand.py
+++ b/clementinewood/pooldemand.py
@@ -11,7 +11,7 @@
 """
 
 import dataclasses
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from clementinewood import activejob, catalog, identifiers, joborder
 
@@ -101,11 +101,23 @@
         jobs: Iterable[activejob.ActiveJob],
         times: joborder.RunTimes,
     ) -> None:
+        """Adds the jobs that were not in the last call, as `observe_pieces`."""
+        for _ in self.observe_pieces(jobs, times):
+            pass
+
+    def observe_pieces(
+        self,
+        jobs: Iterable[activejob.ActiveJob],
+        times: joborder.RunTimes,
+    ) -> Iterator[int]:
         """Adds the jobs that were not in the last call.
 
         Args:
             jobs: All unfinished jobs.
             times: Expected run times.
+
+        Yields:
+            The number of steps of each piece.
         """
         present = set()
         for active in jobs:
@@ -115,6 +127,7 @@
             if active.job.job_id not in self._observed:
                 mean = self._means.setdefault(active.job.queue, _MeanWork())
                 mean.observe(_measure_work(active, times))
+                yield len(active.job.steps)
         self._observed = present
 
     def expect(self, active: activejob.ActiveJob, work: float) -> float:
@@ -137,7 +150,22 @@
     now: float,
     sizes: JobSizes | None = None,
 ) -> dict[identifiers.PoolId, Demand]:
-    """Returns the demand of each pool.
+    """Returns the demand of each pool, as `measure_pieces`."""
+    found: dict[identifiers.PoolId, Demand] = {}
+    for _ in measure_pieces(list(jobs), config, times, now, sizes, found):
+        pass
+    return found
+
+
+def measure_pieces(
+    jobs: Sequence[activejob.ActiveJob],
+    config: catalog.Configuration,
+    times: joborder.RunTimes,
+    now: float,
+    sizes: JobSizes | None,
+    found: dict[identifiers.PoolId, Demand],
+) -> Iterator[int]:
+    """Measures the demand of each pool, job by job.
 
     Args:
         jobs: Unfinished jobs.
@@ -146,19 +174,27 @@
         now: Monotonic time in seconds.
         sizes: Mean work of each queue's jobs; None to use the work of the jobs
             that have just arrived.
+        found: Receives the demand of each pool.
+
+    Yields:
+        The number of steps of each piece.
     """
-    found = {pool: Demand() for pool in config.pools}
+    found.update((pool, Demand()) for pool in config.pools)
     bursts: dict[identifiers.PoolId, tuple[int, float]] = {}
     wanted = [
         (active, config.queues[active.job.queue].pool)
         for active in jobs
         if active.job.queue in config.queues and not active.cancelled
     ]
-    shares = _share_caps([active for active, _ in wanted], config.teams)
+    shares: dict[identifiers.TeamId, float] = {}
+    yield from _share_caps(
+        [active for active, _ in wanted], config.teams, shares
+    )
     for active, pool in wanted:
         demand = found.get(pool)
         if demand is None:
             continue
+        yield len(active.job.steps) + len(active.work)
         share = shares.get(active.job.team, 1.0)
         _add_open(demand, active, share, late=_is_late(active, times, now))
         age = now - active.arrived
@@ -178,7 +214,6 @@
         if count >= MIN_BURST_JOBS:
             burst = amount / BURST_WINDOW_SECONDS
             found[pool].arriving = max(found[pool].arriving, burst)
-    return found
 
 
 def _measure_path(
@@ -229,22 +264,30 @@
 def _share_caps(
     jobs: Iterable[activejob.ActiveJob],
     teams: Mapping[identifiers.TeamId, catalog.Team],
-) -> dict[identifiers.TeamId, float]:
-    """Returns the share of open work that each capped team may run.
+    shares: dict[identifiers.TeamId, float],
+) -> Iterator[int]:
+    """Measures the share of open work that each capped team may run.
+
+    Args:
+        jobs: Jobs whose work counts.
+        teams: All teams.
+        shares: Receives the shares, without teams within their cap.
 
-    Teams whose open work is within their cap are left out.
+    Yields:
+        The number of steps of each piece.
     """
     open_cpu: dict[identifiers.TeamId, int] = {}
     for active in jobs:
+        yield len(active.work)
         for part in active.work.values():
             tasks = len(part.pending) + sum(part.runs_by_minion.values())
             cpu = open_cpu.get(active.job.team, 0)
             open_cpu[active.job.team] = cpu + tasks * part.step.need.cpu
-    return {
-        team_id: teams[team_id].cap.cpu / cpu
+    shares.update(
+        (team_id, teams[team_id].cap.cpu / cpu)
         for team_id, cpu in open_cpu.items()
         if team_id in teams and 0 < teams[team_id].cap.cpu < cpu
-    }
+    )
 
 
 def _measure_work(
--- a/features/steps/turn_cost_steps.py
+++ b/features/steps/turn_cost_steps.py
@@ -16,11 +16,14 @@
     identifiers,
     job,
     jobtable,
+    machinecontrol,
     policycache,
+    pooldemand,
+    ports,
     run,
 )
 from clementinewood_platform import wire
-from features import linecount
+from features import job_harness, linecount
 
 QUEUE = catalog.Queue(
     name=identifiers.QueueId("quotes"),
@@ -43,6 +46,14 @@
     )
 
 
+def create_chain(steps, need):
+    """Returns steps of one task each, one after the other."""
+    return [
+        job.Step(count=1, need=need, after=(number - 1,) if number else ())
+        for number in range(steps)
+    ]
+
+
 def create_minion(number, capacity):
     return catalog.Minion(
         minion_id=identifiers.MinionId(f"m{number}"),
@@ -319,10 +330,15 @@
 
 @behave.when("{count:d} jobs wait for a full pool")
 def fill_pool(context, count):
+    fill_pool_with_steps(context, count, 1)
+
+
+@behave.when("{count:d} jobs of {steps:d} steps wait for a full pool")
+def fill_pool_with_steps(context, count, steps):
     context.dispatch = create_dispatcher(context.minions)
-    step = job.Step(count=1, need=ROOMY)
+    chain = create_chain(steps, ROOMY)
     for number in range(count + 1):
-        accepted = create_job([step], number)
+        accepted = create_job(chain, number)
         context.dispatch.add_job(accepted, job.Progress(), 0.0)
     assert len(plan_and_store(context.dispatch)) == 1
     for active in context.dispatch.jobs.values():
@@ -540,3 +556,105 @@
             for key in keys
         ]
         assert left == [""] * 3 + ["ticket"] * (len(keys) - 3), left
+
+
+@behave.given(
+    "a site with spare machines whose store has {count:d} jobs of {steps:d}"
+    " steps"
+)
+def create_spare_site(context, count, steps):
+    context.harness = harness = job_harness.JobHarness(
+        entries=0, minions=3, spare=2
+    )
+    chain = tuple(create_chain(steps, ROOMY))
+    for number in range(count):
+        accepted = job.Job(
+            job_id=identifiers.JobId(f"{number:016x}"),
+            queue=identifiers.QueueId("quotes"),
+            team=identifiers.TeamId("canvas"),
+            spec="",
+            steps=chain,
+            accepted=harness.wall(),
+        )
+        harness.accepted[accepted.job_id] = accepted
+        key = jobtable.render_key(jobtable.RecordKind.JOB, accepted.job_id)
+        harness.store.put(ports.Stream.JOBS, key, job.encode_job(accepted))
+    for number in range(2):
+        harness.add_entry(f"entry-{number}")
+    harness.run_until(lambda: harness.dispatcher() is not None)
+
+
+@behave.when("its demand is measured")
+def measure_site(context):
+    context.turns = turns = []
+    context.measured = []
+    context.stops = False
+    control_class = machinecontrol.MachineControl
+    measure_some, order_moves = (
+        control_class._measure_some,
+        control_class._order_moves,
+    )
+
+    counted = []
+
+    def count(pieces):
+        for steps in pieces:
+            turns[-1] += steps
+            yield steps
+
+    def count_steps(self, pieces, on_measured):
+        turns.append(0)
+        # A later turn continues with the same pieces.
+        if pieces not in counted:
+            pieces = count(pieces)
+            counted.append(pieces)
+        measure_some(self, pieces, on_measured)
+        if context.stops:
+            self.stop()
+
+    def check_demands(self, config, demands, now):
+        decisions = self._decisions
+        context.measured.append(
+            (
+                demands,
+                pooldemand.measure_demand(
+                    decisions.jobs.values(),
+                    config,
+                    decisions.times,
+                    now,
+                    self._job_sizes,
+                ),
+            )
+        )
+        order_moves(self, config, demands, now)
+
+    for name, replacement in (
+        ("_measure_some", count_steps),
+        ("_order_moves", check_demands),
+    ):
+        patch = mock.patch.object(control_class, name, replacement)
+        patch.start()
+        context.add_cleanup(patch.stop)
+    context.harness.run_until(lambda: context.measured, 5.0)
+
+
+@behave.then("each of {count:d} or more turns measures at most {steps:d} steps")
+def check_measured_steps(context, count, steps):
+    assert len(context.turns) >= count, context.turns
+    assert max(context.turns) <= steps, context.turns
+
+
+@behave.then("the demand is the one that is measured at once")
+def check_demand(context):
+    demands, expected = context.measured[0]
+    assert demands == expected, (demands, expected)
+    assert any(demand.open for demand in demands.values()), demands
+
+
+@behave.then("no turn follows after the dispatcher has stopped")
+def check_no_turn(context):
+    before = len(context.turns)
+    context.stops = True
+    context.harness.run_for(1.0)
+    # Without the stop there would be three.
+    assert len(context.turns) == before + 1, (before, context.turns)
--- a/features/turn_cost.feature
+++ b/features/turn_cost.feature
@@ -91,3 +91,15 @@
     When a step and a job are forgotten
     Then only the tickets of the other jobs are left
     And the larger one took at most 1 times as many lines
+
+  Scenario: A pass ranks a bounded number of steps
+    Given a pool of 1 minions with room for everything
+    When 600 jobs of 64 steps wait for a full pool
+    Then each of 3 passes ranks 256 jobs
+
+  Scenario: The demand of many jobs is measured over several turns
+    Given a site with spare machines whose store has 700 jobs of 64 steps
+    When its demand is measured
+    Then each of 5 or more turns measures at most 16450 steps
+    And the demand is the one that is measured at once
+    And no turn follows after the dispatcher has stopped
