--- a/features/steps/repeating_jobs_steps.py
+++ b/features/steps/repeating_jobs_steps.py
@@ -15,7 +15,7 @@
     progressrecord,
     run,
 )
-from features import job_harness, linecount
+from features import linecount
 from features.steps import large_jobs_steps, turn_cost_steps
 
 NOW = 2_000_000_000.0
@@ -386,25 +386,12 @@
 
 @behave.given("a site whose store has {count:d} jobs that are not due")
 def create_site(context, count):
-    context.harness = harness = job_harness.JobHarness(entries=0, minions=3)
-    for number in range(count):
-        accepted = job.Job(
-            job_id=identifiers.JobId(f"{number:016x}"),
-            queue=identifiers.QueueId("quotes"),
-            team=identifiers.TeamId("canvas"),
-            spec="",
-            steps=(job.Step(count=2, need=SMALL),),
-            accepted=harness.wall(),
-            start=harness.wall() + 1e6,
-            interval=60.0,
-            occurrences=525_600,
-        )
-        harness.accepted[accepted.job_id] = accepted
-        key = jobtable.render_key(jobtable.RecordKind.JOB, accepted.job_id)
-        harness.store.put(ports.Stream.JOBS, key, job.encode_job(accepted))
-    for number in range(2):
-        harness.add_entry(f"entry-{number}")
-    harness.run_until(lambda: harness.dispatcher() is not None)
+    context.harness = turn_cost_steps.create_site(
+        [[job.Step(count=2, need=SMALL)]] * count,
+        delay=1e6,
+        interval=60.0,
+        occurrences=525_600,
+    )
     context.due = []
     context.interrupt = lambda driver: None
 
--- a/features/steps/turn_cost_steps.py
+++ b/features/steps/turn_cost_steps.py
@@ -86,6 +86,36 @@
     return dispatch
 
 
+def create_site(jobs, *, spare=None, delay=0.0, **fields):
+    """Returns the harness of a site whose store has jobs before it starts.
+
+    Args:
+        jobs: Steps of each job.
+        spare: Number of spare machines; None for a site without machines.
+        delay: Seconds until the jobs are due.
+        fields: Further fields of the jobs.
+    """
+    harness = job_harness.JobHarness(entries=0, minions=3, spare=spare)
+    for number, steps in enumerate(jobs):
+        accepted = job.Job(
+            job_id=identifiers.JobId(f"{number:016x}"),
+            queue=QUEUE.name,
+            team=identifiers.TeamId("canvas"),
+            spec="",
+            steps=tuple(steps),
+            accepted=harness.wall(),
+            start=harness.wall() + delay,
+            **fields,
+        )
+        harness.accepted[accepted.job_id] = accepted
+        key = jobtable.render_key(jobtable.RecordKind.JOB, accepted.job_id)
+        harness.store.put(ports.Stream.JOBS, key, job.encode_job(accepted))
+    for number in range(2):
+        harness.add_entry(f"entry-{number}")
+    harness.run_until(lambda: harness.dispatcher() is not None)
+    return harness
+
+
 def plan_and_store(dispatch, now=0.0, wall=0.0):
     """Plans and starts all that fits; returns the orders to start runs."""
     dispatch.plan(now, wall)
@@ -563,25 +593,8 @@
     " steps"
 )
 def create_spare_site(context, count, steps):
-    context.harness = harness = job_harness.JobHarness(
-        entries=0, minions=3, spare=2
-    )
-    chain = tuple(create_chain(steps, ROOMY))
-    for number in range(count):
-        accepted = job.Job(
-            job_id=identifiers.JobId(f"{number:016x}"),
-            queue=identifiers.QueueId("quotes"),
-            team=identifiers.TeamId("canvas"),
-            spec="",
-            steps=chain,
-            accepted=harness.wall(),
-        )
-        harness.accepted[accepted.job_id] = accepted
-        key = jobtable.render_key(jobtable.RecordKind.JOB, accepted.job_id)
-        harness.store.put(ports.Stream.JOBS, key, job.encode_job(accepted))
-    for number in range(2):
-        harness.add_entry(f"entry-{number}")
-    harness.run_until(lambda: harness.dispatcher() is not None)
+    chain = create_chain(steps, ROOMY)
+    context.harness = create_site([chain] * count, spare=2)
 
 
 @behave.when("its demand is measured")
