Measure demand again after an error in a later turn

The flag that keeps two measurements apart stayed set if a turn after the first one ended with an error; then no machine was moved for the rest of the term. It is now set only between two turns.

--- a/clementinewood/machinecontrol.py
+++ b/clementinewood/machinecontrol.py
@@ -735,7 +735,6 @@
                 demands,
             ),
         )
-        self._measuring = True
         self._measure_some(
             pieces, lambda: self._order_moves(config, demands, now)
         )
@@ -755,13 +754,15 @@
                 with self._timers.measure_turn("demand"):
                     self._measure_some(pieces, on_measured)
 
+        # Not while pieces are measured: an error ends this measurement only.
+        self._measuring = False
         steps = 0
         for count in pieces:
             steps += count
             if steps >= MAX_MEASURED_STEPS:
+                self._measuring = True
                 self._timers.subscribe_once(0.0, measure_next)
                 return
-        self._measuring = False
         on_measured()
 
     def _order_moves(
--- a/features/steps/turn_cost_steps.py
+++ b/features/steps/turn_cost_steps.py
@@ -671,3 +671,36 @@
     context.harness.run_for(1.0)
     # Without the stop there would be three.
     assert len(context.turns) == before + 1, (before, context.turns)
+
+
+@behave.when("an error ends a measurement of its demand in its second turn")
+def fail_measurement(context):
+    measure_pieces = pooldemand.measure_pieces
+    context.errors = []
+
+    def fail_once(*args):
+        if not context.errors:
+            yield machinecontrol.MAX_MEASURED_STEPS
+            context.errors.append(True)
+            raise ZeroDivisionError
+        yield from measure_pieces(*args)
+
+    patch = mock.patch.object(pooldemand, "measure_pieces", fail_once)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    context.harness.most_failures = 1
+    context.harness.run_for(1.0)
+    assert context.errors
+
+
+@behave.then("a later measurement is complete")
+def check_later_measurement(context):
+    order_moves = machinecontrol.MachineControl._order_moves
+    with mock.patch.object(
+        machinecontrol.MachineControl,
+        "_order_moves",
+        autospec=True,
+        side_effect=order_moves,
+    ) as ordered:
+        context.harness.run_for(1.0)
+    assert ordered.call_count > 1, ordered.call_count
--- a/features/turn_cost.feature
+++ b/features/turn_cost.feature
@@ -103,3 +103,8 @@
     Then each of 5 or more turns measures at most 16450 steps
     And the demand is the one that is measured at once
     And no turn follows after the dispatcher has stopped
+
+  Scenario: An error while demand is measured ends that measurement only
+    Given a site with spare machines whose store has 10 jobs of 2 steps
+    When an error ends a measurement of its demand in its second turn
+    Then a later measurement is complete
