Read the log to its closing byte in the test of a stop

It now reads until a closing byte that no line holds. The check of the lines is as it was, and no longer adds the newline at the end itself.

--- a/features/steps/log_output_steps.py
+++ b/features/steps/log_output_steps.py
@@ -266,19 +266,14 @@
 
 @behave.when("the log is closed while a thread reads the pipe")
 def close_read_log(context):
-    ended = threading.Event()
-
     def read():
-        while data := os.read(context.read_end, 1 << 16):
-            context.read += data
-            if ended.is_set():
-                return
+        # The closing byte comes after all lines, which hold none.
+        while not context.read.endswith(b"\0"):
+            context.read += os.read(context.read_end, 1 << 16)
 
     reader = threading.Thread(target=read)
     reader.start()
     context.log.close()
-    ended.set()
-    # The last read returns with this byte.
-    os.write(context.write_end, b"\n")
+    os.write(context.write_end, b"\0")
     reader.join()
-    context.read = context.read.rstrip(b"\n") + b"\n"
+    context.read = context.read.removesuffix(b"\0")
